--- /dev/null
+++ b/internal/lrcommand/root.go
@@ -0,0 +1,97 @@
+// Package lrcommand is the command line of lavenderrouter.
+package lrcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderrouter/lavenderrouter"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstate"
+)
+
+const (
+	exitOK      = 0
+	exitFailure = 1
+	// envPlatform names the environment variable with the URL of the platform.
+	envPlatform = "LAVENDERROUTER_PLATFORM"
+)
+
+// operator is what the operator's commands share.
+type operator struct {
+	platformURL string
+	who         string
+	output      io.Writer
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, output, errors io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRootCommand(output)
+	root.SetArgs(args)
+	root.SetOut(output)
+	root.SetErr(errors)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintln(errors, "lavenderrouter:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func newRootCommand(output io.Writer) *cobra.Command {
+	o := &operator{output: output}
+	root := &cobra.Command{
+		Use: "lavenderrouter", Short: "Route language-model traffic with long shared prompts",
+		Version: lavenderrouter.Version, SilenceUsage: true, SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&o.platformURL, "platform", os.Getenv(envPlatform), "URL of the platform's object API (or "+envPlatform+")")
+	flags.StringVar(&o.who, "who", currentUser(), "name that stands in the audit trail")
+	root.AddCommand(newServeCommand(), newCheckCommand(o), newPlansCommand(o), newAccountsCommand(o), newKeysCommand(o),
+		newStatusCommand(o), newAuditCommand(o), newExplainCommand(o))
+	return root
+}
+
+// newGroupCommand returns a command that only holds others. It refuses a name that none of them has.
+func newGroupCommand(use, short string, commands ...*cobra.Command) *cobra.Command {
+	group := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
+	group.RunE = func(c *cobra.Command, _ []string) error { return c.Help() }
+	group.AddCommand(commands...)
+	return group
+}
+
+func (o *operator) platform() (lrplatform.Platform, error) {
+	if o.platformURL == "" {
+		return nil, fmt.Errorf("the platform's URL is not known; give --platform or set %s", envPlatform)
+	}
+	return lrplatform.NewClient(o.platformURL), nil
+}
+
+func (o *operator) publisher() (*lrstate.Publisher, error) {
+	platform, err := o.platform()
+	if err != nil {
+		return nil, err
+	}
+	return lrstate.NewPublisher(platform), nil
+}
+
+func (o *operator) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(o.output, format, args...)
+}
+
+func currentUser() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
--- /dev/null
+++ b/internal/lrdaemon/harness_test.go
@@ -0,0 +1,197 @@
+package lrdaemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstate"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
+)
+
+const (
+	testModel   = "award-review"
+	testAccount = "parish-office"
+	testZone    = "zone-a"
+	waitLimit   = 20 * time.Second
+)
+
+// harness is a deployment inside the test: one platform, engines, one plain service, and instances of the daemon.
+type harness struct {
+	t         *testing.T
+	platform  *httptest.Server
+	engines   []*httptest.Server
+	service   *httptest.Server
+	publisher *lrstate.Publisher
+	instances []lrplatform.Instance
+	key       lrkey.Key
+}
+
+func newHarness(t *testing.T, engineCount int) *harness {
+	t.Helper()
+	h := &harness{t: t, platform: startServer(t, lrstub.NewPlatform()), service: startServer(t, lrstub.NewService())}
+	h.publisher = lrstate.NewPublisher(lrplatform.NewClient(h.platform.URL))
+	for n := range engineCount {
+		options := lrstub.DefaultEngineOptions()
+		options.Versions = map[string]string{testModel: "1"}
+		options.DecodePerToken = time.Millisecond
+		engine := startServer(t, lrstub.NewEngine(options))
+		h.engines = append(h.engines, engine)
+		h.instances = append(h.instances, lrplatform.Instance{
+			Name: "engine-" + string(rune('a'+n)), Role: lrplatform.RoleEngine, Address: engine.Listener.Addr().String(),
+			Zone: testZone, Models: []string{testModel},
+		})
+	}
+	h.instances = append(h.instances, lrplatform.Instance{
+		Name: "service-a", Role: lrplatform.RoleService, Address: h.service.Listener.Addr().String(), Zone: testZone, Service: "disbursement",
+	})
+	h.publishInstances()
+	h.configure()
+	return h
+}
+
+func startServer(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server
+}
+
+func (h *harness) publishInstances() {
+	h.t.Helper()
+	h.control(h.platform, "/control/instances", h.instances)
+}
+
+// control sends a value to the control path of a stand-in.
+func (h *harness) control(server *httptest.Server, path string, value any) {
+	h.t.Helper()
+	data, err := json.Marshal(value)
+	requireNoError(h.t, err)
+	request, err := http.NewRequest(http.MethodPut, server.URL+path, bytes.NewReader(data))
+	requireNoError(h.t, err)
+	response, err := http.DefaultClient.Do(request)
+	requireNoError(h.t, err)
+	_ = response.Body.Close()
+	requireEqual(h.t, response.StatusCode, http.StatusOK, "status of "+path)
+}
+
+// configure applies the lists that every test starts from and adds a key for the client account.
+func (h *harness) configure() {
+	h.t.Helper()
+	text, err := os.ReadFile("testdata/lists.ini")
+	requireNoError(h.t, err)
+	list, mistakes := lrconfig.ParseList("lists.ini", text)
+	requireEqual(h.t, len(mistakes), 0, "mistakes in the lists")
+	h.change(func(s *lrconfig.Snapshot) (lrstate.Change, error) { return lrstate.PlanChange(s, list) })
+	h.change(func(s *lrconfig.Snapshot) (lrstate.Change, error) { return lrstate.AccountChange(s, list) })
+	h.key = h.addKey(testAccount)
+}
+
+func (h *harness) addKey(account string) lrkey.Key {
+	h.t.Helper()
+	key := lrkey.New()
+	record := lrconfig.KeyRecord{ID: key.ID(), Account: account, Hash: key.Hash()}
+	h.change(func(s *lrconfig.Snapshot) (lrstate.Change, error) { return lrstate.KeyChange(s, "add key", record) })
+	return key
+}
+
+func (h *harness) withdraw(key lrkey.Key) {
+	h.t.Helper()
+	h.change(func(s *lrconfig.Snapshot) (lrstate.Change, error) {
+		record, _ := s.Key(key.ID())
+		return lrstate.KeyChange(s, "withdraw key", record.WithWithdrawal(time.Now()))
+	})
+}
+
+// change makes a change to the configuration in force.
+func (h *harness) change(plan func(*lrconfig.Snapshot) (lrstate.Change, error)) {
+	h.t.Helper()
+	ctx := context.Background()
+	base, err := h.publisher.Read(ctx)
+	requireNoError(h.t, err)
+	change, err := plan(base)
+	requireNoError(h.t, err)
+	_, err = h.publisher.Apply(ctx, time.Now(), base, change)
+	requireNoError(h.t, err)
+}
+
+// runningDaemon is a daemon that serves until the test ends.
+type runningDaemon struct {
+	*Daemon
+	url    string
+	stop   context.CancelFunc
+	result chan error
+}
+
+// startDaemon starts an instance and waits until it is ready.
+func (h *harness) startDaemon(name string, adjust func(*lrsettings.Settings)) *runningDaemon {
+	h.t.Helper()
+	settings := lrsettings.Default()
+	settings.Instance = lrsettings.Instance{
+		Name: name, Zone: testZone, Address: freeAddress(h.t), AdminAddress: freeAddress(h.t), PeerAddress: freeAddress(h.t),
+	}
+	settings.Platform.URL = h.platform.URL
+	settings.Platform.ListInterval = 50 * time.Millisecond
+	settings.Routing.LoadInterval = 50 * time.Millisecond
+	settings.Server.DrainDelay = 0
+	if adjust != nil {
+		adjust(&settings)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d := &runningDaemon{Daemon: New(settings, zerolog.Nop()), url: "http://" + settings.Instance.Address, stop: stop, result: make(chan error, 1)}
+	go func() { d.result <- d.Run(ctx) }()
+	h.t.Cleanup(func() {
+		stop()
+		<-d.Done()
+	})
+	eventually(h.t, "the instance is ready", func() bool { return len(d.missing()) == 0 })
+	return d
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	requireNoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never came true: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func requireNoError(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func requireEqual[T comparable](t *testing.T, got, want T, what string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
--- /dev/null
+++ b/internal/lrgateway/forward.go
@@ -0,0 +1,128 @@
+package lrgateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+)
+
+// HeaderIdempotencyKey names the request header that identifies a paid action.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// A PaidRequest is a non-idempotent request of a client account.
+type PaidRequest struct {
+	RequestID      string
+	Account        string
+	Route          lrconfig.Route
+	IdempotencyKey string
+	Request        lrservice.Request
+}
+
+// A PaidRunner runs each paid action at most once.
+type PaidRunner interface {
+	// Run returns the answer of the one call that the idempotency key stands for, whether it was made now or before.
+	Run(ctx context.Context, now time.Time, request PaidRequest) (lrservice.Response, error)
+}
+
+func findRoute(snapshot *lrconfig.Snapshot, path string) *lrconfig.Route {
+	var found *lrconfig.Route
+	for _, r := range snapshot.Catalog().Routes {
+		if !matchesPath(r.Path, path) {
+			continue
+		}
+		if found == nil || len(r.Path) > len(found.Path) {
+			found = &r
+		}
+	}
+	return found
+}
+
+func matchesPath(prefix, path string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || strings.HasPrefix(rest, "/"))
+}
+
+// forward serves a request to a plain service.
+func (g *Gateway) forward(ctx context.Context, call *Call) error {
+	if call.Route == nil {
+		return lrerror.New(lrerror.KindNotFound, lrerror.NotRun, "there is no route for this path; look at the catalog's routes")
+	}
+	request := forwardRequest(call)
+	if call.Route.Paid {
+		return g.forwardPaid(ctx, call, request)
+	}
+	response, err := g.forwardOnce(ctx, call, request)
+	if err != nil {
+		return err
+	}
+	writeResponse(call, response)
+	return nil
+}
+
+func (g *Gateway) forwardPaid(ctx context.Context, call *Call, request lrservice.Request) error {
+	if g.Paid == nil {
+		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "paid routes are not served by this instance; retry on another one")
+	}
+	key := call.Request.Header.Get(HeaderIdempotencyKey)
+	if key == "" {
+		return badRequest("a paid action needs the header " + HeaderIdempotencyKey + "; send one that is unique to the action")
+	}
+	response, err := g.Paid.Run(ctx, g.Clock(), PaidRequest{
+		RequestID: call.ID, Account: call.Account.Name, Route: *call.Route, IdempotencyKey: key, Request: request,
+	})
+	if err != nil {
+		return err
+	}
+	writeResponse(call, response)
+	return nil
+}
+
+// forwardOnce sends the request to one backend server, and to the next one only if no byte of it had left.
+func (g *Gateway) forwardOnce(ctx context.Context, call *Call, request lrservice.Request) (lrservice.Response, error) {
+	servers := g.Servers.Services(call.Route.Service)
+	for _, s := range servers {
+		response, err := g.Services.Call(ctx, s.Address, request)
+		if err == nil {
+			return response, nil
+		}
+		if !lrservice.ErrNotSent.Has(err) {
+			return response, lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
+				"the service failed after it had received the request; find out whether it ran before sending it again").WithCause(err)
+		}
+	}
+	return lrservice.Response{}, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
+		"no backend server of service %s can be reached; retry later", call.Route.Service)
+}
+
+func forwardRequest(call *Call) lrservice.Request {
+	secret := call.Key.Reveal()
+	path := call.Request.URL.EscapedPath()
+	query := forwardQuery(call.Request.URL.Query(), secret)
+	if query != "" {
+		path += "?" + query
+	}
+	header := forwardHeader(call.Request.Header, secret)
+	header.Set(HeaderRequestID, call.ID)
+	return lrservice.Request{Method: call.Request.Method, Path: path, Header: header, Body: call.Body}
+}
+
+func writeResponse(call *Call, response lrservice.Response) {
+	call.explanation.Outcome = lrerror.Ran
+	call.wroteHeader = true
+	header := call.writer.Header()
+	for name, values := range forwardHeader(response.Header, "") {
+		if !strings.EqualFold(name, HeaderRequestID) {
+			header[name] = values
+		}
+	}
+	header.Del("Set-Cookie")
+	call.writer.WriteHeader(response.Status)
+	if call.Request.Method != http.MethodHead {
+		_, _ = call.writer.Write(response.Body)
+	}
+}
--- /dev/null
+++ b/internal/lrgateway/gateway.go
@@ -0,0 +1,90 @@
+// Package lrgateway serves callers: it checks who they are, what they may do, and leads each request to a backend
+// server and its answer back.
+package lrgateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrexplain"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
+)
+
+// A ConfigSource gives the configuration in force.
+type ConfigSource interface {
+	Snapshot() *lrconfig.Snapshot
+}
+
+// A ServerSource gives the backend servers of a plain service that take new work, the preferred one first.
+type ServerSource interface {
+	Services(service string) []lrplatform.Instance
+}
+
+// Parts are what a Gateway works with.
+type Parts struct {
+	Config   ConfigSource
+	Limiter  lrlimit.Limiter
+	Queue    lrqueue.Queue
+	Runner   *lrstream.Runner
+	Servers  ServerSource
+	Services lrservice.Client
+	// Paid runs non-idempotent requests. Paid routes are refused while it is nil.
+	Paid     PaidRunner
+	Recorder *lrexplain.Recorder
+	Metrics  *lrmetric.Metrics
+	Log      zerolog.Logger
+	// Clock returns the present time.
+	Clock func() time.Time
+}
+
+// Options bound what callers may do.
+type Options struct {
+	MaxBodyBytes  int64
+	BodyTimeout   time.Duration
+	StreamTimeout time.Duration
+	// MaxConnectionsPerAccount bounds the requests that one client account may have open on this instance.
+	MaxConnectionsPerAccount int
+}
+
+// A Gateway is the HTTP handler for callers.
+type Gateway struct {
+	Parts
+	options  Options
+	guards   []Guard
+	sessions *sessions
+	router   *mux.Router
+}
+
+// New returns a Gateway with the default guards.
+func New(parts Parts, options Options) *Gateway {
+	g := &Gateway{Parts: parts, options: options, guards: DefaultGuards(options), sessions: newSessions(), router: mux.NewRouter()}
+	g.router.UseEncodedPath()
+	g.router.HandleFunc("/v1/chat/completions", g.serve(g.generate)).Methods(http.MethodPost)
+	g.router.HandleFunc("/v1/completions", g.serve(g.generate)).Methods(http.MethodPost)
+	g.router.HandleFunc("/v1/models", g.serve(g.listModels)).Methods(http.MethodGet)
+	g.router.PathPrefix("/").HandlerFunc(g.serve(g.forward))
+	return g
+}
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.router.ServeHTTP(w, r)
+}
+
+// Apply ends the running requests of keys and accounts that the snapshot does not allow any more.
+func (g *Gateway) Apply(snapshot *lrconfig.Snapshot) {
+	g.Metrics.ConfigVersion.Set(float64(snapshot.Version()))
+	g.sessions.endDisallowed(snapshot)
+}
+
+// Running returns the number of requests being served.
+func (g *Gateway) Running() int { return g.sessions.len() }
--- /dev/null
+++ b/internal/lrgateway/generate.go
@@ -0,0 +1,114 @@
+package lrgateway
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
+)
+
+// generate serves a chat or text completion.
+func (g *Gateway) generate(ctx context.Context, call *Call) error {
+	request, err := parseCompletion(call.Request.URL.Path, call.Body)
+	if err != nil {
+		return err
+	}
+	model, err := allowedModel(call, request)
+	if err != nil {
+		return err
+	}
+	job := newJob(call, request, model)
+	call.explanation.Model = model.Name
+	call.explanation.PromptTokens = job.Route.Tokens
+	reservation, err := g.Limiter.Reserve(ctx, g.Clock(), lrlimit.Request{
+		Account: call.Account.Name, Rate: call.Plan.Rate, Burst: call.Plan.Burst,
+		Tokens: float64(job.Route.Tokens + job.Route.MaxOutput),
+	})
+	if err != nil {
+		return err
+	}
+	result, err := g.runJob(ctx, call, request, job)
+	reservation.Settle(g.Clock(), usedTokens(job, result))
+	return err
+}
+
+func (g *Gateway) runJob(ctx context.Context, call *Call, request completionRequest, job lrstream.Job) (lrstream.Result, error) {
+	queuedAt := g.Clock()
+	release, err := g.Queue.Enter(ctx, queuedAt, lrqueue.Entry{
+		Account: call.Account.Name, Priority: call.Plan.Priority, Tokens: job.Route.Tokens,
+	})
+	if err != nil {
+		return lrstream.Result{}, err
+	}
+	defer func() { release(g.Clock()) }()
+	call.explanation.Queued = g.Clock().Sub(queuedAt)
+	sink := newCompletionSink(call, request, g.Clock())
+	result, err := g.Runner.Run(ctx, job, sink)
+	call.recordResult(result)
+	g.observe(call, job, result)
+	if err != nil {
+		sink.fail(lrerror.From(preferCause(ctx, err)))
+		return result, err
+	}
+	call.explanation.Outcome = lrerror.Ran
+	return result, sink.finish(job, result)
+}
+
+func (g *Gateway) observe(call *Call, job lrstream.Job, result lrstream.Result) {
+	if result.FirstToken == 0 {
+		return
+	}
+	firstToken := g.Clock().Sub(call.receivedAt).Seconds()
+	if len(result.Attempts) > 0 {
+		firstToken = (call.explanation.Queued + result.FirstToken).Seconds()
+	}
+	g.Metrics.FirstToken.Observe(firstToken)
+	g.Metrics.AccountFirstToken.WithLabelValues(call.Account.Name).Observe(firstToken)
+	g.Metrics.PromptTokens.WithLabelValues("true").Add(float64(result.CachedTokens))
+	g.Metrics.PromptTokens.WithLabelValues("false").Add(float64(job.Route.Tokens - result.CachedTokens))
+}
+
+func allowedModel(call *Call, request completionRequest) (lrconfig.Model, error) {
+	model, ok := call.Snapshot.Catalog().Model(request.Model)
+	if !ok || !slices.Contains(call.Plan.Models, request.Model) {
+		return model, lrerror.New(lrerror.KindModelNotFound, lrerror.NotRun,
+			"there is no model %q for this client account; use one of: %s", request.Model, strings.Join(call.Plan.Models, ", "))
+	}
+	if request.Adapter != "" && (!slices.Contains(model.Adapters, request.Adapter) || !slices.Contains(call.Plan.Adapters, request.Adapter)) {
+		return model, lrerror.New(lrerror.KindModelNotFound, lrerror.NotRun,
+			"there is no adapter %q of model %q for this client account; use one of: %s",
+			request.Adapter, request.Model, strings.Join(call.Plan.Adapters, ", "))
+	}
+	return model, nil
+}
+
+func newJob(call *Call, request completionRequest, model lrconfig.Model) lrstream.Job {
+	scope := lrprefix.Scope{Account: call.Account.Name, Model: model.Name, Adapter: request.Adapter, Version: model.Version}
+	salt := scope.Salt()
+	return lrstream.Job{
+		Engine: lrengine.Request{
+			RequestID: call.ID, Salt: salt.String(), Model: model.Name, Adapter: request.Adapter, Version: model.Version,
+			Prompt: request.PromptText, MaxTokens: request.MaxTokens, Priority: call.Plan.Priority,
+		},
+		Route: lrroute.Request{
+			ID: call.ID, Scope: scope, Chain: lrprefix.Chain(salt, request.PromptText),
+			Tokens: lrprefix.Tokens(request.PromptText), MaxOutput: request.MaxTokens,
+		},
+	}
+}
+
+// usedTokens returns what a generation has cost its account. A request that reached no engine costs nothing.
+func usedTokens(job lrstream.Job, result lrstream.Result) float64 {
+	if len(result.Attempts) == 0 {
+		return 0
+	}
+	return float64(job.Route.Tokens + result.OutputTokens)
+}
--- /dev/null
+++ b/internal/lrgateway/guard.go
@@ -0,0 +1,122 @@
+package lrgateway
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
+)
+
+// A Guard checks one condition under which a call may be served. Guards run in order before anything leaves.
+type Guard interface {
+	Check(now time.Time, call *Call) error
+}
+
+// DefaultGuards returns the guards that a Gateway uses, in their order.
+func DefaultGuards(options Options) []Guard {
+	return []Guard{
+		&authenticationGuard{},
+		&accountGuard{},
+		&bodyGuard{maxBytes: options.MaxBodyBytes, timeout: options.BodyTimeout},
+		&leakGuard{},
+	}
+}
+
+// authenticationGuard finds the key of the caller and verifies it.
+type authenticationGuard struct{}
+
+func (*authenticationGuard) Check(_ time.Time, call *Call) error {
+	if call.Route != nil && call.Route.Open {
+		return nil
+	}
+	values := call.Request.Header.Values("Authorization")
+	if len(values) > 1 {
+		return lrerror.New(lrerror.KindBadRequest, lrerror.NotRun, "there is more than one Authorization header; send one")
+	}
+	key, ok := bearerKey(call.Request.Header.Get("Authorization"))
+	if !ok {
+		return unauthenticated()
+	}
+	call.Key = key
+	return checkKey(call, call.Snapshot)
+}
+
+// checkKey verifies the key of the call against a snapshot.
+func checkKey(call *Call, snapshot *lrconfig.Snapshot) error {
+	record, ok := snapshot.Key(call.Key.ID())
+	if !ok || record.Withdrawn() || !call.Key.Matches(record.Hash) {
+		return unauthenticated()
+	}
+	call.Account.Name = record.Account
+	return nil
+}
+
+func unauthenticated() error {
+	return lrerror.New(lrerror.KindUnauthenticated, lrerror.NotRun,
+		"the key is missing, unknown or withdrawn; send a valid one as \"Authorization: Bearer KEY\"")
+}
+
+func bearerKey(header string) (lrkey.Key, bool) {
+	scheme, value, _ := strings.Cut(header, " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return lrkey.Key{}, false
+	}
+	return lrkey.Parse(strings.TrimSpace(value))
+}
+
+// accountGuard finds the client account of the key and its plan.
+type accountGuard struct{}
+
+func (*accountGuard) Check(_ time.Time, call *Call) error {
+	if call.Key.ID() == "" {
+		return nil
+	}
+	account, ok := call.Snapshot.Account(call.Account.Name)
+	if !ok {
+		return lrerror.New(lrerror.KindForbidden, lrerror.NotRun,
+			"client account %s does not exist any more; ask the operator to add it", call.Account.Name)
+	}
+	plan, ok := call.Snapshot.Plan(account.Plan)
+	if !ok {
+		return lrerror.New(lrerror.KindForbidden, lrerror.NotRun, "plan %s does not exist any more; ask the operator to add it", account.Plan)
+	}
+	call.Account, call.Plan = account, plan
+	return nil
+}
+
+// bodyGuard reads the body within its limits of size and time.
+type bodyGuard struct {
+	maxBytes int64
+	timeout  time.Duration
+}
+
+func (b *bodyGuard) Check(now time.Time, call *Call) error {
+	controller := http.NewResponseController(call.writer)
+	_ = controller.SetReadDeadline(now.Add(b.timeout))
+	body, err := readBody(call.writer, call.Request, b.maxBytes)
+	if err != nil {
+		return err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	call.Body = body
+	return nil
+}
+
+// leakGuard refuses a call whose key stands where it cannot be removed.
+type leakGuard struct{}
+
+func (*leakGuard) Check(_ time.Time, call *Call) error {
+	if call.Key.ID() == "" {
+		return nil
+	}
+	secret := call.Key.Reveal()
+	if bytes.Contains(call.Body, []byte(secret)) || strings.Contains(call.Request.URL.Path, secret) {
+		return lrerror.New(lrerror.KindBadRequest, lrerror.NotRun,
+			"the key stands in the body or path; send it in the Authorization header alone, and replace it as it may have been seen")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lrmetric/metrics.go
@@ -0,0 +1,71 @@
+// Package lrmetric holds the metrics of the daemon.
+package lrmetric
+
+import "github.com/prometheus/client_golang/prometheus"
+
+const namespace = "lavenderrouter"
+
+// Metrics are the metrics of one instance.
+type Metrics struct {
+	Registry *prometheus.Registry
+	// Requests counts finished requests by route kind and outcome.
+	Requests *prometheus.CounterVec
+	// FirstToken is the time to the first token in seconds, by priority class.
+	FirstToken prometheus.Histogram
+	// AccountFirstToken is the time to the first token in seconds, by client account.
+	AccountFirstToken *prometheus.SummaryVec
+	// PromptTokens counts prompt tokens by whether the engine had them cached.
+	PromptTokens *prometheus.CounterVec
+	// WastedTokens counts prompt tokens that were recomputed although another engine held them.
+	WastedTokens prometheus.Counter
+	// Refusals counts refused requests by kind of error.
+	Refusals *prometheus.CounterVec
+	// ConfigVersion is the version of the configuration in force.
+	ConfigVersion prometheus.Gauge
+	// Violations counts violated invariants by name. Any value above zero is a fault of the program.
+	Violations *prometheus.CounterVec
+}
+
+// New returns the metrics, registered in a registry of their own.
+func New() *Metrics {
+	m := &Metrics{
+		Registry:          prometheus.NewRegistry(),
+		Requests:          counterVec("requests_total", "Finished requests.", "route", "outcome"),
+		FirstToken:        prometheus.NewHistogram(histogram("first_token_seconds", "Time to the first token.")),
+		AccountFirstToken: prometheus.NewSummaryVec(accountSummary(), []string{"account"}),
+		PromptTokens:      counterVec("prompt_tokens_total", "Prompt tokens by whether they were cached.", "cached"),
+		WastedTokens:      prometheus.NewCounter(counter("wasted_tokens_total", "Prompt tokens recomputed although another engine held them.")),
+		Refusals:          counterVec("refusals_total", "Refused requests by kind.", "kind"),
+		ConfigVersion:     prometheus.NewGauge(gauge("config_version", "Version of the configuration in force.")),
+		Violations:        counterVec("invariant_violations_total", "Violated invariants by name.", "invariant"),
+	}
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AccountFirstToken, m.PromptTokens, m.WastedTokens, m.Refusals,
+		m.ConfigVersion, m.Violations)
+	return m
+}
+
+func counter(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func gauge(name, help string) prometheus.GaugeOpts {
+	return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(counter(name, help), labels)
+}
+
+func histogram(name, help string) prometheus.HistogramOpts {
+	return prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help,
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+	}
+}
+
+func accountSummary() prometheus.SummaryOpts {
+	return prometheus.SummaryOpts{
+		Namespace: namespace, Name: "account_first_token_seconds", Help: "Time to the first token by client account.",
+		Objectives: map[float64]float64{0.99: 0.005},
+	}
+}
--- /dev/null
+++ b/internal/lrplatform/client.go
@@ -0,0 +1,167 @@
+package lrplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	defaultCallTimeout  = 2 * time.Second
+	defaultWatchTimeout = 30 * time.Second
+	maxErrorBytes       = 1024
+	// WatchSecondsParameter names the query parameter with the longest wait of a watch in seconds.
+	WatchSecondsParameter = "waitSeconds"
+)
+
+type client struct {
+	base         string
+	http         *http.Client
+	callTimeout  time.Duration
+	watchTimeout time.Duration
+}
+
+// A ClientOption changes how the client reaches the platform.
+type ClientOption func(*client)
+
+// WithHTTPClient makes the client send its calls through the given HTTP client.
+func WithHTTPClient(h *http.Client) ClientOption {
+	return func(c *client) { c.http = h }
+}
+
+// WithCallTimeout bounds each call other than a watch.
+func WithCallTimeout(timeout time.Duration) ClientOption {
+	return func(c *client) { c.callTimeout = timeout }
+}
+
+// NewClient returns a Platform at the base URL, such as "http://127.0.0.1:9000".
+func NewClient(base string, options ...ClientOption) Platform {
+	c := &client{
+		base:         strings.TrimSuffix(base, "/"),
+		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+		callTimeout:  defaultCallTimeout,
+		watchTimeout: defaultWatchTimeout,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+func (c *client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var object Object
+	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &object)
+	return object, err
+}
+
+func (c *client) List(ctx context.Context, kind, prefix string) ([]Object, error) {
+	var objects []Object
+	path := "/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
+	err := c.call(ctx, http.MethodGet, path, nil, &objects)
+	return objects, err
+}
+
+func (c *client) Create(ctx context.Context, kind, name string, value []byte) (Object, error) {
+	var object Object
+	err := c.call(ctx, http.MethodPost, objectPath(kind, name), value, &object)
+	return object, err
+}
+
+func (c *client) Update(ctx context.Context, object Object) (Object, error) {
+	var updated Object
+	err := c.call(ctx, http.MethodPut, versionedPath(object), object.Value, &updated)
+	return updated, err
+}
+
+func (c *client) Delete(ctx context.Context, object Object) error {
+	return c.call(ctx, http.MethodDelete, versionedPath(object), nil, nil)
+}
+
+func (c *client) Watch(ctx context.Context, kind string, after uint64) (Changes, error) {
+	changes := Changes{Revision: after}
+	ctx, cancel := context.WithTimeout(ctx, c.watchTimeout+c.callTimeout)
+	defer cancel()
+	path := fmt.Sprintf("/watch/%s?after=%d&%s=%d", url.PathEscape(kind), after,
+		WatchSecondsParameter, int(c.watchTimeout.Seconds()))
+	err := c.do(ctx, http.MethodGet, path, nil, &changes)
+	return changes, err
+}
+
+func (c *client) Instances(ctx context.Context) ([]Instance, error) {
+	var instances []Instance
+	err := c.call(ctx, http.MethodGet, "/instances", nil, &instances)
+	return instances, err
+}
+
+func (c *client) call(ctx context.Context, method, path string, body []byte, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
+	defer cancel()
+	return c.do(ctx, method, path, body, result)
+}
+
+func (c *client) do(ctx context.Context, method, path string, body []byte, result any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return ErrInvalid.Wrap(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return classifyTransport(method, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return classifyStatus(method, response)
+	}
+	if result == nil || response.StatusCode == http.StatusNoContent {
+		return nil
+	}
+	err = json.NewDecoder(response.Body).Decode(result)
+	if err != nil {
+		return classifyTransport(method, err)
+	}
+	return nil
+}
+
+func classifyTransport(method string, err error) error {
+	var dial *net.OpError
+	if method == http.MethodGet || (errors.As(err, &dial) && dial.Op == "dial") {
+		return ErrUnavailable.Wrap(err)
+	}
+	return ErrUnknown.Wrap(err)
+}
+
+func classifyStatus(method string, response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	message := strings.TrimSpace(string(text))
+	switch response.StatusCode {
+	case http.StatusNotFound:
+		return ErrNotFound.New("%s", message)
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return ErrConflict.New("%s", message)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return ErrUnavailable.New("%s", message)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return ErrInvalid.New("%s", message)
+	}
+	if method == http.MethodGet {
+		return ErrUnavailable.New("status %d: %s", response.StatusCode, message)
+	}
+	return ErrUnknown.New("status %d: %s", response.StatusCode, message)
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func versionedPath(o Object) string {
+	return objectPath(o.Kind, o.Name) + "?version=" + strconv.FormatUint(o.Version, 10)
+}
--- /dev/null
+++ b/internal/lrplatform/memory.go
@@ -0,0 +1,192 @@
+package lrplatform
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// historyLimit is the number of changes that a watch can be behind before it gets the whole kind.
+const historyLimit = 10000
+
+// A Memory is a Platform inside the process. It backs the stand-in and serves as the fake in tests.
+type Memory struct {
+	mutex     sync.Mutex
+	revision  uint64
+	objects   map[objectKey]Object
+	history   []historyEntry
+	instances []Instance
+	changed   chan struct{}
+}
+
+type objectKey struct{ kind, name string }
+
+type historyEntry struct {
+	revision uint64
+	key      objectKey
+}
+
+// NewMemory returns an empty Memory.
+func NewMemory() *Memory {
+	return &Memory{objects: map[objectKey]Object{}, changed: make(chan struct{})}
+}
+
+// SetInstances replaces the list of instances.
+func (m *Memory) SetInstances(instances []Instance) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.instances = slices.Clone(instances)
+}
+
+// Instances returns the list of instances.
+func (m *Memory) Instances(context.Context) ([]Instance, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Clone(m.instances), nil
+}
+
+// Get returns the object, or an ErrNotFound.
+func (m *Memory) Get(_ context.Context, kind, name string) (Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	object, ok := m.objects[objectKey{kind, name}]
+	if !ok {
+		return Object{}, ErrNotFound.New("%s/%s", kind, name)
+	}
+	return cloneObject(object), nil
+}
+
+// List returns the objects of the kind whose names start with the prefix, ordered by name.
+func (m *Memory) List(_ context.Context, kind, prefix string) ([]Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.list(kind, prefix), nil
+}
+
+// Create writes a new object.
+func (m *Memory) Create(_ context.Context, kind, name string, value []byte) (Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	key := objectKey{kind, name}
+	_, exists := m.objects[key]
+	if exists {
+		return Object{}, ErrConflict.New("%s/%s exists", kind, name)
+	}
+	return m.put(key, value)
+}
+
+// Update writes the object if its version is still the stored one.
+func (m *Memory) Update(_ context.Context, object Object) (Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	key := objectKey{object.Kind, object.Name}
+	err := m.checkVersion(key, object.Version)
+	if err != nil {
+		return Object{}, err
+	}
+	return m.put(key, object.Value)
+}
+
+// Delete removes the object if its version is still the stored one.
+func (m *Memory) Delete(_ context.Context, object Object) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	key := objectKey{object.Kind, object.Name}
+	err := m.checkVersion(key, object.Version)
+	if err != nil {
+		return err
+	}
+	delete(m.objects, key)
+	m.record(key)
+	return nil
+}
+
+// Watch waits until objects of the kind have changed after the revision.
+func (m *Memory) Watch(ctx context.Context, kind string, after uint64) (Changes, error) {
+	for {
+		changes, wait := m.changesAfter(kind, after)
+		if len(changes.Objects) > 0 || (after == 0 && changes.Revision > 0) {
+			return changes, nil
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return Changes{Revision: after}, ctx.Err()
+		}
+	}
+}
+
+func (m *Memory) checkVersion(key objectKey, version uint64) error {
+	stored, ok := m.objects[key]
+	if !ok {
+		return ErrNotFound.New("%s/%s", key.kind, key.name)
+	}
+	if stored.Version != version {
+		return ErrConflict.New("%s/%s is at version %d, not %d", key.kind, key.name, stored.Version, version)
+	}
+	return nil
+}
+
+func (m *Memory) put(key objectKey, value []byte) (Object, error) {
+	if len(value) > MaxValueBytes {
+		return Object{}, ErrInvalid.New("value of %d bytes is above %d; split it", len(value), MaxValueBytes)
+	}
+	m.record(key)
+	object := Object{Kind: key.kind, Name: key.name, Version: m.revision, Value: slices.Clone(value)}
+	m.objects[key] = object
+	return cloneObject(object), nil
+}
+
+func (m *Memory) record(key objectKey) {
+	m.revision++
+	m.history = append(m.history, historyEntry{revision: m.revision, key: key})
+	if len(m.history) > 2*historyLimit {
+		m.history = slices.Clone(m.history[historyLimit:])
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Memory) changesAfter(kind string, after uint64) (Changes, <-chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	changes := Changes{Revision: m.revision}
+	if after == 0 || (len(m.history) > 0 && m.history[0].revision > after+1) {
+		changes.Objects = m.list(kind, "")
+		return changes, m.changed
+	}
+	seen := map[objectKey]bool{}
+	for _, h := range slices.Backward(m.history) {
+		if h.revision <= after {
+			break
+		}
+		if h.key.kind != kind || seen[h.key] {
+			continue
+		}
+		seen[h.key] = true
+		object, ok := m.objects[h.key]
+		if !ok {
+			object = Object{Kind: h.key.kind, Name: h.key.name}
+		}
+		changes.Objects = append(changes.Objects, cloneObject(object))
+	}
+	return changes, m.changed
+}
+
+func (m *Memory) list(kind, prefix string) []Object {
+	var objects []Object
+	for k, o := range m.objects {
+		if k.kind == kind && strings.HasPrefix(k.name, prefix) {
+			objects = append(objects, cloneObject(o))
+		}
+	}
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
+	return objects
+}
+
+func cloneObject(o Object) Object {
+	o.Value = slices.Clone(o.Value)
+	return o
+}
--- /dev/null
+++ b/internal/lrservice/client.go
@@ -0,0 +1,94 @@
+// Package lrservice reaches the plain services that stand beside the engines.
+package lrservice
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/zeebo/errs"
+)
+
+// The classes of failure of a plain service.
+var (
+	// ErrNotSent means that no byte of the request reached the service.
+	ErrNotSent = errs.Class("service: not sent")
+	// ErrUnknown means that the service may have received the request.
+	ErrUnknown = errs.Class("service: outcome unknown")
+)
+
+// A Request is one call to a plain service.
+type Request struct {
+	Method string
+	// Path is the path with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// A Response is the whole answer of a plain service.
+type Response struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
+}
+
+// A Client sends each request once. Neither it nor its transport ever repeats one.
+type Client interface {
+	// Call sends the request to the backend server at the address and returns the whole answer.
+	Call(ctx context.Context, address string, request Request) (Response, error)
+}
+
+type client struct {
+	http     *http.Client
+	maxBytes int64
+}
+
+// NewClient returns a Client whose answers may have up to maxBytes bytes.
+func NewClient(maxBytes int64) Client {
+	transport := &http.Transport{DisableKeepAlives: true}
+	return &client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, maxBytes: maxBytes}
+}
+
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func (c *client) Call(ctx context.Context, address string, request Request) (Response, error) {
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Path, singleUseBody(request.Body))
+	if err != nil {
+		return Response{}, ErrNotSent.Wrap(err)
+	}
+	outgoing.Header = request.Header.Clone()
+	outgoing.ContentLength = int64(len(request.Body))
+	response, err := c.http.Do(outgoing)
+	if err != nil {
+		return Response{}, classify(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBytes+1))
+	if err != nil {
+		return Response{}, ErrUnknown.Wrap(err)
+	}
+	if int64(len(body)) > c.maxBytes {
+		return Response{}, ErrUnknown.New("answer is above %d bytes", c.maxBytes)
+	}
+	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// singleUseBody hides the type of the reader, so that net/http cannot rewind and resend it.
+func singleUseBody(body []byte) io.Reader {
+	if len(body) == 0 {
+		return nil
+	}
+	return struct{ io.Reader }{bytes.NewReader(body)}
+}
+
+func classify(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return ErrNotSent.Wrap(err)
+	}
+	return ErrUnknown.Wrap(err)
+}
--- /dev/null
+++ b/internal/lrstate/audit_entry.go
@@ -0,0 +1,30 @@
+package lrstate
+
+import (
+	"fmt"
+	"time"
+)
+
+// An AuditEntry records one accepted or attempted change. The entries that were accepted form a chain that starts at
+// the head's write identifier and goes back by PreviousWriteID.
+type AuditEntry struct {
+	Version         uint64    `json:"version"`
+	WriteID         string    `json:"writeId"`
+	PreviousWriteID string    `json:"previousWriteId"`
+	Who             string    `json:"who"`
+	When            time.Time `json:"when"`
+	What            string    `json:"what"`
+	// Changes are the lines of the difference, each with what stood before and after.
+	Changes []AuditChange `json:"changes"`
+}
+
+// An AuditChange is one changed item. An empty Before means added, an empty After removed.
+type AuditChange struct {
+	Item   string `json:"item"`
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+func auditName(version uint64, writeID string) string {
+	return fmt.Sprintf("%012d-%s", version, writeID)
+}
--- /dev/null
+++ b/internal/lrsupervise/supervisor.go
@@ -0,0 +1,92 @@
+// Package lrsupervise runs the duties of a process, each in a goroutine of its own, and restarts those that fail.
+package lrsupervise
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	firstRestartDelay = 50 * time.Millisecond
+	maxRestartDelay   = 5 * time.Second
+)
+
+// A Duty is work that goes on until its context ends. A duty that returns earlier is started again.
+type Duty func(ctx context.Context) error
+
+// A Supervisor owns a set of duties. Supervisors form a tree, since Run is itself a Duty.
+type Supervisor struct {
+	name   string
+	log    zerolog.Logger
+	duties []namedDuty
+	done   chan struct{}
+}
+
+type namedDuty struct {
+	name string
+	duty Duty
+}
+
+// New returns a Supervisor without duties.
+func New(name string, log zerolog.Logger) *Supervisor {
+	return &Supervisor{name: name, log: log, done: make(chan struct{})}
+}
+
+// Add gives the supervisor a duty. It must be called before Run.
+func (s *Supervisor) Add(name string, duty Duty) {
+	s.duties = append(s.duties, namedDuty{name: name, duty: duty})
+}
+
+// Done is closed when Run has returned.
+func (s *Supervisor) Done() <-chan struct{} { return s.done }
+
+// Run starts all duties and returns when the context has ended and every duty has stopped.
+func (s *Supervisor) Run(ctx context.Context) error {
+	defer close(s.done)
+	var group sync.WaitGroup
+	for _, d := range s.duties {
+		group.Go(func() { s.keep(ctx, d) })
+	}
+	group.Wait()
+	return nil
+}
+
+func (s *Supervisor) keep(ctx context.Context, d namedDuty) {
+	delay := firstRestartDelay
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := runProtected(ctx, d.duty)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(started) > maxRestartDelay {
+			delay = firstRestartDelay
+		}
+		s.log.Error().Err(err).Str("duty", s.name+"/"+d.name).Dur("restartIn", delay).Msg("supervise: duty stopped, restarting")
+		sleep(ctx, delay)
+		delay = min(2*delay, maxRestartDelay)
+	}
+}
+
+func runProtected(ctx context.Context, duty Duty) (err error) {
+	defer func() {
+		value := recover()
+		if value != nil {
+			err = fmt.Errorf("panic: %v", value)
+		}
+	}()
+	return duty(ctx)
+}
+
+func sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/lrerror/kind.go
@@ -0,0 +1,34 @@
+package lrerror
+
+import "net/http"
+
+// A Kind identifies one type of failure by its wire name and HTTP status.
+type Kind struct {
+	name   string
+	status int
+}
+
+// String returns the wire name of the kind, in camel case.
+func (k Kind) String() string { return k.name }
+
+// Status returns the HTTP status code with which the kind is reported.
+func (k Kind) Status() int { return k.status }
+
+// The kinds of failure that callers and operators see.
+var (
+	KindBadRequest          = Kind{"badRequest", http.StatusBadRequest}
+	KindUnauthenticated     = Kind{"unauthenticated", http.StatusUnauthorized}
+	KindForbidden           = Kind{"forbidden", http.StatusForbidden}
+	KindNotFound            = Kind{"notFound", http.StatusNotFound}
+	KindModelNotFound       = Kind{"modelNotFound", http.StatusNotFound}
+	KindConflict            = Kind{"conflict", http.StatusConflict}
+	KindBodyTooLarge        = Kind{"bodyTooLarge", http.StatusRequestEntityTooLarge}
+	KindIdempotencyMismatch = Kind{"idempotencyMismatch", http.StatusUnprocessableEntity}
+	KindRateLimited         = Kind{"rateLimited", http.StatusTooManyRequests}
+	KindOverloaded          = Kind{"overloaded", http.StatusServiceUnavailable}
+	KindUnavailable         = Kind{"unavailable", http.StatusServiceUnavailable}
+	KindBackendFailed       = Kind{"backendFailed", http.StatusBadGateway}
+	KindQuarantined         = Kind{"quarantined", http.StatusUnprocessableEntity}
+	KindTimeout             = Kind{"timeout", http.StatusGatewayTimeout}
+	KindInternal            = Kind{"internal", http.StatusInternalServerError}
+)
--- /dev/null
+++ b/pkg/lrprefix/chain.go
@@ -0,0 +1,83 @@
+// Package lrprefix identifies the cached pieces of a prompt.
+//
+// The identity of a piece is a chained hash over the client account, the model, the adapter, the weights version
+// and every piece before it, so that no two accounts or versions can ever share an identity.
+package lrprefix
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+const (
+	// BytesPerToken is the number of prompt bytes that are counted as one token.
+	BytesPerToken = 4
+	// PieceTokens is the number of tokens in one cached piece.
+	PieceTokens = 2000
+	// PieceBytes is the number of prompt bytes in one cached piece.
+	PieceBytes = PieceTokens * BytesPerToken
+	// IDBytes is the length of a piece identity in bytes.
+	IDBytes = 16
+)
+
+// An ID identifies a piece together with everything that stands before it.
+type ID [IDBytes]byte
+
+// String returns the identity in hexadecimal.
+func (i ID) String() string { return hex.EncodeToString(i[:]) }
+
+// ParseID returns the identity written in hexadecimal and reports whether it was well formed.
+func ParseID(text string) (ID, bool) {
+	var id ID
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != IDBytes {
+		return id, false
+	}
+	copy(id[:], data)
+	return id, true
+}
+
+// A Scope is what separates one cache from another: nothing is shared between two scopes.
+type Scope struct {
+	Account string
+	Model   string
+	Adapter string
+	Version string
+}
+
+// Salt returns the value that an engine mixes into its own cache identities for the scope.
+func (s Scope) Salt() ID {
+	mac := hmac.New(sha256.New, []byte("lavenderrouter/scope"))
+	for _, field := range []string{s.Account, s.Model, s.Adapter, s.Version} {
+		_ = binary.Write(mac, binary.BigEndian, uint64(len(field)))
+		_, _ = mac.Write([]byte(field))
+	}
+	var id ID
+	copy(id[:], mac.Sum(nil))
+	return id
+}
+
+// Chain returns the identities of the whole pieces of the prompt, in order. A last partial piece has none.
+func Chain(salt ID, prompt string) []ID {
+	count := len(prompt) / PieceBytes
+	chain := make([]ID, 0, count)
+	previous := salt
+	hash := sha256.New()
+	var sum [sha256.Size]byte
+	for n := range count {
+		hash.Reset()
+		_, _ = hash.Write(previous[:])
+		_, _ = hash.Write([]byte(prompt[n*PieceBytes : (n+1)*PieceBytes]))
+		hash.Sum(sum[:0])
+		copy(previous[:], sum[:])
+		chain = append(chain, previous)
+	}
+	return chain
+}
+
+// Tokens returns the number of tokens that a text counts for.
+func Tokens(text string) int {
+	return (len(text) + BytesPerToken - 1) / BytesPerToken
+}
--- /dev/null
+++ b/pkg/lrring/ring.go
@@ -0,0 +1,46 @@
+// Package lrring provides a bounded ring that joins two goroutines.
+package lrring
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// A Ring is a bounded first-in first-out queue. A full ring refuses new items instead of blocking the sender.
+type Ring[T any] struct {
+	items   chan T
+	refused atomic.Uint64
+}
+
+// New returns a Ring with room for capacity items.
+func New[T any](capacity int) *Ring[T] {
+	return &Ring[T]{items: make(chan T, capacity)}
+}
+
+// Push adds an item and reports whether there was room for it.
+func (r *Ring[T]) Push(item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	default:
+		r.refused.Add(1)
+		return false
+	}
+}
+
+// Pop returns the oldest item. It waits for one until the context ends.
+func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
+	select {
+	case item := <-r.items:
+		return item, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// Len returns the number of items in the ring.
+func (r *Ring[T]) Len() int { return len(r.items) }
+
+// Refused returns the number of items that found the ring full.
+func (r *Ring[T]) Refused() uint64 { return r.refused.Load() }
--- /dev/null
+++ b/pkg/lrsettings/parse.go
@@ -0,0 +1,153 @@
+package lrsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"time"
+	"unicode"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+)
+
+// Parse reads settings from INI text over the defaults. It returns every mistake that it finds.
+func Parse(source string, data []byte) (Settings, []error) {
+	settings := Default()
+	file, err := ini.LoadSources(ini.LoadOptions{}, data)
+	if err != nil {
+		return settings, []error{fmt.Errorf("%s: not an INI file: %w", source, err)}
+	}
+	parser := &parser{source: source}
+	root := reflect.ValueOf(&settings).Elem()
+	for _, s := range file.Sections() {
+		parser.parseSection(s, root)
+	}
+	parser.checkRequired(settings)
+	return settings, parser.mistakes
+}
+
+type parser struct {
+	source   string
+	mistakes []error
+}
+
+func (p *parser) parseSection(section *ini.Section, root reflect.Value) {
+	if section.Name() == ini.DefaultSection {
+		for _, k := range section.Keys() {
+			p.report(section.Name(), k.Name(), "stands before the first section; move it into one")
+		}
+		return
+	}
+	target, ok := fieldByININame(root, section.Name())
+	if !ok {
+		p.report(section.Name(), "", "unknown section%s; allowed are %s",
+			lrconfig.Suggest(section.Name(), fieldNames(root)), strings.Join(fieldNames(root), ", "))
+		return
+	}
+	for _, k := range section.Keys() {
+		p.parseKey(section.Name(), k, target)
+	}
+}
+
+func (p *parser) parseKey(section string, key *ini.Key, target reflect.Value) {
+	field, ok := fieldByININame(target, key.Name())
+	if !ok {
+		p.report(section, key.Name(), "is unknown%s; allowed are %s",
+			lrconfig.Suggest(key.Name(), fieldNames(target)), strings.Join(fieldNames(target), ", "))
+		return
+	}
+	switch field.Interface().(type) {
+	case string:
+		field.SetString(key.String())
+	case []string:
+		field.Set(reflect.ValueOf(key.Strings(",")))
+	case time.Duration:
+		p.parseDuration(section, key, field)
+	case int, int64:
+		p.parseInt(section, key, field)
+	}
+}
+
+func (p *parser) parseDuration(section string, key *ini.Key, field reflect.Value) {
+	value, err := key.Duration()
+	if err != nil || value < 0 {
+		p.report(section, key.Name(), "must be a duration such as 500ms or 2s")
+		return
+	}
+	field.SetInt(int64(value))
+}
+
+func (p *parser) parseInt(section string, key *ini.Key, field reflect.Value) {
+	value, err := key.Int64()
+	if err != nil || value < 0 {
+		p.report(section, key.Name(), "must be a whole number of at least 0")
+		return
+	}
+	field.SetInt(value)
+}
+
+func (p *parser) checkRequired(s Settings) {
+	if s.Instance.Name == "" {
+		p.report("instance", "name", "is missing; give the instance a name that no other has")
+	}
+	if s.Instance.Zone == "" {
+		p.report("instance", "zone", "is missing; name the availability zone")
+	}
+	if s.Platform.URL == "" {
+		p.report("platform", "url", "is missing; give the URL of the platform's object API")
+	}
+	p.checkAddress("address", s.Instance.Address)
+	p.checkAddress("adminAddress", s.Instance.AdminAddress)
+	p.checkAddress("peerAddress", s.Instance.PeerAddress)
+	if s.Log.Format != "json" && s.Log.Format != "console" {
+		p.report("log", "format", "must be json or console")
+	}
+}
+
+func (p *parser) checkAddress(key, value string) {
+	_, err := netip.ParseAddrPort(value)
+	if err != nil {
+		p.report("instance", key, "must be IP:port, such as 10.0.0.1:8080")
+	}
+}
+
+func (p *parser) report(section, key, format string, args ...any) {
+	place := fmt.Sprintf("%s: [%s]", p.source, section)
+	if key != "" {
+		place += " " + key
+	}
+	p.mistakes = append(p.mistakes, fmt.Errorf("%s: %s", place, fmt.Sprintf(format, args...)))
+}
+
+func fieldByININame(value reflect.Value, name string) (reflect.Value, bool) {
+	for n := range value.NumField() {
+		if iniName(value.Type().Field(n).Name) == name {
+			return value.Field(n), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func fieldNames(value reflect.Value) []string {
+	names := make([]string, 0, value.NumField())
+	for n := range value.NumField() {
+		names = append(names, iniName(value.Type().Field(n).Name))
+	}
+	return names
+}
+
+// iniName returns the camel-case name of a field: a leading run of capitals becomes lower case.
+func iniName(field string) string {
+	runes := []rune(field)
+	for n := range runes {
+		startsWord := n > 0 && n+1 < len(runes) && unicode.IsLower(runes[n+1])
+		if !unicode.IsUpper(runes[n]) || startsWord {
+			break
+		}
+		runes[n] = unicode.ToLower(runes[n])
+	}
+	return string(runes)
+}
--- /dev/null
+++ b/pkg/lrsettings/settings.go
@@ -0,0 +1,146 @@
+// Package lrsettings reads the settings of an instance from an INI file.
+package lrsettings
+
+import "time"
+
+// Settings are the settings of one instance. Their sections and keys in the INI file have the names of the fields,
+// in camel case.
+type Settings struct {
+	Instance Instance
+	Platform Platform
+	Peers    Peers
+	Server   Server
+	Routing  Routing
+	Limits   Limits
+	Keys     Keys
+	Paid     Paid
+	TLS      TLS
+	Log      Log
+}
+
+// Instance says who the instance is and where it listens.
+type Instance struct {
+	Name string
+	Zone string
+	// Address is where callers are served, as IP:port.
+	Address string
+	// AdminAddress is where operators and the metrics collector are served, as IP:port.
+	AdminAddress string
+	// PeerAddress is where the other instances are served, as IP:port.
+	PeerAddress string
+}
+
+// Platform says how the platform's object API is reached.
+type Platform struct {
+	URL string
+	// CallTimeout bounds each call other than a watch.
+	CallTimeout time.Duration
+	// ListInterval is the time between readings of the list of instances.
+	ListInterval time.Duration
+}
+
+// Peers says how other instances are found while the platform is down.
+type Peers struct {
+	// Seeds are peer addresses that are tried in addition to the platform's list.
+	Seeds []string
+	// HeartbeatInterval is the time between heartbeats.
+	HeartbeatInterval time.Duration
+	// Fanout is the number of instances that each heartbeat goes to.
+	Fanout int
+	// WatchersPerZone is the number of instances in each zone that watch the platform for the others.
+	WatchersPerZone int
+}
+
+// Server bounds what callers may send and how long they may take.
+type Server struct {
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
+	IdleTimeout    time.Duration
+	StreamTimeout  time.Duration
+	// DrainDelay is the time between the end of readiness and the end of listening at a planned stop.
+	DrainDelay time.Duration
+	// DrainTimeout bounds how long a planned stop waits for running requests.
+	DrainTimeout time.Duration
+	// MaxConnectionsPerAccount bounds the requests that one client account may have open on this instance.
+	MaxConnectionsPerAccount int
+}
+
+// Routing says how requests are placed on engines.
+type Routing struct {
+	LoadInterval time.Duration
+	// EventTimeout is the longest silence within a stream before the engine counts as frozen.
+	EventTimeout time.Duration
+	MaxAttempts  int
+	// QueueTokens is the most prompt tokens that may wait in this instance.
+	QueueTokens int
+	// QueueTimeout is the longest that a request waits for its turn.
+	QueueTimeout time.Duration
+	// EngineTokens is the most prompt tokens that are in flight to one engine from this instance.
+	EngineTokens int
+	BeliefBytes  int
+}
+
+// Limits says how tokens are granted.
+type Limits struct {
+	GrantValidity time.Duration
+	LeaseValidity time.Duration
+	// MaxWait is the longest that a request waits for tokens before it is refused.
+	MaxWait time.Duration
+}
+
+// Keys says how withdrawn keys are dealt with.
+type Keys struct {
+	// StaleBound is how long an instance that can reach neither platform nor peers goes on accepting keys.
+	// Zero means without end.
+	StaleBound time.Duration
+}
+
+// Paid says how paid actions are kept.
+type Paid struct {
+	Retention   time.Duration
+	CallTimeout time.Duration
+}
+
+// TLS names certificate files. Empty names mean plain TCP.
+type TLS struct {
+	CertFile     string
+	KeyFile      string
+	CAFile       string
+	PeerCertFile string
+	PeerKeyFile  string
+	PeerCAFile   string
+	PlatformCA   string
+}
+
+// Log says how logs are written.
+type Log struct {
+	// Format is "json" or "console".
+	Format string
+	// Level is a zerolog level.
+	Level string
+}
+
+// Default returns the settings with every default filled in.
+func Default() Settings {
+	return Settings{
+		Instance: Instance{
+			Address: "127.0.0.1:8080", AdminAddress: "127.0.0.1:8081", PeerAddress: "127.0.0.1:8082",
+		},
+		Platform: Platform{CallTimeout: 2 * time.Second, ListInterval: time.Second},
+		Peers:    Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
+		Server: Server{
+			MaxBodyBytes: 16 << 20, MaxHeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second,
+			BodyTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, StreamTimeout: 10 * time.Minute,
+			DrainDelay: 2 * time.Second, DrainTimeout: time.Minute, MaxConnectionsPerAccount: 512,
+		},
+		Routing: Routing{
+			LoadInterval: 500 * time.Millisecond, EventTimeout: 5 * time.Second, MaxAttempts: 4,
+			QueueTokens: 4_000_000, QueueTimeout: 20 * time.Second, EngineTokens: 200_000, BeliefBytes: 32 << 20,
+		},
+		Limits: Limits{GrantValidity: 5 * time.Second, LeaseValidity: 15 * time.Second, MaxWait: time.Second},
+		Paid:   Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
+		Log:    Log{Format: "json", Level: "info"},
+	}
+}
