Give each subsystem a wiring file and freeze the interfaces

Cause: five parts are about to be built side by side, and one New function would be a point of conflict.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -10,11 +10,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
 
-	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrexplain"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrregistry"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
@@ -27,10 +28,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
-const (
-	explanationRoom = 4096
-	idleEngineConns = 256
-)
+const explanationRoom = 4096
 
 // A Daemon is one instance of lavenderrouter.
 type Daemon struct {
@@ -39,45 +37,59 @@
 	clock    func() time.Time
 	started  time.Time
 
-	platform lrplatform.Platform
-	follower *lrstate.Follower
-	registry *lrregistry.Registry
-	gateway  *lrgateway.Gateway
-	metrics  *lrmetric.Metrics
-	recorder *lrexplain.Recorder
-	draining atomic.Bool
-	done     chan struct{}
+	supervisor *lrsupervise.Supervisor
+	platform   lrplatform.Platform
+	peers      *grpc.Server
+	pool       *lrpeer.Pool
+	roster     lrpeer.Roster
+	follower   *lrstate.Follower
+	placer     lrroute.Placer
+	registry   *lrregistry.Registry
+	queue      lrqueue.Queue
+	runner     *lrstream.Runner
+	limiter    lrlimit.Limiter
+	paid       lrgateway.PaidRunner
+	services   lrservice.Client
+	gateway    *lrgateway.Gateway
+	metrics    *lrmetric.Metrics
+	recorder   *lrexplain.Recorder
+	draining   atomic.Bool
+	// beforeExit are called in order at a planned stop, when the last request has ended.
+	beforeExit []func(ctx context.Context)
+	done       chan struct{}
 }
 
 // New returns a Daemon that does not run yet.
 func New(settings lrsettings.Settings, log zerolog.Logger) *Daemon {
 	d := &Daemon{
 		settings: settings, log: log, clock: time.Now, started: time.Now(),
-		metrics: lrmetric.New(), recorder: lrexplain.NewRecorder(explanationRoom), done: make(chan struct{}),
+		supervisor: lrsupervise.New("daemon", log),
+		metrics:    lrmetric.New(), recorder: lrexplain.NewRecorder(explanationRoom), done: make(chan struct{}),
 	}
 	d.platform = lrplatform.NewClient(settings.Platform.URL, lrplatform.WithCallTimeout(settings.Platform.CallTimeout))
-	d.follower = lrstate.NewFollower(d.platform, log)
-	placer := lrroute.NewLeastLoaded()
-	d.registry = lrregistry.New(settings.Instance.Zone, d.platform, lrengine.NewDialer(engineHTTPClient()), placer, log)
-	d.gateway = d.newGateway(placer)
-	d.follower.OnChange(d.gateway.Apply)
+	d.services = lrservice.NewClient(settings.Server.MaxBodyBytes)
+	d.wirePeers()
+	d.wireConfiguration()
+	d.wireRouting()
+	d.wireLimits()
+	d.wirePaid()
+	d.wireOrders()
+	d.wireGateway()
 	return d
 }
 
-func (d *Daemon) newGateway(placer lrroute.Placer) *lrgateway.Gateway {
-	s := d.settings
-	runner := lrstream.NewRunner(d.registry, placer, d.clock, lrstream.Options{
-		MaxAttempts: s.Routing.MaxAttempts, EventTimeout: s.Routing.EventTimeout,
-	}, d.log)
+func (d *Daemon) wireGateway() {
+	s := d.settings.Server
 	parts := lrgateway.Parts{
-		Config: d.follower, Limiter: lrlimit.NewLocal(1), Queue: lrqueue.NewUnbounded(), Runner: runner,
-		Servers: d.registry, Services: lrservice.NewClient(s.Server.MaxBodyBytes), Recorder: d.recorder,
+		Config: d.follower, Limiter: d.limiter, Queue: d.queue, Runner: d.runner,
+		Servers: d.registry, Services: d.services, Paid: d.paid, Recorder: d.recorder,
 		Metrics: d.metrics, Log: d.log, Clock: d.clock,
 	}
-	return lrgateway.New(parts, lrgateway.Options{
-		MaxBodyBytes: s.Server.MaxBodyBytes, BodyTimeout: s.Server.BodyTimeout, StreamTimeout: s.Server.StreamTimeout,
-		MaxConnectionsPerAccount: s.Server.MaxConnectionsPerAccount,
+	d.gateway = lrgateway.New(parts, lrgateway.Options{
+		MaxBodyBytes: s.MaxBodyBytes, BodyTimeout: s.BodyTimeout, StreamTimeout: s.StreamTimeout,
+		MaxConnectionsPerAccount: s.MaxConnectionsPerAccount,
 	})
+	d.follower.OnChange(d.gateway.Apply)
 }
 
 // Done is closed when Run has returned.
@@ -86,38 +98,49 @@
 // Run serves until the context ends, then stops without cutting a request.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer close(d.done)
-	callers, err := net.Listen("tcp", d.settings.Instance.Address)
+	listeners, err := d.listen()
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	admin, err := net.Listen("tcp", d.settings.Instance.AdminAddress)
-	if err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
+		return err
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	supervisor := d.newSupervisor()
-	go func() { _ = supervisor.Run(duties) }()
 	server := d.newServer(d.callerHandler())
 	adminServer := d.newServer(d.adminHandler())
-	go func() { _ = server.Serve(callers) }()
-	go func() { _ = adminServer.Serve(admin) }()
-	d.log.Info().Str("address", callers.Addr().String()).Msg("daemon: serving")
+	go func() { _ = d.supervisor.Run(duties) }()
+	go func() { _ = d.peers.Serve(listeners.peers) }()
+	go func() { _ = adminServer.Serve(listeners.admin) }()
+	go func() { _ = server.Serve(listeners.callers) }()
+	d.log.Info().Str("address", d.settings.Instance.Address).Msg("daemon: serving")
 
 	<-ctx.Done()
 	err = d.drain(server)
+	d.handBack()
 	stop()
-	<-supervisor.Done()
+	<-d.supervisor.Done()
+	d.peers.Stop()
+	d.pool.Close()
 	_ = adminServer.Close()
 	return err
 }
 
-func (d *Daemon) newSupervisor() *lrsupervise.Supervisor {
-	supervisor := lrsupervise.New("daemon", d.log)
-	supervisor.Add("followConfiguration", d.follower.Run)
-	supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
-	supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
-	return supervisor
+type listeners struct{ callers, admin, peers net.Listener }
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	var err error
+	l.callers, err = net.Listen("tcp", d.settings.Instance.Address)
+	if err != nil {
+		return l, fmt.Errorf("listen for callers: %w", err)
+	}
+	l.admin, err = net.Listen("tcp", d.settings.Instance.AdminAddress)
+	if err != nil {
+		return l, fmt.Errorf("listen for operators: %w", err)
+	}
+	l.peers, err = net.Listen("tcp", d.settings.Instance.PeerAddress)
+	if err != nil {
+		return l, fmt.Errorf("listen for peers: %w", err)
+	}
+	return l, nil
 }
 
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
@@ -144,6 +167,11 @@
 	return nil
 }
 
-func engineHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleEngineConns, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+// handBack lets every part return what it holds of others: grants, leases, its place in the membership.
+func (d *Daemon) handBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.CallTimeout)
+	defer cancel()
+	for _, call := range d.beforeExit {
+		call(ctx)
+	}
 }
--- /dev/null
+++ b/internal/lrdaemon/wire_orders.go
@@ -0,0 +1,4 @@
+package lrdaemon
+
+// wireOrders makes the part that gives orders to engines.
+func (d *Daemon) wireOrders() {}
--- /dev/null
+++ b/internal/lrdaemon/wire_routing.go
@@ -0,0 +1,36 @@
+package lrdaemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrregistry"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
+)
+
+const (
+	idleEngineConnections = 256
+	engineDialTimeout     = time.Second
+)
+
+// wireRouting makes the parts that choose engines, order requests and run streams.
+func (d *Daemon) wireRouting() {
+	d.placer = lrroute.NewLeastLoaded()
+	d.queue = lrqueue.NewUnbounded()
+	d.registry = lrregistry.New(d.settings.Instance.Zone, d.platform, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log)
+	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
+		MaxAttempts: d.settings.Routing.MaxAttempts, EventTimeout: d.settings.Routing.EventTimeout,
+	}, d.log)
+	d.supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
+	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
+}
+
+func engineHTTPClient() *http.Client {
+	dialer := net.Dialer{Timeout: engineDialTimeout}
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext}}
+}
--- /dev/null
+++ b/scripts/bench/main.go
@@ -0,0 +1,60 @@
+// Command bench prints one line for each figure that the pages quote.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+)
+
+// figure is one measured figure beside its baseline and target. A missing baseline or target is not a number.
+type figure struct {
+	metric   string
+	ours     float64
+	baseline float64
+	target   float64
+	unit     string
+}
+
+// area is one group of figures.
+type area struct {
+	name    string
+	measure func(ctx context.Context) ([]figure, error)
+}
+
+// areas returns every area, in the order in which they are measured.
+func areas() []area {
+	return []area{}
+}
+
+// main measures the areas that are named, or all of them.
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	for _, a := range areas() {
+		if !wanted(a.name, os.Args[1:]) {
+			continue
+		}
+		figures, err := a.measure(ctx)
+		for _, f := range figures {
+			fmt.Printf("BENCH %s.%s ours=%s baseline=%s target=%s unit=%s\n", a.name, f.metric,
+				format(f.ours), format(f.baseline), format(f.target), f.unit)
+		}
+		if err != nil {
+			fmt.Printf("BENCH-FAILED %s: %v\n", a.name, err)
+		}
+	}
+}
+
+func wanted(name string, names []string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return len(names) == 0
+}
+
+func format(value float64) string { return strconv.FormatFloat(value, 'g', 5, 64) }
