--- /dev/null
+++ b/internal/lrload/trace.go
@@ -0,0 +1,82 @@
+package lrload
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
+)
+
+// A Shape describes the nested prompts of a load: rules, then a customer's file, then a case.
+type Shape struct {
+	RulesPieces    int
+	CustomerPieces int
+	CasePieces     int
+	// Rules, Customers and Cases are the numbers of different texts on each level, below one of the level above.
+	Rules     int
+	Customers int
+	Cases     int
+	// Skew is the exponent by which the popularity of the texts falls.
+	Skew float64
+}
+
+// DefaultShape returns prompts of 6, 3 and 2 pieces.
+func DefaultShape() Shape {
+	return Shape{RulesPieces: 6, CustomerPieces: 3, CasePieces: 2, Rules: 4, Customers: 20, Cases: 50, Skew: 1}
+}
+
+// A Request is one planned request of a load.
+type Request struct {
+	// At is when the request is sent, counted from the start of the load.
+	At      time.Duration
+	Account int
+	Prompt  string
+}
+
+// Trace returns the requests of a load. The same seed gives the same requests.
+func Trace(shape Shape, accounts int, rate float64, duration time.Duration, seed uint64) []Request {
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // A load needs repeatable numbers, not secret ones.
+	var requests []Request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= duration {
+			return requests
+		}
+		requests = append(requests, Request{At: at, Account: random.IntN(accounts), Prompt: shape.prompt(random)})
+	}
+}
+
+func (s Shape) prompt(random *rand.Rand) string {
+	rules := pick(random, s.Rules, s.Skew)
+	customer := pick(random, s.Customers, s.Skew)
+	instance := pick(random, s.Cases, s.Skew)
+	return pieces(fmt.Sprintf("rules %d", rules), s.RulesPieces) +
+		pieces(fmt.Sprintf("rules %d customer %d", rules, customer), s.CustomerPieces) +
+		pieces(fmt.Sprintf("rules %d customer %d case %d", rules, customer, instance), s.CasePieces)
+}
+
+// pick returns an index whose chance falls with its rank by the power of the skew.
+func pick(random *rand.Rand, count int, skew float64) int {
+	total := 0.0
+	for n := range count {
+		total += math.Pow(float64(n+1), -skew)
+	}
+	point := random.Float64() * total
+	for n := range count {
+		point -= math.Pow(float64(n+1), -skew)
+		if point < 0 {
+			return n
+		}
+	}
+	return count - 1
+}
+
+func pieces(label string, count int) string {
+	line := label + ".\n"
+	text := strings.Repeat(line, count*lrprefix.PieceBytes/len(line)+1)
+	return text[:count*lrprefix.PieceBytes]
+}
--- a/pkg/lrconfig/snapshot.go
+++ b/pkg/lrconfig/snapshot.go
@@ -61,22 +61,22 @@
 	return sortedValues(s.shards[ShardPlans].Plans)
 }
 
-// Accounts returns all client accounts, ordered by shard and name.
+// Accounts returns all client accounts, ordered by name.
 func (s *Snapshot) Accounts() []Account {
 	return collect(s, func(shard Shard) map[string]Account { return shard.Accounts })
 }
 
-// Keys returns the records of all keys, ordered by shard and identifier.
+// Keys returns the records of all keys, ordered by identifier.
 func (s *Snapshot) Keys() []KeyRecord {
 	return collect(s, func(shard Shard) map[string]KeyRecord { return shard.Keys })
 }
 
 func collect[V any](s *Snapshot, part func(Shard) map[string]V) []V {
-	collected := make([]V, 0, len(s.shards))
-	for _, name := range slices.Sorted(maps.Keys(s.shards)) {
-		collected = append(collected, sortedValues(part(s.shards[name]))...)
+	collected := map[string]V{}
+	for _, shard := range s.shards {
+		maps.Copy(collected, part(shard))
 	}
-	return collected
+	return sortedValues(collected)
 }
 
 func sortedValues[V any](values map[string]V) []V {
