--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -66,12 +66,9 @@
 	if result.FirstToken == 0 {
 		return
 	}
-	firstToken := g.Clock().Sub(call.receivedAt).Seconds()
-	if len(result.Attempts) > 0 {
-		firstToken = (call.explanation.Queued + result.FirstToken).Seconds()
-	}
-	g.Metrics.FirstToken.Observe(firstToken)
-	g.Metrics.AccountFirstToken.WithLabelValues(call.Account.Name).Observe(firstToken)
+	firstToken := call.explanation.Queued + result.FirstToken
+	g.Metrics.FirstToken.Observe(firstToken.Seconds())
+	g.Metrics.AccountTails.Observe(call.Account.Name, firstToken)
 	g.Metrics.PromptTokens.WithLabelValues("true").Add(float64(result.CachedTokens))
 	g.Metrics.PromptTokens.WithLabelValues("false").Add(float64(job.Route.Tokens - result.CachedTokens))
 }
--- a/internal/lrmetric/metrics.go
+++ b/internal/lrmetric/metrics.go
@@ -10,10 +10,10 @@
 	Registry *prometheus.Registry
 	// Requests counts finished requests by route kind and outcome.
 	Requests *prometheus.CounterVec
-	// FirstToken is the time to the first token in seconds, by priority class.
+	// FirstToken is the time to the first token in seconds.
 	FirstToken prometheus.Histogram
-	// AccountFirstToken is the time to the first token in seconds, by client account.
-	AccountFirstToken *prometheus.SummaryVec
+	// AccountTails holds the time to the first token of each client account.
+	AccountTails *AccountTails
 	// PromptTokens counts prompt tokens by whether the engine had them cached.
 	PromptTokens *prometheus.CounterVec
 	// WastedTokens counts prompt tokens that were recomputed although another engine held them.
@@ -29,17 +29,17 @@
 // New returns the metrics, registered in a registry of their own.
 func New() *Metrics {
 	m := &Metrics{
-		Registry:          prometheus.NewRegistry(),
-		Requests:          counterVec("requests_total", "Finished requests.", "route", "outcome"),
-		FirstToken:        prometheus.NewHistogram(histogram("first_token_seconds", "Time to the first token.")),
-		AccountFirstToken: prometheus.NewSummaryVec(accountSummary(), []string{"account"}),
-		PromptTokens:      counterVec("prompt_tokens_total", "Prompt tokens by whether they were cached.", "cached"),
-		WastedTokens:      prometheus.NewCounter(counter("wasted_tokens_total", "Prompt tokens recomputed although another engine held them.")),
-		Refusals:          counterVec("refusals_total", "Refused requests by kind.", "kind"),
-		ConfigVersion:     prometheus.NewGauge(gauge("config_version", "Version of the configuration in force.")),
-		Violations:        counterVec("invariant_violations_total", "Violated invariants by name.", "invariant"),
+		Registry:      prometheus.NewRegistry(),
+		Requests:      counterVec("requests_total", "Finished requests.", "route", "outcome"),
+		FirstToken:    prometheus.NewHistogram(histogram("first_token_seconds", "Time to the first token.")),
+		AccountTails:  NewAccountTails(),
+		PromptTokens:  counterVec("prompt_tokens_total", "Prompt tokens by whether they were cached.", "cached"),
+		WastedTokens:  prometheus.NewCounter(counter("wasted_tokens_total", "Prompt tokens recomputed although another engine held them.")),
+		Refusals:      counterVec("refusals_total", "Refused requests by kind.", "kind"),
+		ConfigVersion: prometheus.NewGauge(gauge("config_version", "Version of the configuration in force.")),
+		Violations:    counterVec("invariant_violations_total", "Violated invariants by name.", "invariant"),
 	}
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AccountFirstToken, m.PromptTokens, m.WastedTokens, m.Refusals,
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AccountTails, m.PromptTokens, m.WastedTokens, m.Refusals,
 		m.ConfigVersion, m.Violations)
 	return m
 }
@@ -62,10 +62,3 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
 	}
 }
-
-func accountSummary() prometheus.SummaryOpts {
-	return prometheus.SummaryOpts{
-		Namespace: namespace, Name: "account_first_token_seconds", Help: "Time to the first token by client account.",
-		Objectives: map[float64]float64{0.99: 0.005},
-	}
-}
