--- a/internal/lrmetric/deploy_test.go
+++ b/internal/lrmetric/deploy_test.go
@@ -44,9 +44,9 @@
 // metricNames returns the metrics that a file names, without the suffixes of histograms.
 func metricNames(t *testing.T, path string) []string {
 	t.Helper()
-	var names []string
-	for _, n := range regexp.MustCompile(`lavenderrouter_\w+`).FindAllString(readFile(t, path), -1) {
-		names = append(names, strings.TrimSuffix(n, "_bucket"))
+	names := regexp.MustCompile(`lavenderrouter_\w+`).FindAllString(readFile(t, path), -1)
+	for n := range names {
+		names[n] = strings.TrimSuffix(names[n], "_bucket")
 	}
 	if len(names) == 0 {
 		t.Fatalf("%s names no metric", path)
