--- /dev/null
+++ b/internal/lrstub/piece_cache_test.go
@@ -0,0 +1,40 @@
+package lrstub
+
+import (
+	"testing"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
+)
+
+func TestPieceCacheEvictsLeastRecentlyUsed(t *testing.T) {
+	cache := newPieceCache(3)
+	a, b, c, d := pieceID(1), pieceID(2), pieceID(3), pieceID(4)
+	cache.store([]lrprefix.ID{a, b, c})
+	requireMatch(t, cache, []lrprefix.ID{a, b, d}, 2)
+	cache.store([]lrprefix.ID{d})
+	requireMatch(t, cache, []lrprefix.ID{c}, 0)
+	requireMatch(t, cache, []lrprefix.ID{a, b}, 2)
+	requireMatch(t, cache, []lrprefix.ID{d}, 1)
+}
+
+func TestPieceCacheEventsFollowFromASequence(t *testing.T) {
+	cache := newPieceCache(1)
+	cache.store([]lrprefix.ID{pieceID(1), pieceID(2)})
+	all := cache.since(0)
+	if len(all) != 3 || !all[0].Stored || all[2].Stored {
+		t.Fatalf("events: %v", all)
+	}
+	if len(cache.since(2)) != 1 || cache.since(3) != nil {
+		t.Fatalf("events from 2: %v, from 3: %v", cache.since(2), cache.since(3))
+	}
+}
+
+func pieceID(n byte) lrprefix.ID { return lrprefix.ID{n} }
+
+func requireMatch(t *testing.T, cache *pieceCache, chain []lrprefix.ID, want int) {
+	t.Helper()
+	got := cache.match(chain)
+	if got != want {
+		t.Fatalf("match: got %d pieces, want %d", got, want)
+	}
+}
