--- a/internal/lrcommand/inspect.go
+++ b/internal/lrcommand/inspect.go
@@ -20,6 +20,8 @@
 const (
 	adminTimeout      = 2 * time.Second
 	defaultAuditLimit = 20
+	formatTable       = "table"
+	formatJSON        = "json"
 )
 
 func newStatusCommand(o *operator) *cobra.Command {
@@ -28,7 +30,7 @@
 		Use: "status", Short: "Show the instances, their versions and the backend servers", Args: cobra.NoArgs,
 		Example: "  lavenderrouter status -o json",
 	}
-	command.Flags().StringVarP(&format, "output", "o", "table", "table or json")
+	command.Flags().StringVarP(&format, "output", "o", formatTable, "table or json")
 	command.RunE = func(c *cobra.Command, _ []string) error {
 		routers, err := o.routers(c.Context())
 		if err != nil {
@@ -38,7 +40,7 @@
 		for _, r := range routers {
 			statuses = append(statuses, askStatus(c.Context(), r))
 		}
-		if format == "json" {
+		if format == formatJSON {
 			return o.printJSON(statuses)
 		}
 		return o.printStatuses(statuses)
@@ -117,11 +119,13 @@
 
 func newAuditCommand(o *operator) *cobra.Command {
 	var limit int
+	var format string
 	command := &cobra.Command{
 		Use: "audit", Short: "Show the accepted changes, the latest first", Args: cobra.NoArgs,
 		Example: "  lavenderrouter audit --limit 5",
 	}
 	command.Flags().IntVar(&limit, "limit", defaultAuditLimit, "number of changes")
+	command.Flags().StringVarP(&format, "output", "o", formatTable, "table or json")
 	command.RunE = func(c *cobra.Command, _ []string) error {
 		publisher, err := o.publisher()
 		if err != nil {
@@ -131,6 +135,9 @@
 		if err != nil {
 			return fmt.Errorf("read the audit trail from the platform: %w", err)
 		}
+		if format == formatJSON {
+			return o.printJSON(entries)
+		}
 		for _, e := range entries {
 			o.printf("version %d  %s  %s  %s\n", e.Version, e.When.Format(time.RFC3339), e.Who, e.What)
 			for _, a := range e.Changes {
--- a/internal/lrcommand/lists.go
+++ b/internal/lrcommand/lists.go
@@ -1,6 +1,7 @@
 package lrcommand
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -56,14 +57,10 @@
 
 // apply makes the change to the configuration in force and prints the difference.
 func (o *operator) apply(c *cobra.Command, base uint64, dryRun bool, plan func(*lrconfig.Snapshot) (lrstate.Change, error)) error {
-	publisher, err := o.publisher()
+	publisher, snapshot, err := o.read(c.Context())
 	if err != nil {
 		return err
 	}
-	snapshot, err := publisher.Read(c.Context())
-	if err != nil {
-		return fmt.Errorf("read the configuration from the platform: %w", err)
-	}
 	if base != 0 && snapshot.Version() != base {
 		return fmt.Errorf("version %d is in force, not %d; look at the audit trail, then apply again with --base %d",
 			snapshot.Version(), base, snapshot.Version())
@@ -95,19 +92,28 @@
 		Use: verb, Short: "Print the list in force", Args: cobra.NoArgs,
 		Example: "  lavenderrouter " + path,
 		RunE: func(c *cobra.Command, _ []string) error {
-			publisher, err := o.publisher()
+			_, snapshot, err := o.read(c.Context())
 			if err != nil {
 				return err
 			}
-			snapshot, err := publisher.Read(c.Context())
-			if err != nil {
-				return fmt.Errorf("read the configuration from the platform: %w", err)
-			}
 			return o.printJSON(view(snapshot))
 		},
 	}
 }
 
+// read returns the configuration in force, and the publisher that can change it.
+func (o *operator) read(ctx context.Context) (*lrstate.Publisher, *lrconfig.Snapshot, error) {
+	publisher, err := o.publisher()
+	if err != nil {
+		return nil, nil, err
+	}
+	snapshot, err := publisher.Read(ctx)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read the configuration from the platform: %w", err)
+	}
+	return publisher, snapshot, nil
+}
+
 func (o *operator) printJSON(value any) error {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
