Let instances find one another, relay the configuration and restart from peers

Cause: the roster was the platform's lagging list, every instance watched the platform, and an instance that restarted while the platform was down had neither configuration nor list of backend servers (the demo printed 'not yet'). Change: membership by gossip of news with suspicion and refutation, a listing of instances that a few members of each zone read, and a relay in which the first members of each zone by rendezvous rank watch the platform and the others hear of versions by Announce and by the version in heartbeats. A starting instance compares the platform and up to four peers and is ready when one has answered. Invalid content is refused by the follower and the last valid version stays. Ruled out: sending whole lists or whole heads with heartbeats, which at 420 instances is 25 KB a message.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -42,7 +42,11 @@
 	peers      *grpc.Server
 	pool       *lrpeer.Pool
 	roster     lrpeer.Roster
+	membership *lrpeer.Membership
+	listing    *lrpeer.Listing
 	follower   *lrstate.Follower
+	relay      *lrstate.Relay
+	freshness  *lrstate.Freshness
 	placer     lrroute.Placer
 	registry   *lrregistry.Registry
 	queue      lrqueue.Queue
--- a/internal/lrdaemon/handlers.go
+++ b/internal/lrdaemon/handlers.go
@@ -9,7 +9,9 @@
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstate"
 )
 
 // A Status is what an instance tells operators of itself.
@@ -20,6 +22,9 @@
 	ConfigVersion uint64    `json:"configVersion"`
 	Draining      bool      `json:"draining"`
 	Running       int       `json:"running"`
+	// Rejection is a later configuration that was refused as invalid.
+	Rejection *lrstate.Rejection `json:"rejection,omitempty"`
+	Members   []lrpeer.Member    `json:"members"`
 	// Missing names what the instance lacks to be ready.
 	Missing []string              `json:"missing"`
 	Servers []lrplatform.Instance `json:"servers"`
@@ -64,6 +69,11 @@
 	if d.draining.Load() {
 		missing = append(missing, "the instance is stopping")
 	}
+	select {
+	case <-d.relay.Ready():
+	default:
+		missing = append(missing, "the configuration has not been confirmed by the platform or a peer")
+	}
 	if d.follower.Snapshot().Version() == 0 {
 		missing = append(missing, "no configuration has been read from the platform or a peer")
 	}
@@ -79,7 +89,7 @@
 	return Status{
 		Name: d.settings.Instance.Name, Zone: d.settings.Instance.Zone, StartedAt: d.started,
 		ConfigVersion: d.follower.Snapshot().Version(), Draining: d.draining.Load(), Running: d.gateway.Running(),
-		Missing: d.missing(), Servers: servers,
+		Rejection: d.follower.Rejection(), Members: d.roster.Members(), Missing: d.missing(), Servers: servers,
 	}
 }
 
--- a/internal/lrdaemon/wire_peers.go
+++ b/internal/lrdaemon/wire_peers.go
@@ -1,22 +1,95 @@
 package lrdaemon
 
 import (
+	"context"
+	"math/rand/v2"
+	"time"
+
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 )
 
-// wirePeers makes the server for the other instances, the connections to them and the roster.
+// wirePeers makes the server for the other instances, the connections to them, the roster and the list of instances.
 func (d *Daemon) wirePeers() {
+	s := d.settings
 	d.peers = grpc.NewServer()
 	d.pool = lrpeer.NewPool(insecure.NewCredentials())
 	self := lrpeer.Member{
-		Name: d.settings.Instance.Name, Zone: d.settings.Instance.Zone, PeerAddress: d.settings.Instance.PeerAddress,
+		Name: s.Instance.Name, Zone: s.Instance.Zone, PeerAddress: s.Instance.PeerAddress,
 		Incarnation: uint64(d.started.UnixNano()),
 	}
-	roster := lrpeer.NewDirectoryRoster(self, d.platform)
-	d.roster = roster
-	d.supervisor.Add("refreshRoster", lrsupervise.Every(d.settings.Platform.ListInterval, roster.Refresh))
+	d.membership = lrpeer.NewMembership(self, lrpeer.NewExchanger(d.pool), lrpeer.Options{
+		Interval: s.Peers.HeartbeatInterval, Fanout: s.Peers.Fanout, Seeds: s.Peers.Seeds,
+		Clock: d.clock, Random: newRandom(), Log: d.log,
+	})
+	d.roster = d.membership
+	d.listing = lrpeer.NewListing(d.platform, d.roster, d.pool, lrpeer.ListingOptions{
+		Readers: s.Peers.WatchersPerZone, Seeds: s.Peers.Seeds, Patience: listPatience * s.Platform.ListInterval,
+		Clock: d.clock, Random: newRandom(),
+	})
+	d.listing.OnChange(func(now time.Time, instances []lrplatform.Instance) {
+		d.membership.SetListed(instances)
+		d.registry.SetInstances(now, instances)
+	})
+	lrpeerpb.RegisterMembershipServer(d.peers, lrpeer.NewMembershipService(d.membership, d.listing))
+	d.supervisor.Add("exchangeHeartbeats", d.membership.Run)
+	d.supervisor.Add("refreshListing", lrsupervise.Every(s.Platform.ListInterval/listReadsPerInterval, d.listing.Refresh))
+	d.beforeExit = append(d.beforeExit, d.membership.Leave)
+}
+
+const (
+	// listPatience is the number of list intervals after which an instance reads a list that no peer renews itself.
+	listPatience = 3
+	// listReadsPerInterval makes a change pass a reader and a peer within one interval.
+	listReadsPerInterval = 2
+	// listingWait is how long the start waits for a list of the instances that can be asked.
+	listingWait = 300 * time.Millisecond
+	listingPoll = 10 * time.Millisecond
+)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// candidates returns the instances that can be asked: the live members, those on the list, and the seeds.
+func (d *Daemon) candidates(ctx context.Context) []lrpeer.Member {
+	candidates := d.roster.Members()
+	if len(candidates) > 1 {
+		return candidates
+	}
+	known := map[string]bool{d.settings.Instance.PeerAddress: true}
+	for _, i := range d.awaitListing(ctx) {
+		if i.Role == lrplatform.RoleRouter && !known[i.PeerAddress] {
+			known[i.PeerAddress] = true
+			candidates = append(candidates, lrpeer.Member{Name: i.Name, Zone: i.Zone, PeerAddress: i.PeerAddress})
+		}
+	}
+	for _, seed := range d.settings.Peers.Seeds {
+		if !known[seed] {
+			known[seed] = true
+			candidates = append(candidates, lrpeer.Member{Name: seed, PeerAddress: seed})
+		}
+	}
+	return candidates
+}
+
+func (d *Daemon) awaitListing(ctx context.Context) []lrplatform.Instance {
+	ctx, cancel := context.WithTimeout(ctx, listingWait)
+	defer cancel()
+	ticker := time.NewTicker(listingPoll)
+	defer ticker.Stop()
+	for {
+		instances, err := d.listing.Instances(ctx)
+		if err == nil {
+			return instances
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -22,7 +22,7 @@
 func (d *Daemon) wireRouting() {
 	d.placer = lrroute.NewLeastLoaded()
 	d.queue = lrqueue.NewUnbounded()
-	d.registry = lrregistry.New(d.settings.Instance.Zone, d.platform, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log)
+	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log)
 	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
 		MaxAttempts: d.settings.Routing.MaxAttempts, EventTimeout: d.settings.Routing.EventTimeout,
 	}, d.log)
--- /dev/null
+++ b/internal/lrpeer/exchanger.go
@@ -0,0 +1,25 @@
+package lrpeer
+
+import (
+	"context"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+)
+
+// An Exchanger sends one membership message to a peer address and returns the reply.
+type Exchanger interface {
+	Exchange(ctx context.Context, address string, request *lrpeerpb.ExchangeRequest) (*lrpeerpb.ExchangeReply, error)
+}
+
+type poolExchanger struct{ pool *Pool }
+
+// NewExchanger returns an Exchanger over the connections of the pool.
+func NewExchanger(pool *Pool) Exchanger { return &poolExchanger{pool: pool} }
+
+func (e *poolExchanger) Exchange(ctx context.Context, address string, request *lrpeerpb.ExchangeRequest) (*lrpeerpb.ExchangeReply, error) {
+	connection, err := e.pool.Connection(address)
+	if err != nil {
+		return nil, err
+	}
+	return lrpeerpb.NewMembershipClient(connection).Exchange(ctx, request)
+}
--- a/internal/lrpeer/member.go
+++ b/internal/lrpeer/member.go
@@ -1,18 +1,10 @@
 // Package lrpeer joins the instances of the daemon to one another over gRPC.
 package lrpeer
 
+import "github.com/lavenderrouter/lavenderrouter/pkg/lrmember"
+
 // A Member is one live instance of the daemon.
-type Member struct {
-	Name        string
-	Zone        string
-	PeerAddress string
-	// Incarnation rises with each start of the process under this name.
-	Incarnation uint64
-	// Heartbeat rises while the instance lives.
-	Heartbeat     uint64
-	Leaving       bool
-	ConfigVersion uint64
-}
+type Member = lrmember.Member
 
 // A Roster tells which instances are alive.
 type Roster interface {
--- /dev/null
+++ b/internal/lrpeer/membership_service.go
@@ -0,0 +1,26 @@
+package lrpeer
+
+import (
+	"context"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+)
+
+type membershipService struct {
+	lrpeerpb.UnimplementedMembershipServer
+	membership *Membership
+	listing    *Listing
+}
+
+// NewMembershipService returns the Membership service of gRPC.
+func NewMembershipService(membership *Membership, listing *Listing) lrpeerpb.MembershipServer {
+	return &membershipService{membership: membership, listing: listing}
+}
+
+func (s *membershipService) Exchange(ctx context.Context, request *lrpeerpb.ExchangeRequest) (*lrpeerpb.ExchangeReply, error) {
+	return s.membership.Exchange(ctx, request)
+}
+
+func (s *membershipService) FetchInstances(ctx context.Context, request *lrpeerpb.FetchInstancesRequest) (*lrpeerpb.FetchInstancesReply, error) {
+	return s.listing.FetchInstances(ctx, request)
+}
--- /dev/null
+++ b/internal/lrpeer/wire_form.go
@@ -0,0 +1,83 @@
+package lrpeer
+
+import (
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrmember"
+)
+
+func encodeMember(m Member) *lrpeerpb.Member {
+	return &lrpeerpb.Member{
+		Name: m.Name, Zone: m.Zone, PeerAddress: m.PeerAddress, Incarnation: m.Incarnation, Heartbeat: m.Heartbeat,
+		Leaving: m.Leaving, ConfigVersion: m.ConfigVersion, State: uint32(m.State),
+	}
+}
+
+func decodeMember(m *lrpeerpb.Member) Member {
+	return Member{
+		Name: m.GetName(), Zone: m.GetZone(), PeerAddress: m.GetPeerAddress(), Incarnation: m.GetIncarnation(),
+		Heartbeat: m.GetHeartbeat(), Leaving: m.GetLeaving(), ConfigVersion: m.GetConfigVersion(),
+		State: lrmember.State(min(m.GetState(), uint32(lrmember.Dead))),
+	}
+}
+
+func encodeMembers(members []Member) []*lrpeerpb.Member {
+	encoded := make([]*lrpeerpb.Member, 0, len(members))
+	for _, m := range members {
+		encoded = append(encoded, encodeMember(m))
+	}
+	return encoded
+}
+
+func decodeMembers(members []*lrpeerpb.Member) []Member {
+	decoded := make([]Member, 0, len(members))
+	for _, m := range members {
+		decoded = append(decoded, decodeMember(m))
+	}
+	return decoded
+}
+
+func encodeRequest(m lrmember.Message, notices []ServerNotice) *lrpeerpb.ExchangeRequest {
+	return &lrpeerpb.ExchangeRequest{
+		Sender: encodeMember(m.Sender), Members: encodeMembers(m.Records), Digest: m.Digest, WantsAll: m.WantsAll,
+		Servers: encodeNotices(notices),
+	}
+}
+
+func decodeRequest(r *lrpeerpb.ExchangeRequest) lrmember.Message {
+	return lrmember.Message{
+		Sender: decodeMember(r.GetSender()), Records: decodeMembers(r.GetMembers()), Digest: r.GetDigest(), WantsAll: r.GetWantsAll(),
+	}
+}
+
+func encodeReply(m lrmember.Message, notices []ServerNotice) *lrpeerpb.ExchangeReply {
+	return &lrpeerpb.ExchangeReply{
+		Sender: encodeMember(m.Sender), Members: encodeMembers(m.Records), Digest: m.Digest, WantsAll: m.WantsAll,
+		Servers: encodeNotices(notices),
+	}
+}
+
+func decodeReply(r *lrpeerpb.ExchangeReply) lrmember.Message {
+	return lrmember.Message{
+		Sender: decodeMember(r.GetSender()), Records: decodeMembers(r.GetMembers()), Digest: r.GetDigest(), WantsAll: r.GetWantsAll(),
+	}
+}
+
+func encodeNotices(notices []ServerNotice) []*lrpeerpb.ServerNotice {
+	encoded := make([]*lrpeerpb.ServerNotice, 0, len(notices))
+	for _, n := range notices {
+		encoded = append(encoded, &lrpeerpb.ServerNotice{
+			Name: n.Name, Leaving: n.Leaving, Incarnation: n.Incarnation, QueuedTokens: n.QueuedTokens,
+		})
+	}
+	return encoded
+}
+
+func decodeNotices(notices []*lrpeerpb.ServerNotice) []ServerNotice {
+	decoded := make([]ServerNotice, 0, len(notices))
+	for _, n := range notices {
+		decoded = append(decoded, ServerNotice{
+			Name: n.GetName(), Leaving: n.GetLeaving(), Incarnation: n.GetIncarnation(), QueuedTokens: n.GetQueuedTokens(),
+		})
+	}
+	return decoded
+}
--- a/internal/lrstate/fetch.go
+++ b/internal/lrstate/fetch.go
@@ -3,29 +3,49 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 )
 
-// A ShardFetcher returns the stored value of the shard with the digest.
-type ShardFetcher func(ctx context.Context, digest string) ([]byte, error)
+// A ShardFetcher returns the stored values of the shards with the digests, each under its digest.
+type ShardFetcher func(ctx context.Context, digests []string) (map[string][]byte, error)
 
-// FetchSnapshot returns the snapshot of the head. It fetches only the shards that differ from those of the base.
-func FetchSnapshot(ctx context.Context, base *lrconfig.Snapshot, head lrconfig.Head, fetch ShardFetcher) (*lrconfig.Snapshot, error) {
-	changed := map[string]lrconfig.Shard{}
-	for name, digest := range head.Shards {
-		if base.Head().Shards[name] == digest {
-			continue
-		}
-		data, err := fetch(ctx, digest)
+// FetchSnapshot returns the snapshot of the head and the stored values that it fetched, under their digests. It
+// fetches only the shards that differ from those of the base.
+func FetchSnapshot(ctx context.Context, base *lrconfig.Snapshot, head lrconfig.Head, fetch ShardFetcher) (*lrconfig.Snapshot, map[string][]byte, error) {
+	missing := missingShards(base.Head(), head)
+	digests := slices.Sorted(maps.Values(missing))
+	values := map[string][]byte{}
+	if len(digests) > 0 {
+		fetched, err := fetch(ctx, slices.Compact(digests))
 		if err != nil {
-			return nil, fmt.Errorf("fetch shard %s: %w", name, err)
+			return nil, nil, err
+		}
+		values = fetched
+	}
+	changed := make(map[string]lrconfig.Shard, len(missing))
+	for name, digest := range missing {
+		data, ok := values[digest]
+		if !ok {
+			return nil, nil, fmt.Errorf("shard %s: its value was not sent", name)
 		}
 		shard, err := lrconfig.DecodeShard(data, digest)
 		if err != nil {
-			return nil, fmt.Errorf("shard %s: %w", name, err)
+			return nil, nil, fmt.Errorf("shard %s: %w", name, err)
 		}
 		changed[name] = shard
 	}
-	return base.WithShards(head, changed), nil
+	return base.WithShards(head, changed), values, nil
+}
+
+func missingShards(base, head lrconfig.Head) map[string]string {
+	missing := map[string]string{}
+	for name, digest := range head.Shards {
+		if base.Shards[name] != digest {
+			missing[name] = digest
+		}
+	}
+	return missing
 }
--- a/internal/lrstate/publisher.go
+++ b/internal/lrstate/publisher.go
@@ -40,17 +40,18 @@
 
 // Read returns the accepted configuration. Before the first change it is empty, with version zero.
 func (p *Publisher) Read(ctx context.Context) (*lrconfig.Snapshot, error) {
-	head, _, err := p.readHead(ctx)
+	head, _, err := readHead(ctx, p.store)
 	if err != nil {
 		return nil, err
 	}
-	return FetchSnapshot(ctx, lrconfig.NewSnapshot(lrconfig.Head{}, nil), head, p.fetchShard)
+	snapshot, _, err := FetchSnapshot(ctx, lrconfig.NewSnapshot(lrconfig.Head{}, nil), head, NewPlatformSource(p.store).Shards)
+	return snapshot, err
 }
 
 // Apply makes the change to the base. It returns an error of kind lrerror.KindConflict when another change has been
 // accepted since the base was read.
 func (p *Publisher) Apply(ctx context.Context, now time.Time, base *lrconfig.Snapshot, change Change) (lrconfig.Head, error) {
-	stored, object, err := p.readHead(ctx)
+	stored, object, err := readHead(ctx, p.store)
 	if err != nil {
 		return lrconfig.Head{}, err
 	}
@@ -90,7 +91,7 @@
 
 // settle finds out whether the head was accepted although its write did not answer so.
 func (p *Publisher) settle(ctx context.Context, head lrconfig.Head) (lrconfig.Head, error) {
-	stored, _, err := p.readHead(ctx)
+	stored, _, err := readHead(ctx, p.store)
 	if err != nil {
 		return head, lrerror.New(lrerror.KindUnavailable, lrerror.Unknown,
 			"the platform did not say whether version %d was accepted; look at the audit trail when it is back", head.Version).WithCause(err)
@@ -122,7 +123,7 @@
 
 // Audit returns the accepted changes, the latest first, at most limit of them.
 func (p *Publisher) Audit(ctx context.Context, limit int) ([]AuditEntry, error) {
-	head, _, err := p.readHead(ctx)
+	head, _, err := readHead(ctx, p.store)
 	if err != nil {
 		return nil, err
 	}
@@ -149,27 +150,6 @@
 	return entry, err
 }
 
-func (p *Publisher) readHead(ctx context.Context) (lrconfig.Head, lrplatform.Object, error) {
-	var head lrconfig.Head
-	object, err := p.store.Get(ctx, lrplatform.KindHead, lrplatform.HeadName)
-	if lrplatform.ErrNotFound.Has(err) {
-		return head, lrplatform.Object{}, nil
-	}
-	if err != nil {
-		return head, object, err
-	}
-	err = json.Unmarshal(object.Value, &head)
-	if err != nil {
-		return head, object, fmt.Errorf("decode head: %w", err)
-	}
-	return head, object, nil
-}
-
-func (p *Publisher) fetchShard(ctx context.Context, digest string) ([]byte, error) {
-	object, err := p.store.Get(ctx, lrplatform.KindShard, digest)
-	return object.Value, err
-}
-
 func (p *Publisher) writeShards(ctx context.Context, shards map[string]lrconfig.Shard) (map[string]string, error) {
 	digests := make(map[string]string, len(shards))
 	for name, s := range shards {
--- a/scripts/demo/steps.go
+++ b/scripts/demo/steps.go
@@ -290,4 +290,34 @@
 	return fmt.Sprintf("%d of %d streams whole, exit code 0", streams, streams), c.startRouter("gulf-south-c")
 }
 
-func showRestart(*cluster) (string, error) { return "", errNotYet }
+func showRestart(c *cluster) (string, error) {
+	key, err := c.addKey("river-college")
+	if err != nil {
+		return "", err
+	}
+	err = waitForKey(c, key)
+	if err != nil {
+		return "", err
+	}
+	err = c.setFaults(c.platform, lrstub.Faults{Down: true})
+	if err != nil {
+		return "", err
+	}
+	c.processes[routerName("gulf-south-b")].kill()
+	started := time.Now()
+	err = c.startRouter("gulf-south-b")
+	if err != nil {
+		return "", err
+	}
+	prompt := rules("restart", 1)
+	got, err := chat(c.address("gulf-south-b"), key, prompt, 20)
+	if err != nil {
+		return "", err
+	}
+	elapsed := time.Since(started)
+	err = checkWhole(got, prompt, 20)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("whole answer %s after the start", elapsed.Round(time.Millisecond)), c.setFaults(c.platform, lrstub.Faults{})
+}
