Grant tokens from homes instead of full local buckets

Cause: every instance gave each client account its whole rate and burst, so the fleet gave a multiple of them.

Change: each availability zone is entitled to a fixed part of rate and burst. The home of an account pools it and grants tokens that expire; a daemon that is short at the home of its own zone asks those of the others. What a home holds and what daemons may still use is never above the zone's burst. The homes of a zone follow from a numbered view that is changed by conditional update alone.

Over-admission and messages are not measured yet.

--- a/internal/lrdaemon/wire_limits.go
+++ b/internal/lrdaemon/wire_limits.go
@@ -1,8 +1,34 @@
 package lrdaemon
 
-import "github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+import (
+	"context"
 
-// wireLimits makes the limiter of client accounts.
+	"github.com/lavenderrouter/lavenderrouter/internal/lrgrant"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+)
+
+// wireLimits makes the limiter of client accounts: this instance's homes, and its grants from all homes.
 func (d *Daemon) wireLimits() {
-	d.limiter = lrlimit.NewLocal(1)
+	s := d.settings
+	options := lrgrant.Options{
+		Self: lrlimit.Member{
+			Name: s.Instance.Name, Incarnation: d.roster.Self().Incarnation, Address: s.Instance.PeerAddress,
+		},
+		Zone: s.Instance.Zone, LeaseValidity: s.Limits.LeaseValidity, GrantValidity: s.Limits.GrantValidity, MaxWait: s.Limits.MaxWait,
+	}
+	violation := func(name string) { d.metrics.Violations.WithLabelValues(name).Inc() }
+	keeper := lrgrant.NewKeeper(options, d.clock, d.platform, d.roster, d.pool, violation, d.log)
+	server := lrgrant.NewServer(keeper)
+	limiter := lrgrant.NewLimiter(keeper, server)
+	lrpeerpb.RegisterLimitServer(d.peers, server)
+	d.limiter = limiter
+	d.supervisor.Add("keepViews", keeper.Run)
+	d.supervisor.Add("prefetchGrants", limiter.RunPrefetch)
+	d.supervisor.Add("reportGrants", lrsupervise.Every(limiter.ReportPeriod(), limiter.Report))
+	d.beforeExit = append(d.beforeExit, func(ctx context.Context) {
+		limiter.Release(ctx)
+		keeper.Leave(ctx)
+	})
 }
--- /dev/null
+++ b/internal/lrgrant/keeper.go
@@ -0,0 +1,254 @@
+// Package lrgrant moves grants of tokens between daemons and the homes of client accounts.
+package lrgrant
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+)
+
+const (
+	entitlementName = "entitlement"
+	viewPrefix      = "zone."
+	// votesPerLease is how often within a lease a process has its tenure confirmed.
+	votesPerLease = 5
+	// settlePeriod is the time between calls to members that have not adopted a view.
+	settlePeriod = 100 * time.Millisecond
+	// goneTime is how long an instance must be missing from the platform's list before it counts as gone.
+	goneTime    = 10 * time.Second
+	peerTimeout = 300 * time.Millisecond
+)
+
+// Options say how long grants and tenures last, and who the process is.
+type Options struct {
+	Self          lrlimit.Member
+	Zone          string
+	LeaseValidity time.Duration
+	GrantValidity time.Duration
+	MaxWait       time.Duration
+}
+
+// A Keeper keeps the views of all zones up to date, and the tenure of this process as a home.
+type Keeper struct {
+	options   Options
+	clock     func() time.Time
+	platform  lrplatform.Platform
+	roster    lrpeer.Roster
+	pool      *lrpeer.Pool
+	log       zerolog.Logger
+	kick      chan struct{}
+	violation func(name string)
+
+	mutex       sync.Mutex
+	homes       *lrlimit.Homes
+	entitlement lrlimit.Entitlement
+	others      map[string]lrlimit.View
+	stale       map[string]bool
+	missing     map[lrlimit.Member]time.Time
+	readAt      time.Time
+}
+
+// NewKeeper returns a Keeper that knows no view.
+func NewKeeper(options Options, clock func() time.Time, platform lrplatform.Platform, roster lrpeer.Roster, pool *lrpeer.Pool,
+	violation func(name string), log zerolog.Logger,
+) *Keeper {
+	return &Keeper{
+		options: options, clock: clock, platform: platform, roster: roster, pool: pool, log: log, violation: violation,
+		kick:   make(chan struct{}, 1),
+		homes:  lrlimit.NewHomes(options.Self, options.LeaseValidity, options.GrantValidity),
+		others: map[string]lrlimit.View{}, stale: map[string]bool{}, missing: map[lrlimit.Member]time.Time{},
+	}
+}
+
+// Run keeps the views until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	for {
+		k.refresh(ctx)
+		timer := time.NewTimer(k.pause())
+		select {
+		case <-timer.C:
+		case <-k.kick:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+	}
+}
+
+// Kick makes the keeper look at the views of the zone at once.
+func (k *Keeper) Kick(zone string) {
+	k.mutex.Lock()
+	k.stale[zone] = true
+	k.mutex.Unlock()
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Zones returns the zones with an entitlement, this process's own first.
+func (k *Keeper) Zones() []string {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	zones := []string{k.options.Zone}
+	for _, z := range k.entitlement.Zones {
+		if z != k.options.Zone {
+			zones = append(zones, z)
+		}
+	}
+	return zones
+}
+
+// Share returns the share of all limits that the zone is entitled to.
+func (k *Keeper) Share(zone string) float64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.entitlement.Share(zone)
+}
+
+// View returns the latest view of the zone that is known.
+func (k *Keeper) View(zone string) lrlimit.View {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if zone == k.options.Zone {
+		return k.homes.View()
+	}
+	return k.others[zone]
+}
+
+// pause is the time until the next refresh.
+func (k *Keeper) pause() time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !k.homes.View().Contains(k.options.Self) || len(k.homes.Waiting()) > 0 {
+		return settlePeriod
+	}
+	return k.options.LeaseValidity / votesPerLease
+}
+
+func (k *Keeper) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, k.options.LeaseValidity/votesPerLease)
+	defer cancel()
+	err := k.readPlatform(ctx)
+	if err != nil {
+		k.log.Debug().Err(err).Msg("limits: platform not read, going on with the views of the peers")
+	}
+	k.askMembers(ctx, err != nil)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.homes.Sweep(k.clock())
+}
+
+// adopt takes the view in if it is newer than the known one.
+func (k *Keeper) adopt(view lrlimit.View) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if view.Zone != k.options.Zone {
+		if view.Number > k.others[view.Zone].Number {
+			k.others[view.Zone] = view
+		}
+		return
+	}
+	if k.homes.Adopt(k.clock(), view) {
+		k.log.Info().Uint64("view", view.Number).Int("members", len(view.Members)).Msg("limits: view adopted")
+	}
+}
+
+// entitle takes in the division of the limits. It never changes afterwards.
+func (k *Keeper) entitle(data []byte) {
+	var entitlement lrlimit.Entitlement
+	err := json.Unmarshal(data, &entitlement)
+	if err != nil || len(entitlement.Zones) == 0 {
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if len(k.entitlement.Zones) == 0 {
+		k.entitlement = entitlement
+		k.homes.Entitle(entitlement.Share(k.options.Zone))
+	}
+}
+
+// askMembers tells the other members which view is in force here and hears which is in force there. While the
+// platform is down the answers confirm the tenure, and a process that knows no view learns it.
+func (k *Keeper) askMembers(ctx context.Context, platformDown bool) {
+	k.mutex.Lock()
+	view := k.homes.View()
+	ask := k.homes.Waiting()
+	k.mutex.Unlock()
+	if platformDown {
+		ask = view.Members
+	}
+	if platformDown && len(view.Members) == 0 {
+		ask = k.rosterMembers()
+	}
+	var group sync.WaitGroup
+	for _, m := range ask {
+		if m != k.options.Self {
+			group.Go(func() { k.askMember(ctx, m) })
+		}
+	}
+	group.Wait()
+}
+
+func (k *Keeper) rosterMembers() []lrlimit.Member {
+	var members []lrlimit.Member
+	for _, m := range k.roster.Members() {
+		if m.Name != k.options.Self.Name {
+			members = append(members, lrlimit.Member{Name: m.Name, Incarnation: m.Incarnation, Address: m.PeerAddress})
+		}
+	}
+	return members
+}
+
+func (k *Keeper) askMember(ctx context.Context, m lrlimit.Member) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	connection, err := k.pool.Connection(m.Address)
+	if err != nil {
+		return
+	}
+	sentAt := k.clock()
+	number := k.View(k.options.Zone).Number
+	reply, err := lrpeerpb.NewLimitClient(connection).ExchangeViews(ctx, &lrpeerpb.ExchangeViewsRequest{
+		Daemon: k.options.Self.ID(), Zone: k.options.Zone, View: number,
+	})
+	if err != nil {
+		return
+	}
+	k.entitle(reply.GetEntitlement())
+	for _, data := range reply.GetViews() {
+		var view lrlimit.View
+		if json.Unmarshal(data, &view) != nil {
+			continue
+		}
+		k.adopt(view)
+		if view.Zone == k.options.Zone && reply.GetDaemon() == m.ID() {
+			k.mutex.Lock()
+			k.homes.ConfirmByMember(k.clock(), sentAt, m, view.Number)
+			k.mutex.Unlock()
+		}
+	}
+}
+
+// Leave ends the tenure of this process and takes it out of the view, so that others can take its accounts over.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.mutex.Lock()
+	k.homes.Leave()
+	k.mutex.Unlock()
+	object, view, err := k.readView(ctx, k.options.Zone)
+	if err != nil || !slices.Contains(view.Members, k.options.Self) {
+		return
+	}
+	_ = k.writeView(ctx, object, view.WithoutLeaver(k.options.Self))
+}
--- /dev/null
+++ b/internal/lrgrant/limiter.go
@@ -0,0 +1,203 @@
+package lrgrant
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrring"
+)
+
+const (
+	// batchTime is how much of an account's demand one exchange asks for.
+	batchTime = 500 * time.Millisecond
+	// prefetchTime is the demand that is held before more is fetched ahead of requests.
+	prefetchTime = 200 * time.Millisecond
+	// reportsPerValidity is how often within the validity of a grant the holdings are looked through.
+	reportsPerValidity = 8
+	minRetryDelay      = 10 * time.Millisecond
+	maxRetryDelay      = 200 * time.Millisecond
+	prefetchRoom       = 256
+)
+
+// A Limiter is the daemon's side: it holds grants and admits requests on them.
+type Limiter struct {
+	options  Options
+	clock    func() time.Time
+	caller   caller
+	zones    func() []string
+	prefetch *lrring.Ring[*account]
+
+	mutex    sync.Mutex
+	accounts map[string]*account
+}
+
+// account guards what is held of one client account. Its turn is held by whoever exchanges reports with homes.
+type account struct {
+	name   string
+	turn   chan struct{}
+	mutex  sync.Mutex
+	state  *lrlimit.Account
+	limits lrlimit.Limits
+	// queued tells that the account waits in the prefetch ring.
+	queued bool
+}
+
+// NewLimiter returns a Limiter that takes grants from the homes in the keeper's views.
+func NewLimiter(keeper *Keeper, server *Server) *Limiter {
+	return &Limiter{
+		options: keeper.options, clock: keeper.clock, caller: caller{keeper: keeper, server: server, sent: &atomic.Uint64{}, silent: &sync.Map{}}, zones: keeper.Zones,
+		prefetch: lrring.New[*account](prefetchRoom), accounts: map[string]*account{},
+	}
+}
+
+// Reserve takes the tokens of the request. It fetches grants when it must, and waits a short while before it refuses.
+func (l *Limiter) Reserve(ctx context.Context, now time.Time, request lrlimit.Request) (lrlimit.Reservation, error) {
+	if request.Tokens > request.Burst {
+		return nil, lrlimit.RateLimited(request.Account, -1)
+	}
+	a := l.account(now, request)
+	reserved := l.take(a, request.Tokens)
+	if reserved != nil {
+		l.fetchAhead(a)
+		return reserved, nil
+	}
+	return l.fetchAndTake(ctx, now.Add(l.options.MaxWait), a, request)
+}
+
+func (l *Limiter) fetchAndTake(ctx context.Context, deadline time.Time, a *account, request lrlimit.Request) (lrlimit.Reservation, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	select {
+	case a.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, lrlimit.RateLimited(request.Account, l.retryAfter(a, request))
+	}
+	defer func() { <-a.turn }()
+	for {
+		reserved := l.fetch(ctx, a, request)
+		if reserved != nil {
+			return reserved, nil
+		}
+		wait := l.retryAfter(a, request)
+		if l.clock().Add(wait).After(deadline) || !sleep(ctx, min(max(wait, minRetryDelay), maxRetryDelay)) {
+			l.giveUp(a)
+			return nil, lrlimit.RateLimited(request.Account, wait)
+		}
+	}
+}
+
+// fetch asks the homes one after the other, the own zone's first, until the request fits.
+func (l *Limiter) fetch(ctx context.Context, a *account, request lrlimit.Request) lrlimit.Reservation {
+	for _, z := range l.zones() {
+		reserved := l.take(a, request.Tokens)
+		if reserved != nil {
+			return reserved
+		}
+		l.exchange(ctx, a, z, request.Tokens)
+	}
+	return l.take(a, request.Tokens)
+}
+
+// exchange asks the home of the zone for what the account lacks to hold the tokens.
+func (l *Limiter) exchange(ctx context.Context, a *account, zone string, tokens float64) {
+	now := l.clock()
+	a.mutex.Lock()
+	need := max(tokens-a.state.Held(now), 0)
+	want := need + a.state.Demand(now)*batchTime.Seconds()
+	a.mutex.Unlock()
+	l.caller.call(ctx, zone, []*ask{{account: a, need: need, want: want}})
+}
+
+// take uses held tokens. A pause of the process between the look at the clock and the use is found afterwards.
+func (l *Limiter) take(a *account, tokens float64) lrlimit.Reservation {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	parts, ok := a.state.Take(l.clock(), tokens)
+	if !ok {
+		return nil
+	}
+	now := l.clock()
+	for _, p := range parts {
+		if !now.Before(p.Expires()) {
+			a.state.Return(now, parts, tokens)
+			return nil
+		}
+	}
+	return &reservation{account: a, parts: parts, tokens: tokens}
+}
+
+// giveUp empties the holdings of an account whose request was refused, so that other daemons can use the tokens.
+func (l *Limiter) giveUp(a *account) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	for _, z := range l.zones() {
+		l.caller.call(ctx, z, []*ask{{account: a, release: true}})
+	}
+}
+
+// retryAfter returns when the whole fleet's rate will have brought the tokens that are missing now.
+func (l *Limiter) retryAfter(a *account, request lrlimit.Request) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	missing := request.Tokens - a.state.Held(l.clock())
+	if request.Rate <= 0 {
+		return -1
+	}
+	return max(time.Duration(missing/request.Rate*float64(time.Second)), minRetryDelay)
+}
+
+func (l *Limiter) account(now time.Time, request lrlimit.Request) *account {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	a, ok := l.accounts[request.Account]
+	if !ok {
+		a = &account{name: request.Account, turn: make(chan struct{}, 1), state: lrlimit.NewAccount("", l.options.Zone, now)}
+		l.accounts[request.Account] = a
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.limits = lrlimit.Limits{Rate: request.Rate, Burst: request.Burst}
+	a.state.Ask(now, request.Tokens)
+	return a
+}
+
+// fetchAhead has more tokens fetched when those held won't last.
+func (l *Limiter) fetchAhead(a *account) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := l.clock()
+	if a.queued || a.state.Held(now) >= a.state.Demand(now)*prefetchTime.Seconds() {
+		return
+	}
+	a.queued = l.prefetch.Push(a)
+}
+
+type reservation struct {
+	account *account
+	parts   []*lrlimit.Part
+	tokens  float64
+	once    sync.Once
+}
+
+// Settle gives back what the request did not use.
+func (r *reservation) Settle(now time.Time, used float64) {
+	r.once.Do(func() {
+		r.account.mutex.Lock()
+		defer r.account.mutex.Unlock()
+		r.account.state.Return(now, r.parts, max(r.tokens-used, 0))
+	})
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lrgrant/views.go
@@ -0,0 +1,174 @@
+package lrgrant
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+)
+
+// otherZonesPeriod is the time between readings of the views of other zones.
+const otherZonesPeriod = 30 * time.Second
+
+// readPlatform takes in what the platform knows, and changes the own zone's view where it must.
+func (k *Keeper) readPlatform(ctx context.Context) error {
+	err := k.readEntitlement(ctx)
+	if err != nil {
+		return err
+	}
+	err = k.readOtherZones(ctx)
+	if err != nil {
+		return err
+	}
+	sentAt := k.clock()
+	object, view, err := k.readView(ctx, k.options.Zone)
+	if err != nil {
+		return err
+	}
+	k.adopt(view)
+	k.confirm(sentAt, view.Number)
+	next, changed := k.nextView(ctx, view)
+	if !changed {
+		return nil
+	}
+	return k.writeView(ctx, object, next)
+}
+
+func (k *Keeper) confirm(sentAt time.Time, number uint64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if number == k.homes.View().Number {
+		k.homes.ConfirmByPlatform(sentAt)
+	}
+}
+
+// readEntitlement reads how the limits are divided, or divides them between the zones that have instances now.
+func (k *Keeper) readEntitlement(ctx context.Context) error {
+	if k.Share(k.options.Zone) > 0 {
+		return nil
+	}
+	object, err := k.platform.Get(ctx, lrplatform.KindView, entitlementName)
+	if lrplatform.ErrNotFound.Has(err) {
+		object, err = k.divide(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	k.entitle(object.Value)
+	return nil
+}
+
+func (k *Keeper) divide(ctx context.Context) (lrplatform.Object, error) {
+	instances, err := k.platform.Instances(ctx)
+	if err != nil {
+		return lrplatform.Object{}, err
+	}
+	zones := []string{k.options.Zone}
+	for _, i := range instances {
+		if i.Role == lrplatform.RoleRouter {
+			zones = append(zones, i.Zone)
+		}
+	}
+	slices.Sort(zones)
+	value, err := json.Marshal(lrlimit.Entitlement{Zones: slices.Compact(zones)})
+	if err != nil {
+		return lrplatform.Object{}, err
+	}
+	return k.platform.Create(ctx, lrplatform.KindView, entitlementName, value)
+}
+
+func (k *Keeper) readOtherZones(ctx context.Context) error {
+	now := k.clock()
+	k.mutex.Lock()
+	all := now.Sub(k.readAt) > otherZonesPeriod
+	stale := k.stale
+	k.stale = map[string]bool{}
+	k.mutex.Unlock()
+	for _, z := range k.Zones() {
+		if z == k.options.Zone || (!all && !stale[z] && k.View(z).Number > 0) {
+			continue
+		}
+		_, view, err := k.readView(ctx, z)
+		if err != nil {
+			return err
+		}
+		k.adopt(view)
+	}
+	if all {
+		k.mutex.Lock()
+		k.readAt = now
+		k.mutex.Unlock()
+	}
+	return nil
+}
+
+// readView returns the view of the zone and the object that holds it. A zone without one has a view of number zero.
+func (k *Keeper) readView(ctx context.Context, zone string) (lrplatform.Object, lrlimit.View, error) {
+	object, err := k.platform.Get(ctx, lrplatform.KindView, viewPrefix+zone)
+	if lrplatform.ErrNotFound.Has(err) {
+		return lrplatform.Object{}, lrlimit.View{Zone: zone}, nil
+	}
+	if err != nil {
+		return object, lrlimit.View{}, err
+	}
+	var view lrlimit.View
+	err = json.Unmarshal(object.Value, &view)
+	return object, view, err
+}
+
+// writeView puts the next view in the place of the one that was read. A conflict is left to the next refresh.
+func (k *Keeper) writeView(ctx context.Context, object lrplatform.Object, next lrlimit.View) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	if object.Version == 0 {
+		_, err = k.platform.Create(ctx, lrplatform.KindView, viewPrefix+next.Zone, value)
+	} else {
+		_, err = k.platform.Update(ctx, object.WithValue(value))
+	}
+	if err != nil {
+		return err
+	}
+	k.adopt(next)
+	return nil
+}
+
+// nextView returns the view that should follow, if any.
+func (k *Keeper) nextView(ctx context.Context, view lrlimit.View) (lrlimit.View, bool) {
+	gone := k.goneMembers(ctx, view)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.homes.Next(k.clock(), view, gone)
+}
+
+// goneMembers returns the members that have been missing from the platform's list for long.
+func (k *Keeper) goneMembers(ctx context.Context, view lrlimit.View) []lrlimit.Member {
+	instances, err := k.platform.Instances(ctx)
+	now := k.clock()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if err != nil {
+		clear(k.missing)
+		return nil
+	}
+	var gone []lrlimit.Member
+	for _, m := range view.Members {
+		listed := slices.ContainsFunc(instances, func(i lrplatform.Instance) bool { return i.Name == m.Name })
+		if listed || m == k.options.Self {
+			delete(k.missing, m)
+			continue
+		}
+		since, known := k.missing[m]
+		if !known {
+			k.missing[m] = now
+		}
+		if known && now.Sub(since) > goneTime {
+			gone = append(gone, m)
+		}
+	}
+	return gone
+}
