Run paid actions at most once on records in the platform

Cause: paid routes were refused, since nothing kept an action from running twice. Ruled out: one write that creates the record as dispatched (an owner that dies before it sends would leave an action in doubt that nobody may take over). Change: pkg/lrpaid decides from the record alone what an attempt does next; internal/lrledger writes claimed, dispatched and done by conditional update, sends between the last two, settles lost replies by reading the nonce, releases the right to send when the dial failed, and goes on when the caller has left. A planned stop waits for it. Operators list and resolve actions in doubt. Each part that hands back at a planned stop now has a time limit of its own.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -169,9 +169,9 @@
 
 // handBack lets every part return what it holds of others: grants, leases, its place in the membership.
 func (d *Daemon) handBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.CallTimeout)
-	defer cancel()
 	for _, call := range d.beforeExit {
+		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.CallTimeout)
 		call(ctx)
+		cancel()
 	}
 }
--- a/internal/lrdaemon/wire_paid.go
+++ b/internal/lrdaemon/wire_paid.go
@@ -1,4 +1,28 @@
 package lrdaemon
 
-// wirePaid makes the runner of paid actions. Paid routes are refused while there is none.
-func (d *Daemon) wirePaid() {}
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrledger"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
+)
+
+// cleanInterval is the time between two steps of the removal of expired records.
+const cleanInterval = time.Minute
+
+// wirePaid makes the runner of paid actions. A planned stop waits for those that are under way.
+func (d *Daemon) wirePaid() {
+	ledger := lrledger.New(lrledger.Parts{
+		Store: d.platform, Services: d.services, Servers: d.registry, Log: d.log, Clock: d.clock,
+		Violated: func(invariant string) { d.metrics.Violations.WithLabelValues(invariant).Inc() },
+	}, lrledger.DefaultOptions(d.settings.Instance.Name, d.settings.Paid.CallTimeout))
+	d.paid = ledger
+	d.beforeExit = append(d.beforeExit, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Server.DrainTimeout)
+		defer cancel()
+		ledger.Close(ctx)
+	})
+	cleaner := lrledger.NewCleaner(d.platform, d.roster, d.settings.Paid.Retention, d.log)
+	d.supervisor.Add("expirePaid", lrsupervise.Every(cleanInterval, cleaner.Clean))
+}
--- /dev/null
+++ b/internal/lrledger/action.go
@@ -0,0 +1,162 @@
+package lrledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
+)
+
+// The stages of an action decide a race between its caller's leaving and its sending.
+const (
+	stageOpen int32 = iota
+	stageCommitted
+	stageAbandoned
+)
+
+// action is one attempt of a caller at a paid action.
+type action struct {
+	*Ledger
+	request lrgateway.PaidRequest
+	attempt lrpaid.Attempt
+	policy  lrpaid.Policy
+	name    string
+	beganAt time.Time
+	stage   atomic.Int32
+	// dispatchBegan is when the first dispatching write began.
+	dispatchBegan time.Time
+	// heldByAnother tells that the last record read was in the hands of another attempt.
+	heldByAnother bool
+	// mayLand tells that a write of this attempt may still take effect.
+	mayLand bool
+
+	finishOnce sync.Once
+	done       chan struct{}
+	response   lrservice.Response
+	err        error
+}
+
+func newAction(l *Ledger, request lrgateway.PaidRequest) *action {
+	policy := l.options.Policy
+	policy.CanQuery = request.Route.Query != ""
+	sent := request.Request
+	return &action{
+		Ledger: l, request: request, policy: policy, beganAt: l.Clock(), done: make(chan struct{}),
+		name: lrpaid.Name(request.Account, request.IdempotencyKey),
+		attempt: lrpaid.Attempt{
+			Account: request.Account, IdempotencyKey: request.IdempotencyKey, Route: request.Route.Name,
+			Fingerprint: lrpaid.Fingerprint(sent.Method, request.Route.Name, sent.Path, sent.Body),
+			Owner:       l.options.Owner, Nonce: uuid.NewString(), RequestID: request.RequestID,
+		},
+	}
+}
+
+// run leads the action to its end and records the outcome, also after the caller has got its answer.
+func (a *action) run(ctx context.Context) {
+	defer a.slots.Release(1)
+	defer a.recoverPanic()
+	object, step := a.settle(ctx)
+	switch step {
+	case lrpaid.StepSend:
+		a.send(ctx, object)
+	case lrpaid.StepReplay, lrpaid.StepReportResolved, lrpaid.StepReportUnknown, lrpaid.StepRefuseMismatch:
+		a.answerFrom(object.record, step)
+	default:
+		a.giveUp(ctx, a.refusal())
+	}
+}
+
+func (a *action) recoverPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	a.Log.Error().Str("requestId", a.request.RequestID).Str("panic", fmt.Sprint(value)).Msg("paid: action failed")
+	a.fail(lrerror.From(fmt.Errorf("panic: %v", value)))
+}
+
+// finish gives the caller its answer. Only the first call counts.
+func (a *action) finish(response lrservice.Response, err error) {
+	a.finishOnce.Do(func() {
+		a.response, a.err = response, err
+		close(a.done)
+	})
+}
+
+func (a *action) fail(err error) { a.finish(lrservice.Response{}, err) }
+
+// leave is called when the caller has gone. It keeps the action from being sent unless that has begun.
+func (a *action) leave() error {
+	if a.stage.CompareAndSwap(stageOpen, stageAbandoned) {
+		return lrerror.New(lrerror.KindTimeout, lrerror.NotRun,
+			"the request ended before it was sent to the service; send it again with the same idempotency key")
+	}
+	return lrerror.New(lrerror.KindTimeout, lrerror.Unknown,
+		"the request ended after it was sent to the service; send it again with the same idempotency key to learn the outcome")
+}
+
+// stored is an object of the platform with the record in it.
+type stored struct {
+	object lrplatform.Object
+	record lrpaid.Record
+}
+
+// giveUp answers an attempt that has sent nothing, and takes back what it may have written.
+func (a *action) giveUp(ctx context.Context, refusal error) {
+	if !a.mayLand {
+		a.fail(refusal)
+		return
+	}
+	a.converge(ctx, stored{}, lrpaid.Release(a.attempt), func() { a.fail(refusal) })
+}
+
+func (a *action) refusal() error {
+	if a.heldByAnother {
+		return unknownOutcome()
+	}
+	return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
+		"the platform can't record the paid action, so this request was not run; send it again with the same idempotency key, "+
+			"which also tells whether an earlier request with the key has run")
+}
+
+func unknownOutcome() error {
+	return lrerror.New(lrerror.KindConflict, lrerror.Unknown,
+		"an earlier request with this idempotency key is under way or its outcome is in doubt; send it again later with the "+
+			"same key, or ask the operator to look at lavenderrouter paid list")
+}
+
+func (a *action) answerFrom(record lrpaid.Record, step lrpaid.Step) {
+	switch {
+	case step == lrpaid.StepRefuseMismatch:
+		a.fail(lrerror.New(lrerror.KindIdempotencyMismatch, lrerror.NotRun,
+			"the idempotency key stands for another request of this client account; send a new key for a new action"))
+	case step == lrpaid.StepReportUnknown:
+		a.fail(unknownOutcome())
+	case step == lrpaid.StepReportResolved:
+		a.fail(resolvedOutcome(record))
+	case record.Answer.Cut:
+		a.fail(lrerror.New(lrerror.KindConflict, lrerror.Ran,
+			"the action has run and the service answered with status %d; its %d bytes are too many to be kept, so ask the service for them",
+			record.Answer.Status, record.Answer.Length))
+	default:
+		a.finish(replay(*record.Answer), nil)
+	}
+}
+
+func resolvedOutcome(record lrpaid.Record) error {
+	if record.Resolution.Outcome == lrpaid.ResolvedDone {
+		return lrerror.New(lrerror.KindConflict, lrerror.Ran,
+			"the action has run; its answer was lost and %s found out that it has run", record.Resolution.Who)
+	}
+	return lrerror.New(lrerror.KindConflict, lrerror.NotRun,
+		"the action has not run and never will under this idempotency key, as %s found out; send a new key", record.Resolution.Who)
+}
--- /dev/null
+++ b/internal/lrledger/converge.go
@@ -0,0 +1,90 @@
+package lrledger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
+)
+
+// converge applies the change to the record until the platform has confirmed it or it is not wanted any more. The
+// caller is answered after the first try. An empty start makes it read the record first.
+func (a *action) converge(ctx context.Context, start stored, change lrpaid.Change, answer func()) {
+	backoff := a.options.Backoff
+	for {
+		after, err := a.apply(ctx, start, change)
+		answer()
+		if err == nil {
+			a.checkOutcome(after.record)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		a.Log.Warn().Err(err).Str("requestId", a.request.RequestID).Msg("paid: outcome not recorded yet, trying again")
+		pause(ctx, backoff)
+		backoff = min(2*backoff, a.options.MaxBackoff)
+		start = stored{}
+	}
+}
+
+// apply makes the change once and settles a lost reply by reading the record. It returns the record as it is then.
+func (a *action) apply(ctx context.Context, start stored, change lrpaid.Change) (stored, error) {
+	if start.object.Version == 0 {
+		seen, err := read(ctx, a.Store, a.name)
+		if lrplatform.ErrNotFound.Has(err) {
+			return stored{}, nil
+		}
+		if err != nil {
+			return stored{}, err
+		}
+		start = seen
+	}
+	return update(ctx, a.Store, start, change)
+}
+
+// update makes one conditional write of the changed record. A record that is as wanted already is left alone.
+func update(ctx context.Context, store lrplatform.Store, start stored, change lrpaid.Change) (stored, error) {
+	record, wanted := change(start.record)
+	if !wanted {
+		return start, nil
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return start, fmt.Errorf("encode record: %w", err)
+	}
+	object, err := store.Update(ctx, start.object.WithValue(value))
+	if err == nil {
+		return stored{object, record}, nil
+	}
+	seen, readErr := read(ctx, store, start.object.Name)
+	if readErr != nil {
+		return start, err
+	}
+	_, wanted = change(seen.record)
+	if wanted {
+		return seen, err
+	}
+	return seen, nil
+}
+
+func read(ctx context.Context, store lrplatform.Store, name string) (stored, error) {
+	object, err := store.Get(ctx, lrplatform.KindPaid, name)
+	if err != nil {
+		return stored{}, err
+	}
+	record, err := decode(object)
+	return stored{object, record}, err
+}
+
+// checkOutcome reports an action that has been settled as not run although it has an answer.
+func (a *action) checkOutcome(record lrpaid.Record) {
+	if record.Answer == nil || record.Resolution == nil || record.Resolution.Outcome != lrpaid.ResolvedNotRun {
+		return
+	}
+	a.Log.Error().Str("requestId", a.request.RequestID).Str("who", record.Resolution.Who).
+		Msg("paid: an action that was resolved as not run has run")
+	a.Violated("paidResolvedTruthfully")
+}
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -8,10 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/zeebo/errs"
 )
 
+// dialTimeout bounds the time to connect, in which nothing is sent yet.
+const dialTimeout = time.Second
+
 // The classes of failure of a plain service.
 var (
 	// ErrNotSent means that no byte of the request reached the service.
@@ -49,7 +53,8 @@
 
 // NewClient returns a Client whose answers may have up to maxBytes bytes.
 func NewClient(maxBytes int64) Client {
-	transport := &http.Transport{DisableKeepAlives: true}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
 	return &client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, maxBytes: maxBytes}
 }
 
--- /dev/null
+++ b/pkg/lrpaid/attempt.go
@@ -0,0 +1,60 @@
+package lrpaid
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+)
+
+// MaxKeyBytes is the longest idempotency key that is accepted.
+const MaxKeyBytes = 255
+
+// accountDigits is the number of hexadecimal digits of a record's name that depend on the client account alone.
+const accountDigits = 8
+
+// An Attempt is one request of a caller for a paid action. Its nonce is used once.
+type Attempt struct {
+	Account        string
+	IdempotencyKey string
+	Route          string
+	Fingerprint    string
+	Owner          string
+	Nonce          string
+	RequestID      string
+}
+
+// Name returns the name of the record of an action. Records of one client account share the prefix NamePrefix.
+func Name(account, idempotencyKey string) string {
+	return NamePrefix(account) + digest(account, idempotencyKey)
+}
+
+// NamePrefix returns the start of the names of the records of a client account.
+func NamePrefix(account string) string { return digest(account)[:accountDigits] + "-" }
+
+// Fingerprint returns the identity of what an action does.
+func Fingerprint(method, route, path string, body []byte) string {
+	return digest(method, route, path, string(body))
+}
+
+// digest returns the SHA-256 of the parts in hexadecimal. Parts can't run into one another.
+func digest(parts ...string) string {
+	hash := sha256.New()
+	encoder := json.NewEncoder(hash)
+	for _, p := range parts {
+		_ = encoder.Encode([]byte(p))
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// ValidKey reports whether the idempotency key consists of up to MaxKeyBytes visible ASCII characters.
+func ValidKey(key string) bool {
+	if key == "" || len(key) > MaxKeyBytes {
+		return false
+	}
+	for _, c := range []byte(key) {
+		if c < '!' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
--- a/scripts/demo/steps.go
+++ b/scripts/demo/steps.go
@@ -156,8 +156,6 @@
 	return "status 200", nil
 }
 
-func showPaidCall(*cluster) (string, error) { return "", errNotYet }
-
 func showRateLimit(c *cluster) (string, error) {
 	key, err := c.addKey("essay-desk")
 	if err != nil {
