Prove that paid actions run at most once, whatever fails

Cause: nothing had shown that the records keep an action from running twice. The service's own ledger is compared with every answer and with the record. Mended: the time limit is now checked at the first write to the connection (lrservice.Request.SendBefore); what is left is a pause of half a minute between that check and the system call.

--- a/internal/lrledger/action.go
+++ b/internal/lrledger/action.go
@@ -112,11 +112,10 @@
 
 // giveUp answers an attempt that has sent nothing, and takes back what it may have written.
 func (a *action) giveUp(ctx context.Context, refusal error) {
-	if !a.mayLand {
-		a.fail(refusal)
-		return
+	a.fail(refusal)
+	if a.mayLand {
+		a.converge(ctx, stored{}, lrpaid.Release(a.attempt), func() {})
 	}
-	a.converge(ctx, stored{}, lrpaid.Release(a.attempt), func() { a.fail(refusal) })
 }
 
 func (a *action) refusal() error {
--- /dev/null
+++ b/internal/lrledger/book_test.go
@@ -0,0 +1,123 @@
+package lrledger
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
+)
+
+const retention = 30 * 24 * time.Hour
+
+// TestWritesOfOneAction counts the platform's writes for an action that meets no fault.
+func TestWritesOfOneAction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, newLedger, func(string, int, int) fault { return faultNone })
+		requireEqual(t, w.send(0, testBody, longWait).err, nil, "error")
+		requireEqual(t, w.writes, 3, "writes")
+		requireEqual(t, w.calls, 4, "calls to the platform and the service")
+	})
+}
+
+// TestResolve settles an action whose answer was lost and reads the audit entry.
+func TestResolve(t *testing.T) {
+	for _, outcome := range []lrpaid.ResolvedOutcome{lrpaid.ResolvedDone, lrpaid.ResolvedNotRun} {
+		t.Run(string(outcome), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { resolveAs(t, outcome) })
+		})
+	}
+}
+
+func resolveAs(t *testing.T, outcome lrpaid.ResolvedOutcome) {
+	t.Helper()
+	lost := faultLostReply
+	if outcome == lrpaid.ResolvedNotRun {
+		lost = faultLostRequest
+	}
+	w := newWorld(1, newLedger, func(_ string, _, call int) fault {
+		if call == 3 {
+			return lost
+		}
+		return faultNone
+	})
+	requireEqual(t, lrerror.From(w.send(0, testBody, longWait).err).Outcome(), lrerror.Unknown, "outcome")
+	book := NewBook(w.memory)
+	resolution := lrpaid.Resolution{Outcome: outcome, Reason: "bank statement", Who: "crew", When: time.Now()}
+	_, err := book.Resolve(context.Background(), time.Now(), testAccount, testKey, resolution)
+	requireEqual(t, err != nil, true, "an action that may be under way is not resolved")
+	time.Sleep(longWait)
+	_, err = book.Resolve(context.Background(), time.Now(), testAccount, testKey, resolution)
+	requireEqual(t, err, nil, "error")
+	_, err = book.Resolve(context.Background(), time.Now(), testAccount, testKey, resolution)
+	requireEqual(t, err != nil, true, "a resolved action is not resolved again")
+	entries, err := book.Audit(context.Background())
+	requireEqual(t, err, nil, "error")
+	requireEqual(t, len(entries), 1, "audit entries")
+	requireEqual(t, entries[0].Who, "crew", "who")
+	last := w.send(0, testBody, longWait)
+	requireEqual(t, lrerror.From(last.err).Outcome() == lrerror.Ran, outcome == lrpaid.ResolvedDone, "told ran")
+	requireEqual(t, len(w.check()), 0, "disagreements")
+}
+
+// TestRetention removes records by age, but never one in doubt.
+func TestRetention(t *testing.T) {
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	attempt := lrpaid.Attempt{Account: testAccount, IdempotencyKey: testKey, Nonce: "n"}
+	claimed := lrpaid.NewRecord(now, attempt)
+	dispatched := claimed.WithDispatch(now, lrpaid.Policy{})
+	done := dispatched.WithAnswer(now, lrpaid.NewAnswer(http.StatusOK, nil, nil))
+	cases := []struct {
+		name    string
+		record  lrpaid.Record
+		age     time.Duration
+		removed bool
+	}{
+		{"done, young", done, retention, false},
+		{"done, old", done, retention + time.Second, true},
+		{"in doubt", dispatched, 100 * retention, false},
+		{"claimed, old", claimed, retention + time.Second, true},
+		{"resolved, old", dispatched.WithResolution(lrpaid.Resolution{When: now}), retention + time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			memory := lrplatform.NewMemory()
+			name := lrpaid.Name(testAccount, testKey)
+			value := encode(t, c.record)
+			_, err := memory.Create(context.Background(), lrplatform.KindPaid, name, value)
+			requireEqual(t, err, nil, "error")
+			cleaner := NewCleaner(memory, loneRoster{}, retention, zerolog.Nop())
+			for range shards {
+				cleaner.Clean(context.Background(), now.Add(c.age))
+			}
+			_, err = memory.Get(context.Background(), lrplatform.KindPaid, name)
+			requireEqual(t, lrplatform.ErrNotFound.Has(err), c.removed, "removed")
+		})
+	}
+}
+
+// loneRoster knows of one instance only.
+type loneRoster struct{}
+
+func (loneRoster) Self() lrpeer.Member { return lrpeer.Member{Name: "router-1"} }
+
+func (r loneRoster) Members() []lrpeer.Member { return []lrpeer.Member{r.Self()} }
+
+// TestLargestAnswerFits stores the largest answer that is kept, with headers and a key of the worst encoding.
+func TestLargestAnswerFits(t *testing.T) {
+	header := http.Header{"X": {string(bytes.Repeat([]byte{'<'}, lrpaid.MaxHeaderBytes-1))}}
+	answer := lrpaid.NewAnswer(http.StatusOK, header, make([]byte, lrpaid.MaxAnswerBytes))
+	requireEqual(t, answer.Cut, false, "cut")
+	attempt := lrpaid.Attempt{Account: testAccount, IdempotencyKey: string(bytes.Repeat([]byte{'<'}, lrpaid.MaxKeyBytes))}
+	value := encode(t, lrpaid.NewRecord(time.Time{}, attempt).WithAnswer(time.Time{}, answer))
+	requireEqual(t, len(value) <= lrplatform.MaxValueBytes, true, "the record fits")
+	requireEqual(t, lrpaid.NewAnswer(http.StatusOK, nil, make([]byte, lrpaid.MaxAnswerBytes+1)).Cut, true, "cut")
+}
--- a/internal/lrledger/converge.go
+++ b/internal/lrledger/converge.go
@@ -9,20 +9,17 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
 )
 
-// converge applies the change to the record until the platform has confirmed it or it is not wanted any more. The
-// caller is answered after the first try. An empty start makes it read the record first.
-func (a *action) converge(ctx context.Context, start stored, change lrpaid.Change, answer func()) {
+// converge applies the change to the record until the platform has confirmed it or it is not wanted any more. It calls
+// tried after the first try. An empty start makes it read the record first.
+func (a *action) converge(ctx context.Context, start stored, change lrpaid.Change, tried func()) {
 	backoff := a.options.Backoff
-	for {
+	for ctx.Err() == nil {
 		after, err := a.apply(ctx, start, change)
-		answer()
+		tried()
 		if err == nil {
 			a.checkOutcome(after.record)
 			return
 		}
-		if ctx.Err() != nil {
-			return
-		}
 		a.Log.Warn().Err(err).Str("requestId", a.request.RequestID).Msg("paid: outcome not recorded yet, trying again")
 		pause(ctx, backoff)
 		backoff = min(2*backoff, a.options.MaxBackoff)
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -37,9 +37,6 @@
 func (a *action) call(ctx context.Context) (lrservice.Response, error) {
 	notSent := lrservice.ErrNotSent.New("there is no backend server")
 	for _, s := range a.Servers.Services(a.request.Route.Service) {
-		if !a.policy.MaySend(a.dispatchBegan, a.Clock()) {
-			return lrservice.Response{}, lrservice.ErrNotSent.New("the time in which the action may be sent is over")
-		}
 		response, err := a.callOne(ctx, s.Address)
 		if err == nil || !lrservice.ErrNotSent.Has(err) {
 			return response, err
@@ -52,12 +49,16 @@
 func (a *action) callOne(ctx context.Context, address string) (lrservice.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.policy.CallTimeout)
 	defer cancel()
-	return a.Services.Call(ctx, address, a.request.Request)
+	request := a.request.Request
+	request.SendBefore = a.policy.SendBefore(a.dispatchBegan)
+	return a.Services.Call(ctx, address, request)
 }
 
-// release gives the right to send back, so that a resent request may run the action.
+// release answers and then gives the right to send back, so that a resent request may run the action. Until then no
+// other attempt can have run it.
 func (a *action) release(ctx context.Context, right stored, refusal error) {
-	a.converge(ctx, right, lrpaid.Release(a.attempt), func() { a.fail(refusal) })
+	a.fail(refusal)
+	a.converge(ctx, right, lrpaid.Release(a.attempt), func() {})
 }
 
 // query asks the service for the outcome of an earlier attempt. The service answers 200 with the answer of the action,
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -31,6 +31,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// SendBefore is when the client gives up instead of sending the first byte. Zero means never.
+	SendBefore time.Time
 }
 
 // A Response is the whole answer of a plain service.
@@ -54,13 +56,14 @@
 // NewClient returns a Client whose answers may have up to maxBytes bytes.
 func NewClient(maxBytes int64) Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialPunctual(&dialer)}
 	return &client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, maxBytes: maxBytes}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func (c *client) Call(ctx context.Context, address string, request Request) (Response, error) {
+	ctx = context.WithValue(ctx, sendBeforeKey{}, request.SendBefore)
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Path, singleUseBody(request.Body))
 	if err != nil {
 		return Response{}, ErrNotSent.Wrap(err)
@@ -92,7 +95,7 @@
 
 func classify(err error) error {
 	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	if ErrNotSent.Has(err) || (errors.As(err, &dial) && dial.Op == "dial") {
 		return ErrNotSent.Wrap(err)
 	}
 	return ErrUnknown.Wrap(err)
--- a/internal/lrstub/service.go
+++ b/internal/lrstub/service.go
@@ -1,8 +1,10 @@
 package lrstub
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/gorilla/mux"
@@ -13,6 +15,10 @@
 	IdempotencyKey string `json:"idempotencyKey"`
 	Path           string `json:"path"`
 	Body           string `json:"body"`
+	// RequestID is the identifier that the router gave the request.
+	RequestID string `json:"requestId"`
+	// Answer is what the stand-in answered.
+	Answer string `json:"answer"`
 }
 
 type service struct {
@@ -20,11 +26,18 @@
 	mutex  sync.Mutex
 	ledger []Effect
 	seen   []http.Header
+	// closed holds the requests that were told not to have run. They are refused from then on.
+	closed map[requestIdentity]bool
 }
 
+type requestIdentity struct{ idempotencyKey, requestID string }
+
+// OutcomesPath is the end of the path at which the stand-in tells what has become of a request.
+const OutcomesPath = "/outcomes"
+
 // NewService returns a stand-in for a plain service. It carries out whatever it gets, however often.
 func NewService() http.Handler {
-	s := &service{}
+	s := &service{closed: map[requestIdentity]bool{}}
 	router := mux.NewRouter()
 	router.Handle("/control/faults", &s.faults).Methods(http.MethodPut)
 	router.HandleFunc("/control/ledger", func(w http.ResponseWriter, _ *http.Request) {
@@ -48,19 +61,45 @@
 	if err != nil {
 		return
 	}
-	effect := Effect{IdempotencyKey: r.Header.Get("Idempotency-Key"), Path: r.URL.Path, Body: string(body)}
+	effect := Effect{
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), Path: r.URL.Path, Body: string(body), RequestID: r.Header.Get("X-Request-Id"),
+	}
+	status, answer := s.carryOut(r, effect)
+	if s.faults.takeLostReply() {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, answer)
+}
+
+// carryOut returns the status and the answer to the request.
+func (s *service) carryOut(r *http.Request, effect Effect) (int, string) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.seen = append(s.seen, r.Header.Clone())
+	identity := requestIdentity{effect.IdempotencyKey, effect.RequestID}
+	if strings.HasSuffix(r.URL.Path, OutcomesPath) {
+		return s.tell(identity)
+	}
+	if s.closed[identity] {
+		return http.StatusGone, ""
+	}
 	if r.Method != http.MethodGet {
+		effect.Answer = fmt.Sprintf(`{"path":%q,"ledger":%d}`, r.URL.Path, len(s.ledger)+1)
 		s.ledger = append(s.ledger, effect)
+		return http.StatusOK, effect.Answer
 	}
-	count := len(s.ledger)
-	s.mutex.Unlock()
-	if s.faults.takeLostReply() {
-		panic(http.ErrAbortHandler)
+	return http.StatusOK, fmt.Sprintf(`{"path":%q,"ledger":%d}`, r.URL.Path, len(s.ledger))
+}
+
+// tell returns the answer of a request that has run, or closes it.
+func (s *service) tell(identity requestIdentity) (int, string) {
+	for _, e := range s.ledger {
+		if e.IdempotencyKey == identity.idempotencyKey && e.RequestID == identity.requestID {
+			return http.StatusOK, e.Answer
+		}
 	}
-	writeJSON(w, struct {
-		Path   string `json:"path"`
-		Ledger int    `json:"ledger"`
-	}{r.URL.Path, count})
+	s.closed[identity] = true
+	return http.StatusGone, ""
 }
--- a/pkg/lrpaid/decide.go
+++ b/pkg/lrpaid/decide.go
@@ -103,9 +103,10 @@
 	}
 }
 
-// MaySend reports whether an attempt that began its dispatching write at the given time may still send the action.
-func (p Policy) MaySend(dispatchBegan, now time.Time) bool {
-	return now.Sub(dispatchBegan) < p.SendWindow
+// SendBefore returns the time from which an attempt that began its dispatching write at the given time must not send
+// the action any more.
+func (p Policy) SendBefore(dispatchBegan time.Time) time.Time {
+	return dispatchBegan.Add(p.SendWindow)
 }
 
 // Resolvable reports whether an operator may settle the action: no attempt at it can be under way.
