--- /dev/null
+++ b/pkg/lrmember/seeds_test.go
@@ -0,0 +1,5 @@
+//go:build !soak
+
+package lrmember
+
+const simSeeds = uint64(10)
