Settle writes of the configuration whose outcome is in doubt, and name what changed meanwhile

Cause: a write of the head that was lost read as a conflict 'from version 1 to 1', although it could still take effect late; an error of an earlier write came back as a raw platform error; the loser of a race was told versions alone. Change: while the outcome is in doubt the same conditional update is sent again, at most three times, and the audit chain says whose write made the version.

--- a/internal/lrcommand/lists.go
+++ b/internal/lrcommand/lists.go
@@ -61,10 +61,13 @@
 	if err != nil {
 		return err
 	}
-	if base != 0 && snapshot.Version() != base {
+	if base > snapshot.Version() {
 		return fmt.Errorf("version %d is in force, not %d; look at the audit trail, then apply again with --base %d",
 			snapshot.Version(), base, snapshot.Version())
 	}
+	if base != 0 && base < snapshot.Version() {
+		return publisher.Conflict(c.Context(), base)
+	}
 	change, err := plan(snapshot)
 	if err != nil {
 		return err
--- a/internal/lrstate/audit_entry.go
+++ b/internal/lrstate/audit_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -25,6 +26,15 @@
 	After  string `json:"after"`
 }
 
+// items returns the names of the changed items.
+func (e AuditEntry) items() string {
+	names := make([]string, 0, len(e.Changes))
+	for _, c := range e.Changes {
+		names = append(names, c.Item)
+	}
+	return strings.Join(names, ", ")
+}
+
 func auditName(version uint64, writeID string) string {
 	return fmt.Sprintf("%012d-%s", version, writeID)
 }
--- a/internal/lrstate/publisher.go
+++ b/internal/lrstate/publisher.go
@@ -8,6 +8,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,6 +19,13 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 )
 
+const (
+	// maxHeadWrites bounds how often one change of the head is sent while its outcome is in doubt.
+	maxHeadWrites = 3
+	// maxConflictEntries bounds the changes that a conflict names.
+	maxConflictEntries = 10
+)
+
 // A Change is a difference to the configuration that an operator wants.
 type Change struct {
 	Who string
@@ -48,68 +57,83 @@
 	return snapshot, err
 }
 
-// Apply makes the change to the base. It returns an error of kind lrerror.KindConflict when another change has been
-// accepted since the base was read.
+// Apply makes the change to the base. It returns an error of kind lrerror.KindConflict, which names what has changed,
+// when another change has been accepted since the base was read.
 func (p *Publisher) Apply(ctx context.Context, now time.Time, base *lrconfig.Snapshot, change Change) (lrconfig.Head, error) {
 	stored, object, err := readHead(ctx, p.store)
 	if err != nil {
-		return lrconfig.Head{}, err
+		return lrconfig.Head{}, notAccepted(err)
 	}
-	if stored.Version != base.Version() {
-		return lrconfig.Head{}, conflict(base.Version(), stored.Version)
+	if stored.Version != base.Version() || stored.WriteID != base.Head().WriteID {
+		return lrconfig.Head{}, p.conflict(ctx, base.Version(), stored)
 	}
 	digests, err := p.writeShards(ctx, change.Shards)
 	if err != nil {
-		return lrconfig.Head{}, err
+		return lrconfig.Head{}, notAccepted(err)
 	}
 	head := stored.WithShards(uuid.NewString(), digests)
 	err = p.writeAudit(ctx, now, stored, head, change)
 	if err != nil {
-		return lrconfig.Head{}, err
+		return lrconfig.Head{}, notAccepted(err)
 	}
 	return p.moveHead(ctx, object, head)
 }
 
+// moveHead replaces the head. A write whose reply was lost is settled by its write identifier, and repeated when it
+// has not taken effect, since it could still do so late.
 func (p *Publisher) moveHead(ctx context.Context, object lrplatform.Object, head lrconfig.Head) (lrconfig.Head, error) {
 	value, err := json.Marshal(head)
 	if err != nil {
 		return head, fmt.Errorf("encode head: %w", err)
 	}
-	if object.Version == 0 {
-		_, err = p.store.Create(ctx, lrplatform.KindHead, lrplatform.HeadName, value)
-	} else {
-		_, err = p.store.Update(ctx, object.WithValue(value))
-	}
-	if err == nil {
-		return head, nil
+	inDoubt := false
+	for range maxHeadWrites {
+		err = p.writeHead(ctx, object.WithValue(value))
+		inDoubt = inDoubt || lrplatform.ErrUnknown.Has(err)
+		if err == nil {
+			return head, nil
+		}
+		if !inDoubt && !lrplatform.ErrConflict.Has(err) {
+			return head, notAccepted(err)
+		}
+		var settled bool
+		settled, err = p.settle(ctx, head)
+		if settled {
+			return head, err
+		}
 	}
-	if !lrplatform.ErrUnknown.Has(err) && !lrplatform.ErrConflict.Has(err) {
-		return head, err
+	return head, lrerror.New(lrerror.KindUnavailable, lrerror.Unknown,
+		"the platform did not say whether version %d was accepted; look at the audit trail when it is back", head.Version).WithCause(err)
+}
+
+func (p *Publisher) writeHead(ctx context.Context, object lrplatform.Object) error {
+	if object.Version == 0 {
+		_, err := p.store.Create(ctx, lrplatform.KindHead, lrplatform.HeadName, object.Value)
+		return err
 	}
-	return p.settle(ctx, head)
+	_, err := p.store.Update(ctx, object)
+	return err
 }
 
-// settle finds out whether the head was accepted although its write did not answer so.
-func (p *Publisher) settle(ctx context.Context, head lrconfig.Head) (lrconfig.Head, error) {
+// settle finds out whether the head was accepted although its write did not answer so. It reports false while that is
+// open: nothing could be read, or no write of this version has taken effect yet.
+func (p *Publisher) settle(ctx context.Context, head lrconfig.Head) (bool, error) {
 	stored, _, err := readHead(ctx, p.store)
-	if err != nil {
-		return head, lrerror.New(lrerror.KindUnavailable, lrerror.Unknown,
-			"the platform did not say whether version %d was accepted; look at the audit trail when it is back", head.Version).WithCause(err)
+	if err != nil || stored.Version < head.Version {
+		return false, err
 	}
 	accepted, err := p.writeIDAt(ctx, stored, head.Version)
 	if err != nil {
-		return head, err
+		return false, err
 	}
 	if accepted != head.WriteID {
-		return head, conflict(head.Version-1, stored.Version)
+		return true, p.conflict(ctx, head.Version-1, stored)
 	}
-	return head, nil
+	return true, nil
 }
 
+// writeIDAt returns the identifier of the write that made the version, which is not above the stored one.
 func (p *Publisher) writeIDAt(ctx context.Context, stored lrconfig.Head, version uint64) (string, error) {
-	if stored.Version < version {
-		return "", nil
-	}
 	current, writeID := stored.Version, stored.WriteID
 	for current > version {
 		entry, err := p.auditEntry(ctx, current, writeID)
@@ -127,6 +151,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.auditFrom(ctx, head, limit)
+}
+
+func (p *Publisher) auditFrom(ctx context.Context, head lrconfig.Head, limit int) ([]AuditEntry, error) {
 	var entries []AuditEntry
 	version, writeID := head.Version, head.WriteID
 	for version > 0 && len(entries) < limit {
@@ -140,6 +168,32 @@
 	return entries, nil
 }
 
+// Conflict returns the error that tells what was changed since the version.
+func (p *Publisher) Conflict(ctx context.Context, version uint64) error {
+	stored, _, err := readHead(ctx, p.store)
+	if err != nil {
+		return err
+	}
+	return p.conflict(ctx, version, stored)
+}
+
+func (p *Publisher) conflict(ctx context.Context, version uint64, stored lrconfig.Head) error {
+	var changes strings.Builder
+	between := min(maxConflictEntries, int(stored.Version-min(version, stored.Version)))
+	entries, _ := p.auditFrom(ctx, stored, between)
+	for _, e := range slices.Backward(entries) {
+		_, _ = fmt.Fprintf(&changes, "; version %d by %s (%s): %s", e.Version, e.Who, e.What, e.items())
+	}
+	return lrerror.New(lrerror.KindConflict, lrerror.NotRun,
+		"nothing was changed, since the configuration went from version %d to %d meanwhile%s; look at these items and apply the change again",
+		version, stored.Version, changes.String())
+}
+
+func notAccepted(err error) error {
+	return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
+		"nothing was changed, since the platform did not take the change; apply it again when the platform is back").WithCause(err)
+}
+
 func (p *Publisher) auditEntry(ctx context.Context, version uint64, writeID string) (AuditEntry, error) {
 	var entry AuditEntry
 	object, err := p.store.Get(ctx, lrplatform.KindAudit, auditName(version, writeID))
@@ -189,8 +243,3 @@
 	}
 	return err
 }
-
-func conflict(read, stored uint64) error {
-	return lrerror.New(lrerror.KindConflict, lrerror.NotRun,
-		"the configuration went from version %d to %d meanwhile; look at the audit trail and apply the change again", read, stored)
-}
