Make keys withdraw wait until every instance has confirmed, and name those that have not

An operator had no way to know whether a withdrawal was in force everywhere. Repeating it changes nothing and only waits.

--- a/internal/lrcommand/inspect.go
+++ b/internal/lrcommand/inspect.go
@@ -36,10 +36,7 @@
 		if err != nil {
 			return err
 		}
-		var statuses []instanceStatus
-		for _, r := range routers {
-			statuses = append(statuses, askStatus(c.Context(), r))
-		}
+		statuses := askStatuses(c.Context(), routers)
 		if format == formatJSON {
 			return o.printJSON(statuses)
 		}
--- a/internal/lrcommand/keys.go
+++ b/internal/lrcommand/keys.go
@@ -40,17 +40,38 @@
 }
 
 func newKeysWithdrawCommand(o *operator) *cobra.Command {
-	return &cobra.Command{
+	var confirmation confirmation
+	command := &cobra.Command{
 		Use: "withdraw KEY-ID", Short: "Withdraw a key and end the requests that run under it", Args: cobra.ExactArgs(1),
+		Long: "Withdraw a key, end the requests that run under it, and wait until every instance has confirmed it. The command " +
+			"fails while an instance has not; it can be repeated.",
 		Example: "  lavenderrouter keys withdraw 0123456789abcdef",
-		RunE: func(c *cobra.Command, args []string) error {
-			return o.apply(c, 0, false, func(s *lrconfig.Snapshot) (lrstate.Change, error) {
-				record, ok := s.Key(args[0])
-				if !ok {
-					return lrstate.Change{}, fmt.Errorf("there is no key %q; look at keys list", args[0])
-				}
-				return lrstate.KeyChange(s, "withdraw key", record.WithWithdrawal(time.Now().UTC()))
-			})
-		},
 	}
+	command.Flags().DurationVar(&confirmation.wait, "wait", defaultConfirmWait, "how long to wait for the instances")
+	command.Flags().BoolVar(&confirmation.acceptMissing, "accept-unconfirmed", false,
+		"succeed although instances have not confirmed; such an instance may still accept the key")
+	command.RunE = func(c *cobra.Command, args []string) error {
+		err := o.apply(c, 0, false, func(s *lrconfig.Snapshot) (lrstate.Change, error) { return withdrawal(s, args[0]) })
+		if err != nil {
+			return err
+		}
+		_, snapshot, err := o.read(c.Context())
+		if err != nil {
+			return err
+		}
+		return o.awaitConfirmation(c.Context(), snapshot.Version(), confirmation)
+	}
+	return command
+}
+
+// withdrawal returns the change that withdraws the key. It is empty when the key has been withdrawn before.
+func withdrawal(s *lrconfig.Snapshot, id string) (lrstate.Change, error) {
+	record, ok := s.Key(id)
+	if !ok {
+		return lrstate.Change{}, fmt.Errorf("there is no key %q; look at keys list", id)
+	}
+	if !record.Withdrawn() {
+		record = record.WithWithdrawal(time.Now().UTC())
+	}
+	return lrstate.KeyChange(s, "withdraw key", record)
 }
