--- /dev/null
+++ b/internal/lrframe/listener.go
@@ -0,0 +1,82 @@
+package lrframe
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// netHTTPSlack is what net/http reads above MaxHeaderBytes before it answers 431.
+const netHTTPSlack = 8 << 10
+
+type listener struct {
+	net.Listener
+	maxHead int
+}
+
+type conn struct {
+	net.Conn
+	inspector inspector
+}
+
+type contextKey struct{}
+
+// NewListener returns a listener whose connections are inspected. A head may have up to maxHeaderBytes bytes.
+func NewListener(l net.Listener, maxHeaderBytes int) net.Listener {
+	return &listener{Listener: l, maxHead: maxHeaderBytes + netHTTPSlack}
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: accepted, inspector: inspector{maxHead: l.maxHead}}, nil
+}
+
+// Read reads and inspects bytes of the connection.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.inspector.inspect(data[:n])
+	return n, err
+}
+
+// CloseWrite ends the writing side, so that the other side can read the last answer.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// ConnContext keeps the inspection of the connection in the context of its requests. It fits http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	inspected, ok := c.(*conn)
+	if !ok {
+		return ctx
+	}
+	return context.WithValue(ctx, contextKey{}, &inspected.inspector)
+}
+
+// Violation returns the first fault of the framing on the connection of the request, or an empty text. A connection
+// whose next request is already known to be faulty counts as faulty.
+func Violation(ctx context.Context) string {
+	i, ok := ctx.Value(contextKey{}).(*inspector)
+	if !ok {
+		return ""
+	}
+	return i.violation()
+}
+
+// CloseAfterChunked returns a handler that ends the connection after a chunked request. Such a request is the last one
+// that is inspected on its connection.
+func CloseAfterChunked(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(r.TransferEncoding) > 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
