Deliver streams whole, with a retry budget and a quarantine

Cause: every attempt had the same engine request id, so a late event of an earlier attempt could pass; a request that was ended while an engine worked on it was reported as not run; the watchdog blamed engines for slow callers; a cut last line was read as a malformed event; whole answers cost their connection, as Close cancelled before the end was read; retries had no bound, no pause, and could go back to the engine that had just failed; a request that crashes engines went through all of them. Ruled out: net/http's own resending. A POST without Idempotency-Key is only resent when nothing of it was written. That no byte was sent is now taken from the trace hook GotConn instead of the operation named in the error. Change: attempt suffix on the engine request id, outcome kept from the first byte on, watchdog only while waiting for the engine, retry budget with jittered backoff, ejection with probes, suspects run apart and are quarantined at the second crash.

--- a/internal/lrengine/client.go
+++ b/internal/lrengine/client.go
@@ -1,23 +1,19 @@
 package lrengine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 )
 
-const (
-	maxEventBytes = 1 << 20
-	maxErrorBytes = 1024
-)
+const maxErrorBytes = 1024
 
 type dialer struct {
 	http *http.Client
@@ -28,12 +24,6 @@
 	http *http.Client
 }
 
-type stream struct {
-	body    io.ReadCloser
-	scanner *bufio.Scanner
-	cancel  context.CancelFunc
-}
-
 // NewDialer returns a Dialer that speaks HTTP with newline-delimited JSON.
 func NewDialer(h *http.Client) Dialer {
 	return &dialer{http: h}
@@ -50,9 +40,7 @@
 		cancel()
 		return nil, err
 	}
-	scanner := bufio.NewScanner(response.Body)
-	scanner.Buffer(nil, maxEventBytes)
-	return &stream{body: response.Body, scanner: scanner, cancel: cancel}, nil
+	return newStream(response.Body, cancel), nil
 }
 
 func (c *client) Cancel(ctx context.Context, requestID string) error {
@@ -101,11 +89,16 @@
 		return nil, ErrNotSent.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil && !connected.Load() {
+		return nil, ErrNotSent.Wrap(err)
+	}
 	if err != nil {
-		return nil, classify(err)
+		return nil, ErrBroken.Wrap(err)
 	}
-	if response.StatusCode < http.StatusBadRequest {
+	if response.StatusCode < http.StatusMultipleChoices {
 		return response, nil
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -113,14 +106,6 @@
 	return nil, classifyStatus(response.StatusCode, strings.TrimSpace(string(text)))
 }
 
-func classify(err error) error {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
-		return ErrNotSent.Wrap(err)
-	}
-	return ErrBroken.Wrap(err)
-}
-
 func classifyStatus(status int, message string) error {
 	switch status {
 	case http.StatusPreconditionFailed:
@@ -128,27 +113,6 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusConflict, http.StatusNotFound:
 		return ErrRefused.New("%s", message)
 	default:
-		return ErrBroken.New("status %d: %s", status, message)
+		return ErrFailed.New("status %d: %s", status, message)
 	}
 }
-
-func (s *stream) Next() (Event, error) {
-	var event Event
-	if !s.scanner.Scan() {
-		err := s.scanner.Err()
-		if err == nil {
-			err = io.ErrUnexpectedEOF
-		}
-		return event, ErrBroken.Wrap(err)
-	}
-	err := json.Unmarshal(s.scanner.Bytes(), &event)
-	if err != nil {
-		return event, ErrProtocol.Wrap(err)
-	}
-	return event, nil
-}
-
-func (s *stream) Close() error {
-	s.cancel()
-	return s.body.Close()
-}
--- a/internal/lrengine/engine.go
+++ b/internal/lrengine/engine.go
@@ -14,8 +14,12 @@
 	ErrNotSent = errs.Class("engine: not sent")
 	// ErrRefused means that the engine has refused the request without running it.
 	ErrRefused = errs.Class("engine: refused")
-	// ErrBroken means that the engine failed after it had received the request.
+	// ErrBroken means that the connection to the engine broke after the engine may have received the request.
 	ErrBroken = errs.Class("engine: broken")
+	// ErrFailed means that the engine has answered with an error, after which the request may have run in part.
+	ErrFailed = errs.Class("engine: failed")
+	// ErrSilent means that the engine has kept the connection open but sent nothing for too long.
+	ErrSilent = errs.Class("engine: silent")
 	// ErrProtocol means that the engine sent an event that does not belong to the request or its order.
 	ErrProtocol = errs.Class("engine: protocol")
 	// ErrStaleFence means that the engine has seen a higher fencing number than the order's.
--- a/internal/lrexplain/recorder.go
+++ b/internal/lrexplain/recorder.go
@@ -2,6 +2,8 @@
 package lrexplain
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,3 +57,10 @@
 	e, ok := r.byID[requestID]
 	return e, ok
 }
+
+// All returns the explanations that are still kept, in no order.
+func (r *Recorder) All() []Explanation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Collect(maps.Values(r.byID))
+}
--- /dev/null
+++ b/internal/lrstream/fake_engine_test.go
@@ -0,0 +1,178 @@
+package lrstream
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
+)
+
+type faultKind int
+
+const (
+	faultNone faultKind = iota
+	faultCrash
+	faultFreeze
+	faultSkip
+	faultRepeat
+	faultCross
+	faultLate
+	faultRefuse
+	faultNotSent
+	faultOverrun
+	faultKinds
+)
+
+// fakeFleet is a set of engines that fail at random. It is also the placer over them.
+type fakeFleet struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	names    []string
+	share    float64
+	received map[string]int
+	placed   []string
+	// next overrides the fault of the next attempts.
+	next []faultKind
+	// crashOn crashes each engine that gets the prompt.
+	crashOn string
+	// atOnce lets engines fail before the first event.
+	atOnce bool
+}
+
+func newFakeFleet(seed uint64, share float64, names ...string) *fakeFleet {
+	return &fakeFleet{random: rand.New(rand.NewPCG(seed, 7)), names: names, share: share, received: map[string]int{}}
+}
+
+func (f *fakeFleet) Engine(name string) (lrengine.Engine, bool) {
+	return &fakeEngine{fleet: f, name: name}, true
+}
+
+func (f *fakeFleet) Place(_ time.Time, request lrroute.Request) (lrroute.Placement, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, n := range f.random.Perm(len(f.names)) {
+		if !contains(request.Excluded, f.names[n]) {
+			f.placed = append(f.placed, f.names[n])
+			return lrroute.Placement{Engine: f.names[n]}, true
+		}
+	}
+	return lrroute.Placement{}, false
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fakeFleet) Learn(time.Time, lrroute.Feedback)              {}
+func (f *fakeFleet) Finish(time.Time, string, lrroute.Request)      {}
+func (f *fakeFleet) SetEngines(time.Time, string, []lrroute.Engine) {}
+func (f *fakeFleet) draw(request lrengine.Request) (faultKind, int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	kind := faultNone
+	switch {
+	case len(f.next) > 0:
+		kind, f.next = f.next[0], f.next[1:]
+	case f.crashOn != "" && request.Prompt == f.crashOn:
+		kind = faultCrash
+	case f.random.Float64() < f.share:
+		kind = 1 + faultKind(f.random.IntN(int(faultKinds)-1))
+	}
+	if kind != faultRefuse && kind != faultNotSent {
+		f.received[request.RequestID]++
+	}
+	if f.atOnce {
+		return kind, request.ResumeFrom
+	}
+	return kind, request.ResumeFrom + f.random.IntN(request.MaxTokens-request.ResumeFrom+1)
+}
+
+// fakeEngine is one engine of a fleet.
+type fakeEngine struct {
+	lrengine.Engine
+	fleet *fakeFleet
+	name  string
+}
+
+func (e *fakeEngine) Cancel(context.Context, string) error { return nil }
+
+func (e *fakeEngine) Generate(ctx context.Context, request lrengine.Request) (lrengine.Stream, error) {
+	kind, at := e.fleet.draw(request)
+	switch {
+	case kind == faultRefuse:
+		return nil, lrengine.ErrRefused.New("busy")
+	case kind == faultNotSent:
+		return nil, lrengine.ErrNotSent.New("refused")
+	case request.Generated != wholeAnswer(request.ResumeFrom):
+		return nil, lrengine.ErrFailed.New("resumed after %q at %d", request.Generated, request.ResumeFrom)
+	}
+	return &fakeStream{ctx: ctx, request: request, kind: kind, at: at, next: request.ResumeFrom, incarnation: e.name}, nil
+}
+
+type fakeStream struct {
+	ctx         context.Context
+	request     lrengine.Request
+	kind        faultKind
+	at          int
+	next        int
+	incarnation string
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+func (s *fakeStream) Next() (lrengine.Event, error) {
+	event := lrengine.Event{RequestID: s.request.RequestID, Sequence: s.next, Text: fakeToken(s.next), Incarnation: s.incarnation}
+	kind := s.kind
+	if s.next != s.at {
+		kind = faultNone
+	}
+	switch kind {
+	case faultCrash:
+		return event, lrengine.ErrBroken.New("connection reset")
+	case faultFreeze:
+		<-s.ctx.Done()
+		return event, lrengine.ErrBroken.Wrap(s.ctx.Err())
+	case faultSkip:
+		s.next++
+		event.Sequence, event.Text = s.next, fakeToken(s.next)
+	case faultRepeat:
+		s.next = max(s.next-1, 0)
+		event.Sequence, event.Text = s.next, fakeToken(s.next)
+	case faultCross:
+		event.RequestID = "another.0"
+	case faultLate:
+		event.RequestID = strings.TrimSuffix(event.RequestID, ".1") + ".0"
+		event.Text = "late"
+	case faultOverrun:
+		s.request.MaxTokens++
+	}
+	return s.advance(event)
+}
+
+func (s *fakeStream) advance(event lrengine.Event) (lrengine.Event, error) {
+	if s.next >= s.request.MaxTokens {
+		event.Done, event.Text, event.FinishReason = true, "", finishLength
+	}
+	s.next++
+	return event, nil
+}
+
+func fakeToken(n int) string { return fmt.Sprintf("t%d ", n) }
+
+func wholeAnswer(tokens int) string {
+	var text strings.Builder
+	for n := range tokens {
+		_, _ = text.WriteString(fakeToken(n))
+	}
+	return text.String()
+}
--- a/internal/lrstream/runner.go
+++ b/internal/lrstream/runner.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -11,10 +10,16 @@
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
-const cancelTimeout = 2 * time.Second
+const (
+	cancelTimeout = 2 * time.Second
+	// maxCancels is the most cancellations that are on their way at once. Closing the connection cancels as well.
+	maxCancels = 64
+)
 
 // An Engines finds engines by name.
 type Engines interface {
@@ -26,6 +31,20 @@
 	Deliver(text string) error
 }
 
+// A Suspects knows the requests that were in flight when engines crashed.
+type Suspects interface {
+	// State returns what is thought of the request.
+	State(now time.Time, digest string) lrquarantine.State
+	// Begin reports whether the request runs isolated on the engine and whether it may run there now.
+	Begin(now time.Time, digest, engine string) (isolated, ok bool)
+	// End notes that an isolated request has ended.
+	End(digest, engine string, completed bool)
+	// Occupied returns the engines on which a suspect runs.
+	Occupied() []string
+	// Crashed reports a crash to the fleet and returns what is thought of the request now.
+	Crashed(ctx context.Context, now time.Time, crash lrquarantine.Crash) lrquarantine.State
+}
+
 // A Job is one generation.
 type Job struct {
 	Engine lrengine.Request
@@ -34,6 +53,8 @@
 
 // An Attempt is what happened on one engine.
 type Attempt struct {
+	// ID is the request identifier that the engine got.
+	ID           string            `json:"id"`
 	Placement    lrroute.Placement `json:"placement"`
 	CachedTokens int               `json:"cachedTokens"`
 	QueuedTokens int               `json:"queuedTokens"`
@@ -48,13 +69,23 @@
 	CachedTokens int
 	FirstToken   time.Duration
 	FinishReason string
+	Outcome      lrerror.Outcome
 }
 
-// Options bound a generation.
+// Options bound a generation. A part that is nil is replaced by its default.
 type Options struct {
 	MaxAttempts int
 	// EventTimeout is the longest silence of an engine before it counts as frozen.
 	EventTimeout time.Duration
+	// Budget bounds the retries of this instance.
+	Budget *lrretry.Budget
+	// Backoff spaces the retries of one request.
+	Backoff lrretry.Backoff
+	// Ejector takes failing engines out of use.
+	Ejector  *lrretry.Ejector
+	Suspects Suspects
+	// Random returns values in [0, 1).
+	Random func() float64
 }
 
 // A Runner runs generations.
@@ -64,24 +95,39 @@
 	clock   func() time.Time
 	options Options
 	log     zerolog.Logger
+	cancels chan struct{}
 }
 
 // NewRunner returns a Runner.
 func NewRunner(engines Engines, placer lrroute.Placer, clock func() time.Time, options Options, log zerolog.Logger) *Runner {
-	return &Runner{engines: engines, placer: placer, clock: clock, options: options, log: log}
+	return &Runner{
+		engines: engines, placer: placer, clock: clock, options: options.withDefaults(), log: log,
+		cancels: make(chan struct{}, maxCancels),
+	}
 }
 
 // Run generates the whole answer and delivers it to the sink. When an engine fails it goes on with another one from
 // the last delivered token.
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) (Result, error) {
-	run := &generation{runner: r, job: job, sink: sink, started: r.clock(), outcome: lrerror.NotRun}
-	for range r.options.MaxAttempts {
-		finished, err := run.attempt(ctx)
+	digest := lrquarantine.Digest(job.Route.Scope.Account, job.Route.Scope.Model, job.Engine.Prompt)
+	run := &generation{runner: r, job: job, sink: sink, digest: digest, started: r.clock()}
+	run.result.Outcome = lrerror.NotRun
+	run.generated.Grow(len(job.Engine.Generated))
+	err := run.checkQuarantine()
+	if err != nil {
+		return run.result, err
+	}
+	r.options.Budget.Earn()
+	for retry := range r.options.MaxAttempts {
+		if retry > 0 && !run.prepareRetry(ctx, retry-1) {
+			break
+		}
+		finished, err := run.attempt(ctx, retry)
 		if finished || err != nil {
 			return run.result, err
 		}
 	}
-	return run.result, lrerror.New(lrerror.KindBackendFailed, run.outcome,
+	return run.result, lrerror.New(lrerror.KindBackendFailed, run.result.Outcome,
 		"%d engines failed the request; retry later", len(run.result.Attempts))
 }
 
@@ -90,147 +136,44 @@
 	runner    *Runner
 	job       Job
 	sink      Sink
+	digest    string
 	started   time.Time
 	result    Result
 	generated strings.Builder
-	outcome   lrerror.Outcome
+	// spendsBudget is set when the last attempt has cost an engine work.
+	spendsBudget bool
 }
 
-// attempt reports whether the answer is complete. It returns an error when no further attempt may be made.
-func (g *generation) attempt(ctx context.Context) (bool, error) {
-	placement, ok := g.runner.placer.Place(g.runner.clock(), g.job.Route)
-	if !ok {
-		return false, lrerror.New(lrerror.KindUnavailable, g.outcome, "no engine serves model %q now; retry later", g.job.Route.Scope.Model)
+// prepareRetry reports whether another attempt may be made, after a wait.
+func (g *generation) prepareRetry(ctx context.Context, retry int) bool {
+	options := g.runner.options
+	if g.spendsBudget && !options.Budget.Spend() {
+		g.runner.log.Warn().Str("requestId", g.job.Engine.RequestID).Msg("stream: retry budget is spent")
+		return false
 	}
-	defer func() { g.runner.placer.Finish(g.runner.clock(), placement.Engine, g.job.Route) }()
-	attempt := Attempt{Placement: placement}
-	err := g.stream(ctx, placement.Engine, &attempt)
-	if err != nil {
-		attempt.Error = err.Error()
-	}
-	g.result.Attempts = append(g.result.Attempts, attempt)
-	return g.judge(ctx, placement.Engine, err)
+	return sleep(ctx, options.Backoff.Delay(retry, options.Random()))
 }
 
-func (g *generation) judge(ctx context.Context, engine string, err error) (bool, error) {
-	var delivery *deliveryError
-	switch {
-	case err == nil:
-		return true, nil
-	case errors.As(err, &delivery):
-		return false, lrerror.New(lrerror.KindTimeout, lrerror.Ran, "the caller left").WithCause(err)
-	case ctx.Err() != nil:
-		return false, lrerror.New(lrerror.KindTimeout, g.outcome, "the request took too long or its caller left").WithCause(ctx.Err())
-	}
-	if !lrengine.ErrNotSent.Has(err) && !lrengine.ErrRefused.Has(err) {
-		g.outcome = lrerror.Unknown
-	}
-	g.job.Route.Excluded = append(g.job.Route.Excluded, engine)
-	g.runner.log.Warn().Err(err).Str("requestId", g.job.Engine.RequestID).Str("engine", engine).Msg("stream: attempt failed")
-	return false, nil
-}
-
-// stream takes the events of one engine. The engine's silence ends it through the watchdog.
-func (g *generation) stream(ctx context.Context, name string, attempt *Attempt) error {
-	engine, ok := g.runner.engines.Engine(name)
-	if !ok {
-		return lrengine.ErrNotSent.New("engine %s has left", name)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := time.AfterFunc(g.runner.options.EventTimeout, func() {
-		cancel(lrengine.ErrBroken.New("engine %s was silent for %s", name, g.runner.options.EventTimeout))
-	})
-	defer watchdog.Stop()
-	request := g.job.Engine
-	request.ResumeFrom = g.result.OutputTokens
-	request.Generated = g.generated.String()
-	events, err := engine.Generate(ctx, request)
-	if err != nil {
-		return causeOr(ctx, err)
-	}
-	defer func() { _ = events.Close() }()
-	for {
-		event, err := events.Next()
-		if err != nil {
-			g.cancelOn(engine)
-			return causeOr(ctx, err)
-		}
-		watchdog.Reset(g.runner.options.EventTimeout)
-		done, err := g.take(name, event, attempt)
-		if err != nil {
-			g.cancelOn(engine)
-		}
-		if done || err != nil {
-			return err
-		}
-	}
-}
-
-// take checks and delivers one event. It reports whether it was the last one.
-func (g *generation) take(engine string, event lrengine.Event, attempt *Attempt) (bool, error) {
-	if event.RequestID != g.job.Engine.RequestID {
-		return false, lrengine.ErrProtocol.New("event of request %s instead of %s", event.RequestID, g.job.Engine.RequestID)
-	}
-	if event.Sequence != g.result.OutputTokens {
-		return false, lrengine.ErrProtocol.New("event %d instead of %d", event.Sequence, g.result.OutputTokens)
-	}
-	if attempt.FirstToken == 0 {
-		g.noteFirst(engine, event, attempt)
-	}
-	if event.Done {
-		g.result.FinishReason = event.FinishReason
-		return true, nil
-	}
-	g.result.OutputTokens++
-	_, _ = g.generated.WriteString(event.Text)
-	err := g.sink.Deliver(event.Text)
-	if err != nil {
-		return false, &deliveryError{cause: err}
-	}
-	return false, nil
-}
-
-func (g *generation) noteFirst(engine string, event lrengine.Event, attempt *Attempt) {
+func (g *generation) checkQuarantine() error {
 	now := g.runner.clock()
-	attempt.CachedTokens = event.CachedTokens
-	attempt.QueuedTokens = event.QueuedTokens
-	attempt.FirstToken = now.Sub(g.started)
-	g.outcome = lrerror.Ran
-	if len(g.result.Attempts) == 0 {
-		g.result.CachedTokens = event.CachedTokens
-	}
-	if g.result.FirstToken == 0 {
-		g.result.FirstToken = attempt.FirstToken
+	if g.runner.options.Suspects.State(now, g.digest) != lrquarantine.Quarantined {
+		return nil
 	}
-	g.runner.placer.Learn(now, lrroute.Feedback{
-		Engine: engine, Incarnation: event.Incarnation, Request: g.job.Route,
-		CachedTokens: event.CachedTokens, QueuedTokens: event.QueuedTokens, FirstToken: attempt.FirstToken,
-	})
-}
-
-// cancelOn tells an engine that may still be working on the request that nobody waits for it.
-func (g *generation) cancelOn(engine lrengine.Engine) {
-	id := g.job.Engine.RequestID
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		_ = engine.Cancel(ctx, id)
-	}()
+	return lrerror.New(lrerror.KindQuarantined, g.result.Outcome,
+		"engines have crashed on this request twice; change the prompt, or report the request id to the operator")
 }
 
-func causeOr(ctx context.Context, err error) error {
-	cause := context.Cause(ctx)
-	if cause != nil && lrengine.ErrBroken.Has(cause) {
-		return cause
+// sleep reports whether the context was still alive at the end of the wait.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return err
 }
-
-type deliveryError struct{ cause error }
-
-// Error returns the text of the cause.
-func (e *deliveryError) Error() string { return "deliver to caller: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *deliveryError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/pkg/lrquarantine/ledger.go
@@ -0,0 +1,209 @@
+// Package lrquarantine decides which requests are stopped because they crash the engines that run them.
+//
+// The first crash of an engine makes suspects of all requests that were in flight on it. From then on each suspect
+// runs apart from other suspects, so that the second crash tells the cause from the bystanders.
+package lrquarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+)
+
+// A State is what is thought of a request.
+type State int
+
+const (
+	// Trusted requests run without restriction.
+	Trusted State = iota
+	// Suspect requests run apart from other suspects.
+	Suspect
+	// Quarantined requests are refused.
+	Quarantined
+)
+
+// A Crash tells that an engine crashed while it ran a request.
+type Crash struct {
+	Digest      string `json:"digest"`
+	Server      string `json:"server"`
+	Incarnation string `json:"incarnation"`
+	AttemptID   string `json:"attemptId"`
+	// Isolated tells that no other suspect of the reporting instance was in flight on the engine.
+	Isolated bool `json:"isolated"`
+}
+
+// Options say for how long requests stay suspect or quarantined.
+type Options struct {
+	SuspectValidity    time.Duration
+	QuarantineValidity time.Duration
+	// CrashWindow is the time within which two reports of one server mean the same crash.
+	CrashWindow time.Duration
+	// Room is the most requests that are remembered.
+	Room int
+}
+
+// DefaultOptions returns the options of a deployment.
+func DefaultOptions() Options {
+	return Options{SuspectValidity: 10 * time.Minute, QuarantineValidity: 10 * time.Minute, CrashWindow: time.Second, Room: 16384}
+}
+
+// A Ledger remembers crashes. It is safe for use by several goroutines.
+type Ledger struct {
+	options  Options
+	mutex    sync.Mutex
+	entries  map[string]entry
+	isolated map[string]string
+}
+
+type entry struct {
+	state     State
+	last      Crash
+	crashedAt time.Time
+	expiresAt time.Time
+}
+
+// NewLedger returns a Ledger that trusts every request.
+func NewLedger(options Options) *Ledger {
+	return &Ledger{options: options, entries: map[string]entry{}, isolated: map[string]string{}}
+}
+
+// Digest returns the identity of a request: the same prompt of the same client account for the same model.
+func Digest(account, model, prompt string) string {
+	hash := sha256.New()
+	for _, field := range []string{account, model, prompt} {
+		_ = binary.Write(hash, binary.BigEndian, uint64(len(field)))
+		_, _ = hash.Write([]byte(field))
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// State returns what is thought of the request.
+func (l *Ledger) State(now time.Time, digest string) State {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state(now, digest)
+}
+
+// Begin notes that the request is about to run on the server. It reports whether the request runs isolated, and
+// whether it may run there now: a suspect may not run beside another one.
+func (l *Ledger) Begin(now time.Time, digest, server string) (isolated, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state(now, digest) == Trusted {
+		return false, true
+	}
+	_, occupied := l.isolated[server]
+	if occupied {
+		return false, false
+	}
+	l.isolated[server] = digest
+	return true, true
+}
+
+// End notes that an isolated request has ended on the server. One that was completed is trusted again.
+func (l *Ledger) End(digest, server string, completed bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.isolated[server] == digest {
+		delete(l.isolated, server)
+	}
+	if completed {
+		delete(l.entries, digest)
+	}
+}
+
+// Occupied returns the servers on which a suspect runs, ordered by name.
+func (l *Ledger) Occupied() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	servers := make([]string, 0, len(l.isolated))
+	for s := range l.isolated {
+		servers = append(servers, s)
+	}
+	slices.Sort(servers)
+	return servers
+}
+
+// Report takes in a crash that this or another instance has seen, and returns what is thought of the request now.
+func (l *Ledger) Report(now time.Time, crash Crash) State {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known, ok := l.entries[crash.Digest]
+	switch {
+	case !ok || !now.Before(known.expiresAt):
+		l.makeRoom(now)
+		l.entries[crash.Digest] = entry{state: Suspect, last: crash, crashedAt: now, expiresAt: now.Add(l.options.SuspectValidity)}
+		return Suspect
+	case known.state == Quarantined || !crash.Isolated || l.isSame(now, known, crash):
+		return known.state
+	}
+	l.entries[crash.Digest] = entry{state: Quarantined, last: crash, crashedAt: now, expiresAt: now.Add(l.options.QuarantineValidity)}
+	return Quarantined
+}
+
+// Restore takes in a quarantine that another instance has decided and that is still valid for the given time.
+func (l *Ledger) Restore(now time.Time, crash Crash, validity time.Duration) {
+	if validity <= 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state(now, crash.Digest) == Quarantined {
+		return
+	}
+	l.makeRoom(now)
+	l.entries[crash.Digest] = entry{
+		state: Quarantined, last: crash, crashedAt: now, expiresAt: now.Add(min(validity, l.options.QuarantineValidity)),
+	}
+}
+
+// RetryAfter returns the time until the quarantine of the request ends.
+func (l *Ledger) RetryAfter(now time.Time, digest string) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(l.entries[digest].expiresAt.Sub(now), 0)
+}
+
+func (l *Ledger) state(now time.Time, digest string) State {
+	known, ok := l.entries[digest]
+	if !ok || !now.Before(known.expiresAt) {
+		return Trusted
+	}
+	return known.state
+}
+
+func (l *Ledger) isSame(now time.Time, known entry, crash Crash) bool {
+	if known.last.AttemptID == crash.AttemptID {
+		return true
+	}
+	if known.last.Server != crash.Server {
+		return false
+	}
+	if known.last.Incarnation != "" && crash.Incarnation != "" {
+		return known.last.Incarnation == crash.Incarnation
+	}
+	return now.Sub(known.crashedAt) < l.options.CrashWindow
+}
+
+// makeRoom forgets expired entries when the ledger is full, and the one that expires first when there are none.
+func (l *Ledger) makeRoom(now time.Time) {
+	if len(l.entries) < l.options.Room {
+		return
+	}
+	var first string
+	for digest, e := range l.entries {
+		if !now.Before(e.expiresAt) {
+			delete(l.entries, digest)
+			continue
+		}
+		if first == "" || e.expiresAt.Before(l.entries[first].expiresAt) {
+			first = digest
+		}
+	}
+	if len(l.entries) >= l.options.Room {
+		delete(l.entries, first)
+	}
+}
--- /dev/null
+++ b/pkg/lrretry/ejector.go
@@ -0,0 +1,89 @@
+package lrretry
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// An Ejector takes backend servers that fail several times in a row out of use for a time. Afterwards one request at
+// a time probes the server until one succeeds. It is safe for use by several goroutines.
+type Ejector struct {
+	options EjectorOptions
+	mutex   sync.Mutex
+	servers map[string]*serverHealth
+}
+
+// EjectorOptions say when a backend server is ejected and for how long.
+type EjectorOptions struct {
+	// Failures is the number of failures in a row that ejects a server.
+	Failures int
+	// Duration is the time of the first ejection. It doubles with each failed probe, up to MaxDuration.
+	Duration    time.Duration
+	MaxDuration time.Duration
+	// ProbeTimeout is the time after which a probe without a result no longer holds back the next one.
+	ProbeTimeout time.Duration
+}
+
+// serverHealth is kept only for servers whose last result was a failure.
+type serverHealth struct {
+	failures     int
+	ejectedUntil time.Time
+	duration     time.Duration
+	probedAt     time.Time
+}
+
+// NewEjector returns an Ejector that trusts every server.
+func NewEjector(options EjectorOptions) *Ejector {
+	return &Ejector{options: options, servers: map[string]*serverHealth{}}
+}
+
+// Ejected returns the servers that must not be used now, ordered by name.
+func (e *Ejector) Ejected(now time.Time) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var ejected []string
+	for name, s := range e.servers {
+		if s.duration > 0 && (now.Before(s.ejectedUntil) || now.Sub(s.probedAt) < e.options.ProbeTimeout) {
+			ejected = append(ejected, name)
+		}
+	}
+	slices.Sort(ejected)
+	return ejected
+}
+
+// Started notes that a request is on its way to the server. On a server that has been ejected it is the probe.
+func (e *Ejector) Started(now time.Time, server string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s, ok := e.servers[server]
+	if ok && s.duration > 0 {
+		s.probedAt = now
+	}
+}
+
+// Succeeded notes that the server has answered.
+func (e *Ejector) Succeeded(server string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.servers, server)
+}
+
+// Failed notes that the server has failed, and reports whether this ejected it.
+func (e *Ejector) Failed(now time.Time, server string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s, ok := e.servers[server]
+	if !ok {
+		s = &serverHealth{}
+		e.servers[server] = s
+	}
+	s.failures++
+	if s.failures < e.options.Failures || now.Before(s.ejectedUntil) {
+		return false
+	}
+	s.duration = min(max(2*s.duration, e.options.Duration), e.options.MaxDuration)
+	s.ejectedUntil = now.Add(s.duration)
+	s.probedAt = time.Time{}
+	return true
+}
