Refuse exposed keys and malformed requests, bound callers

Found besides: a path with encoded dot segments under an open route reached the service, which could take it for a paid path (the stub answered the inner path); content parts of a message joined into a prompt could carry a key in two halves; a body compressed with gzip was not searched; the setting for open requests per account had no effect; a caller that read nothing held its request for ever. Ruled out: removing a key from a body (changes the request); closing the session by polling (the configuration's change hook suffices, with a second check after registration). Change: guards for framing, open requests and leaks; write deadline per event; sessions end when the key, the account or the plan's model goes; safe methods to plain services are retried within the budget, others never after a byte left.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrexplain"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
@@ -28,7 +29,11 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
-const explanationRoom = 4096
+const (
+	explanationRoom = 4096
+	// endGrace is the time that requests get to write their last error event when a planned stop takes too long.
+	endGrace = 200 * time.Millisecond
+)
 
 // A Daemon is one instance of lavenderrouter.
 type Daemon struct {
@@ -90,7 +95,7 @@
 		Metrics: d.metrics, Log: d.log, Clock: d.clock,
 	}
 	d.gateway = lrgateway.New(parts, lrgateway.Options{
-		MaxBodyBytes: s.MaxBodyBytes, BodyTimeout: s.BodyTimeout, StreamTimeout: s.StreamTimeout,
+		MaxBodyBytes: s.MaxBodyBytes, BodyTimeout: s.BodyTimeout, StreamTimeout: s.StreamTimeout, WriteTimeout: s.WriteTimeout,
 		MaxConnectionsPerAccount: s.MaxConnectionsPerAccount,
 	})
 	d.follower.OnChange(d.gateway.Apply)
@@ -113,7 +118,7 @@
 	go func() { _ = d.supervisor.Run(duties) }()
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	go func() { _ = adminServer.Serve(listeners.admin) }()
-	go func() { _ = server.Serve(listeners.callers) }()
+	go func() { _ = server.Serve(lrframe.NewListener(listeners.callers, d.settings.Server.MaxHeaderBytes)) }()
 	d.log.Info().Str("address", d.settings.Instance.Address).Msg("daemon: serving")
 
 	<-ctx.Done()
@@ -150,7 +155,8 @@
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	s := d.settings.Server
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
+		Handler: lrframe.CloseAfterChunked(handler), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
+		WriteTimeout: s.StreamTimeout + s.WriteTimeout, ConnContext: lrframe.ConnContext,
 	}
 }
 
@@ -164,6 +170,8 @@
 	err := server.Shutdown(ctx)
 	if err != nil {
 		cut := d.gateway.Running()
+		d.gateway.EndAll("the instance is stopping")
+		time.Sleep(endGrace)
 		_ = server.Close()
 		return fmt.Errorf("drain: %d requests were cut after %s; raise drainTimeout: %w", cut, d.settings.Server.DrainTimeout, err)
 	}
--- a/internal/lrdaemon/harness_test.go
+++ b/internal/lrdaemon/harness_test.go
@@ -37,11 +37,12 @@
 	publisher *lrstate.Publisher
 	instances []lrplatform.Instance
 	key       lrkey.Key
+	log       zerolog.Logger
 }
 
 func newHarness(t *testing.T, engineCount int) *harness {
 	t.Helper()
-	h := &harness{t: t, platform: startServer(t, lrstub.NewPlatform()), service: startServer(t, lrstub.NewService())}
+	h := &harness{t: t, log: zerolog.Nop(), platform: startServer(t, lrstub.NewPlatform()), service: startServer(t, lrstub.NewService())}
 	h.publisher = lrstate.NewPublisher(lrplatform.NewClient(h.platform.URL))
 	for n := range engineCount {
 		options := lrstub.DefaultEngineOptions()
@@ -153,7 +154,7 @@
 		adjust(&settings)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	d := &runningDaemon{Daemon: New(settings, zerolog.Nop()), url: "http://" + settings.Instance.Address, stop: stop, result: make(chan error, 1)}
+	d := &runningDaemon{Daemon: New(settings, h.log), url: "http://" + settings.Instance.Address, stop: stop, result: make(chan error, 1)}
 	go func() { d.result <- d.Run(ctx) }()
 	h.t.Cleanup(func() {
 		stop()
--- a/internal/lrgateway/call.go
+++ b/internal/lrgateway/call.go
@@ -37,6 +37,8 @@
 	writer      http.ResponseWriter
 	receivedAt  time.Time
 	wroteHeader bool
+	session     *session
+	endings     []func()
 	explanation lrexplain.Explanation
 }
 
@@ -50,10 +52,11 @@
 		ctx, end := context.WithCancelCause(ctx)
 		defer end(nil)
 		call := g.newCall(w, r)
+		defer call.end()
 		err := g.admit(call)
 		if err == nil {
-			session := g.sessions.add(call, end)
-			defer g.sessions.remove(session)
+			call.session = g.sessions.add(call, end)
+			defer g.sessions.remove(call.session)
 			err = g.checkStillAllowed(ctx, call, handle)
 		}
 		g.finish(call, preferCause(ctx, err))
@@ -65,11 +68,9 @@
 
 // checkStillAllowed closes the gap between the guards and the session: a key that was withdrawn in between is seen here.
 func (g *Gateway) checkStillAllowed(ctx context.Context, call *Call, handle callHandler) error {
-	if call.Key.ID() != "" {
-		err := checkKey(call, g.Config.Snapshot())
-		if err != nil {
-			return err
-		}
+	err := call.session.check(g.Config.Snapshot())
+	if err != nil {
+		return err
 	}
 	return handle(ctx, call)
 }
@@ -100,10 +101,11 @@
 	e.Duration = g.Clock().Sub(call.receivedAt)
 	if err != nil {
 		failure := lrerror.From(err)
-		e.Error = err.Error()
+		e.Error = withoutKey(err.Error())
 		e.Outcome = failure.Outcome()
 		g.Metrics.Refusals.WithLabelValues(failure.Kind().String()).Inc()
 		if !call.wroteHeader {
+			call.allowWrite(g.Clock().Add(g.options.WriteTimeout))
 			writeError(call.writer, call.ID, failure)
 		}
 	}
@@ -113,6 +115,30 @@
 		Str("outcome", string(e.Outcome)).Dur("duration", e.Duration).Str("error", e.Error).Msg("gateway: request finished")
 }
 
+// withoutKey returns the text, or a note in its place when a key stands in it.
+func withoutKey(text string) string {
+	if lrkey.Holds([]byte(text)) {
+		return "left out because a key stands in it"
+	}
+	return text
+}
+
+// atEnd registers a function that is called when the call has ended.
+func (c *Call) atEnd(ending func()) {
+	c.endings = append(c.endings, ending)
+}
+
+func (c *Call) end() {
+	for _, e := range c.endings {
+		e()
+	}
+}
+
+// allowWrite gives the caller until then to take the next bytes.
+func (c *Call) allowWrite(until time.Time) {
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(until)
+}
+
 func (c *Call) routeName() string {
 	switch {
 	case c.Route != nil:
--- a/internal/lrgateway/completion.go
+++ b/internal/lrgateway/completion.go
@@ -158,10 +158,16 @@
 	created    int64
 	text       strings.Builder
 	controller *http.ResponseController
+	clock      func() time.Time
+	// writeTimeout is the longest that the caller may take for one event.
+	writeTimeout time.Duration
 }
 
-func newCompletionSink(call *Call, request completionRequest, now time.Time) *completionSink {
-	return &completionSink{call: call, request: request, created: now.Unix(), controller: http.NewResponseController(call.writer)}
+func (g *Gateway) newCompletionSink(call *Call, request completionRequest) *completionSink {
+	return &completionSink{
+		call: call, request: request, created: g.Clock().Unix(), controller: http.NewResponseController(call.writer),
+		clock: g.Clock, writeTimeout: g.options.WriteTimeout,
+	}
 }
 
 // Deliver writes the text to a streaming caller, or keeps it for the whole answer.
@@ -181,6 +187,7 @@
 	}
 	if !s.request.Stream {
 		s.call.wroteHeader = true
+		s.call.allowWrite(s.clock().Add(s.writeTimeout))
 		writeJSON(s.call.writer, http.StatusOK, s.whole(result, counted))
 		return nil
 	}
@@ -260,6 +267,7 @@
 		s.call.writer.Header().Set("Cache-Control", "no-store")
 		s.call.writer.WriteHeader(http.StatusOK)
 	}
+	s.call.allowWrite(s.clock().Add(s.writeTimeout))
 	_, err := s.call.writer.Write([]byte(line))
 	if err != nil {
 		return err
--- a/internal/lrgateway/credentials.go
+++ b/internal/lrgateway/credentials.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
-	"net/url"
+	"slices"
 	"strings"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
 )
 
 // hopHeaders returns the headers that concern one connection alone and are never forwarded.
@@ -19,8 +21,8 @@
 	return []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Cookie"}
 }
 
-// forwardHeader returns the headers that may go on to a backend server. None of them holds the secret.
-func forwardHeader(header http.Header, secret string) http.Header {
+// forwardHeader returns the headers that may go on to the other side. None of them holds a key.
+func forwardHeader(header http.Header) http.Header {
 	forwarded := header.Clone()
 	for _, name := range strings.Split(strings.Join(header.Values("Connection"), ","), ",") {
 		forwarded.Del(strings.TrimSpace(name))
@@ -29,24 +31,23 @@
 		forwarded.Del(name)
 	}
 	for name, values := range forwarded {
-		if holdsSecret(name, secret) || holdsSecret(strings.Join(values, "\n"), secret) {
+		if lrkey.Holds([]byte(name)) || lrkey.Holds([]byte(strings.Join(values, "\n"))) {
 			forwarded.Del(name)
 		}
 	}
 	return forwarded
 }
 
-// forwardQuery returns the query without the parameters that hold the secret.
-func forwardQuery(query url.Values, secret string) string {
-	forwarded := url.Values{}
-	for name, values := range query {
-		if !holdsSecret(name, secret) && !holdsSecret(strings.Join(values, "\n"), secret) {
-			forwarded[name] = values
-		}
+// forwardQuery returns the raw query without the parameters that hold a key.
+func forwardQuery(query string) string {
+	if !lrkey.Holds([]byte(query)) {
+		return query
 	}
-	return forwarded.Encode()
-}
-
-func holdsSecret(text, secret string) bool {
-	return secret != "" && strings.Contains(strings.ToLower(text), strings.ToLower(secret))
+	kept := strings.FieldsFunc(query, func(r rune) bool { return r == '&' || r == ';' })
+	kept = slices.DeleteFunc(kept, func(parameter string) bool { return lrkey.Holds([]byte(parameter)) })
+	joined := strings.Join(kept, "&")
+	if lrkey.Holds([]byte(joined)) {
+		return ""
+	}
+	return joined
 }
--- a/internal/lrgateway/forward.go
+++ b/internal/lrgateway/forward.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
@@ -56,11 +59,11 @@
 	if call.Route.Paid {
 		return g.forwardPaid(ctx, call, request)
 	}
-	response, err := g.forwardOnce(ctx, call, request)
+	response, err := g.forwardIdempotent(ctx, call, request)
 	if err != nil {
 		return err
 	}
-	writeResponse(call, response)
+	g.writeResponse(call, response)
 	return nil
 }
 
@@ -78,51 +81,95 @@
 	if err != nil {
 		return err
 	}
-	writeResponse(call, response)
+	g.writeResponse(call, response)
 	return nil
 }
 
-// forwardOnce sends the request to one backend server, and to the next one only if no byte of it had left.
-func (g *Gateway) forwardOnce(ctx context.Context, call *Call, request lrservice.Request) (lrservice.Response, error) {
-	servers := g.Servers.Services(call.Route.Service)
-	for _, s := range servers {
+// forwardIdempotent sends the request to one backend server after the other until one answers. A request that may have
+// run on a server goes on to the next one only if its method is safe and the budget has a retry.
+func (g *Gateway) forwardIdempotent(ctx context.Context, call *Call, request lrservice.Request) (lrservice.Response, error) {
+	g.Budget.Earn()
+	unreached := lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
+		"no backend server of service %s can be reached; retry later", call.Route.Service)
+	failure := unreached
+	for _, s := range g.services(call.Route.Service) {
+		g.Ejector.Started(g.Clock(), s.Name)
 		response, err := g.Services.Call(ctx, s.Address, request)
 		if err == nil {
+			g.Ejector.Succeeded(s.Name)
 			return response, nil
 		}
 		if !lrservice.ErrNotSent.Has(err) {
-			return response, lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
+			failure = lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
 				"the service failed after it had received the request; find out whether it ran before sending it again").WithCause(err)
 		}
+		if ctx.Err() != nil {
+			break
+		}
+		g.Ejector.Failed(g.Clock(), s.Name)
+		if failure != unreached && (!isSafe(request.Method) || !g.Budget.Spend()) {
+			break
+		}
 	}
-	return lrservice.Response{}, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
-		"no backend server of service %s can be reached; retry later", call.Route.Service)
+	return lrservice.Response{}, failure
+}
+
+// services returns the backend servers of the service, ejected ones last.
+func (g *Gateway) services(service string) []lrplatform.Instance {
+	servers := g.Servers.Services(service)
+	ejected := g.Ejector.Ejected(g.Clock())
+	slices.SortStableFunc(servers, func(a, b lrplatform.Instance) int {
+		return compareBool(slices.Contains(ejected, a.Name), slices.Contains(ejected, b.Name))
+	})
+	return servers
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func isSafe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead
 }
 
 func forwardRequest(call *Call) lrservice.Request {
-	secret := call.Key.Reveal()
 	path := call.Request.URL.EscapedPath()
-	query := forwardQuery(call.Request.URL.Query(), secret)
+	query := forwardQuery(call.Request.URL.RawQuery)
 	if query != "" {
 		path += "?" + query
 	}
-	header := forwardHeader(call.Request.Header, secret)
+	header := forwardHeader(call.Request.Header)
 	header.Set(HeaderRequestID, call.ID)
 	return lrservice.Request{Method: call.Request.Method, Path: path, Header: header, Body: call.Body}
 }
 
-func writeResponse(call *Call, response lrservice.Response) {
+func (g *Gateway) writeResponse(call *Call, response lrservice.Response) {
+	call.allowWrite(g.Clock().Add(g.options.WriteTimeout))
 	call.explanation.Outcome = lrerror.Ran
 	call.wroteHeader = true
 	header := call.writer.Header()
-	for name, values := range forwardHeader(response.Header, "") {
+	for name, values := range forwardHeader(response.Header) {
 		if !strings.EqualFold(name, HeaderRequestID) {
 			header[name] = values
 		}
 	}
 	header.Del("Set-Cookie")
+	if call.Request.Method != http.MethodHead && allowsBody(response.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	}
 	call.writer.WriteHeader(response.Status)
 	if call.Request.Method != http.MethodHead {
 		_, _ = call.writer.Write(response.Body)
 	}
 }
+
+func allowsBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- a/internal/lrgateway/gateway.go
+++ b/internal/lrgateway/gateway.go
@@ -15,8 +15,10 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 )
 
 // A ConfigSource gives the configuration in force.
@@ -41,7 +43,11 @@
 	Paid     PaidRunner
 	Recorder *lrexplain.Recorder
 	Metrics  *lrmetric.Metrics
-	Log      zerolog.Logger
+	// Budget bounds the retries of this instance and Ejector takes failing backend servers out of use. Defaults are
+	// made while they are nil.
+	Budget  *lrretry.Budget
+	Ejector *lrretry.Ejector
+	Log     zerolog.Logger
 	// Clock returns the present time.
 	Clock func() time.Time
 }
@@ -51,6 +57,8 @@
 	MaxBodyBytes  int64
 	BodyTimeout   time.Duration
 	StreamTimeout time.Duration
+	// WriteTimeout is the longest that a caller may take for one event of a stream or for a whole answer.
+	WriteTimeout time.Duration
 	// MaxConnectionsPerAccount bounds the requests that one client account may have open on this instance.
 	MaxConnectionsPerAccount int
 }
@@ -66,8 +74,15 @@
 
 // New returns a Gateway with the default guards.
 func New(parts Parts, options Options) *Gateway {
+	if parts.Budget == nil {
+		parts.Budget = lrretry.DefaultBudget()
+	}
+	if parts.Ejector == nil {
+		parts.Ejector = lrretry.DefaultEjector()
+	}
 	g := &Gateway{Parts: parts, options: options, guards: DefaultGuards(options), sessions: newSessions(), router: mux.NewRouter()}
 	g.router.UseEncodedPath()
+	g.router.SkipClean(true)
 	g.router.HandleFunc("/v1/chat/completions", g.serve(g.generate)).Methods(http.MethodPost)
 	g.router.HandleFunc("/v1/completions", g.serve(g.generate)).Methods(http.MethodPost)
 	g.router.HandleFunc("/v1/models", g.serve(g.listModels)).Methods(http.MethodGet)
@@ -86,5 +101,10 @@
 	g.sessions.endDisallowed(snapshot)
 }
 
+// EndAll ends every running request with an explicit error that names the reason.
+func (g *Gateway) EndAll(reason string) {
+	g.sessions.endAll(lrerror.New(lrerror.KindUnavailable, lrerror.Unknown, "%s; retry on another instance", reason))
+}
+
 // Running returns the number of requests being served.
 func (g *Gateway) Running() int { return g.sessions.len() }
--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
@@ -21,7 +22,16 @@
 	if err != nil {
 		return err
 	}
-	model, err := allowedModel(call, request)
+	use := modelUse{model: request.Model, adapter: request.Adapter}
+	model, err := allowedModel(call.Snapshot, call.Plan, use)
+	if err != nil {
+		return err
+	}
+	if lrkey.Holds([]byte(request.PromptText)) {
+		return keyExposed()
+	}
+	call.session.setUse(use)
+	err = call.session.check(g.Config.Snapshot())
 	if err != nil {
 		return err
 	}
@@ -35,8 +45,9 @@
 	if err != nil {
 		return err
 	}
-	result, err := g.runJob(ctx, call, request, job)
-	reservation.Settle(g.Clock(), usedTokens(job, result))
+	var result lrstream.Result
+	defer func() { reservation.Settle(g.Clock(), usedTokens(job, result)) }()
+	result, err = g.runJob(ctx, call, request, job)
 	return err
 }
 
@@ -50,7 +61,7 @@
 	}
 	defer func() { release(g.Clock()) }()
 	call.explanation.Queued = g.Clock().Sub(queuedAt)
-	sink := newCompletionSink(call, request, g.Clock())
+	sink := g.newCompletionSink(call, request)
 	result, err := g.Runner.Run(ctx, job, sink)
 	call.recordResult(result)
 	g.observe(call, job, result)
@@ -73,16 +84,17 @@
 	g.Metrics.PromptTokens.WithLabelValues("false").Add(float64(job.Route.Tokens - result.CachedTokens))
 }
 
-func allowedModel(call *Call, request completionRequest) (lrconfig.Model, error) {
-	model, ok := call.Snapshot.Catalog().Model(request.Model)
-	if !ok || !slices.Contains(call.Plan.Models, request.Model) {
+// allowedModel returns the model if the plan allows it and its adapter.
+func allowedModel(snapshot *lrconfig.Snapshot, plan lrconfig.Plan, use modelUse) (lrconfig.Model, error) {
+	model, ok := snapshot.Catalog().Model(use.model)
+	if !ok || !slices.Contains(plan.Models, use.model) {
 		return model, lrerror.New(lrerror.KindModelNotFound, lrerror.NotRun,
-			"there is no model %q for this client account; use one of: %s", request.Model, strings.Join(call.Plan.Models, ", "))
+			"there is no model %q for this client account; use one of: %s", use.model, strings.Join(plan.Models, ", "))
 	}
-	if request.Adapter != "" && (!slices.Contains(model.Adapters, request.Adapter) || !slices.Contains(call.Plan.Adapters, request.Adapter)) {
+	if use.adapter != "" && (!slices.Contains(model.Adapters, use.adapter) || !slices.Contains(plan.Adapters, use.adapter)) {
 		return model, lrerror.New(lrerror.KindModelNotFound, lrerror.NotRun,
 			"there is no adapter %q of model %q for this client account; use one of: %s",
-			request.Adapter, request.Model, strings.Join(call.Plan.Adapters, ", "))
+			use.adapter, use.model, strings.Join(plan.Adapters, ", "))
 	}
 	return model, nil
 }
@@ -102,9 +114,9 @@
 	}
 }
 
-// usedTokens returns what a generation has cost its account. A request that reached no engine costs nothing.
+// usedTokens returns what a generation has cost its account. A request that ran on no engine costs nothing.
 func usedTokens(job lrstream.Job, result lrstream.Result) float64 {
-	if len(result.Attempts) == 0 {
+	if result.Outcome == lrerror.NotRun || len(result.Attempts) == 0 {
 		return 0
 	}
 	return float64(job.Route.Tokens + result.OutputTokens)
--- a/internal/lrgateway/guard.go
+++ b/internal/lrgateway/guard.go
@@ -1,7 +1,6 @@
 package lrgateway
 
 import (
-	"bytes"
 	"net/http"
 	"strings"
 	"time"
@@ -19,10 +18,12 @@
 // DefaultGuards returns the guards that a Gateway uses, in their order.
 func DefaultGuards(options Options) []Guard {
 	return []Guard{
+		&framingGuard{},
 		&authenticationGuard{},
 		&accountGuard{},
+		newConnectionGuard(options.MaxConnectionsPerAccount),
 		&bodyGuard{maxBytes: options.MaxBodyBytes, timeout: options.BodyTimeout},
-		&leakGuard{},
+		&leakGuard{maxBytes: options.MaxBodyBytes},
 	}
 }
 
@@ -33,10 +34,6 @@
 	if call.Route != nil && call.Route.Open {
 		return nil
 	}
-	values := call.Request.Header.Values("Authorization")
-	if len(values) > 1 {
-		return lrerror.New(lrerror.KindBadRequest, lrerror.NotRun, "there is more than one Authorization header; send one")
-	}
 	key, ok := bearerKey(call.Request.Header.Get("Authorization"))
 	if !ok {
 		return unauthenticated()
@@ -75,17 +72,27 @@
 	if call.Key.ID() == "" {
 		return nil
 	}
-	account, ok := call.Snapshot.Account(call.Account.Name)
+	account, plan, err := findPlan(call.Snapshot, call.Account.Name)
+	if err != nil {
+		return err
+	}
+	call.Account, call.Plan = account, plan
+	return nil
+}
+
+// findPlan returns the client account and the plan that it is on.
+func findPlan(snapshot *lrconfig.Snapshot, name string) (lrconfig.Account, lrconfig.Plan, error) {
+	account, ok := snapshot.Account(name)
 	if !ok {
-		return lrerror.New(lrerror.KindForbidden, lrerror.NotRun,
-			"client account %s does not exist any more; ask the operator to add it", call.Account.Name)
+		return account, lrconfig.Plan{}, lrerror.New(lrerror.KindForbidden, lrerror.NotRun,
+			"client account %s does not exist any more; ask the operator to add it", name)
 	}
-	plan, ok := call.Snapshot.Plan(account.Plan)
+	plan, ok := snapshot.Plan(account.Plan)
 	if !ok {
-		return lrerror.New(lrerror.KindForbidden, lrerror.NotRun, "plan %s does not exist any more; ask the operator to add it", account.Plan)
+		return account, plan, lrerror.New(lrerror.KindForbidden, lrerror.NotRun,
+			"plan %s does not exist any more; ask the operator to add it", account.Plan)
 	}
-	call.Account, call.Plan = account, plan
-	return nil
+	return account, plan, nil
 }
 
 // bodyGuard reads the body within its limits of size and time.
@@ -105,18 +112,3 @@
 	call.Body = body
 	return nil
 }
-
-// leakGuard refuses a call whose key stands where it cannot be removed.
-type leakGuard struct{}
-
-func (*leakGuard) Check(_ time.Time, call *Call) error {
-	if call.Key.ID() == "" {
-		return nil
-	}
-	secret := call.Key.Reveal()
-	if bytes.Contains(call.Body, []byte(secret)) || strings.Contains(call.Request.URL.Path, secret) {
-		return lrerror.New(lrerror.KindBadRequest, lrerror.NotRun,
-			"the key stands in the body or path; send it in the Authorization header alone, and replace it as it may have been seen")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/lrgateway/leak_guard.go
@@ -0,0 +1,61 @@
+package lrgateway
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
+)
+
+// leakGuard refuses a call in which a value of the form of a key stands where it cannot be removed. Whether the key
+// is valid does not matter: this instance may not have heard of it yet.
+type leakGuard struct {
+	maxBytes int64
+}
+
+func (l *leakGuard) Check(_ time.Time, call *Call) error {
+	r := call.Request
+	for _, text := range []string{r.Method, r.URL.EscapedPath(), r.Header.Get(HeaderIdempotencyKey), r.Header.Get("Content-Type")} {
+		if lrkey.Holds([]byte(text)) {
+			return keyExposed()
+		}
+	}
+	plain, err := l.plainBody(r.Header.Values("Content-Encoding"), call.Body)
+	if err != nil {
+		return err
+	}
+	if lrkey.Holds(plain) {
+		return keyExposed()
+	}
+	return nil
+}
+
+// plainBody returns the body without its compression, so that it can be searched.
+func (l *leakGuard) plainBody(encodings []string, body []byte) ([]byte, error) {
+	if len(encodings) == 0 || len(body) == 0 {
+		return body, nil
+	}
+	if len(encodings) > 1 || encodings[0] != "gzip" {
+		return nil, badRequest("the body has a Content-Encoding other than gzip; send it without")
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, badRequest("the body is not valid gzip; send it without Content-Encoding").WithCause(err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, l.maxBytes+1))
+	if err != nil {
+		return nil, badRequest("the body is not valid gzip; send it without Content-Encoding").WithCause(err)
+	}
+	if int64(len(plain)) > l.maxBytes {
+		return nil, lrerror.New(lrerror.KindBodyTooLarge, lrerror.NotRun, "the body is above %d bytes; send a shorter one", l.maxBytes)
+	}
+	return plain, nil
+}
+
+func keyExposed() *lrerror.Error {
+	return badRequest("a key stands in the method, path, body or another place from which it cannot be removed; " +
+		"send it in the Authorization header alone, and replace it as it may have been seen")
+}
--- a/internal/lrgateway/models.go
+++ b/internal/lrgateway/models.go
@@ -35,6 +35,7 @@
 	}
 	call.explanation.Outcome = lrerror.Ran
 	call.wroteHeader = true
+	call.allowWrite(g.Clock().Add(g.options.WriteTimeout))
 	writeJSON(call.writer, http.StatusOK, list)
 	return nil
 }
--- a/internal/lrgateway/write_error.go
+++ b/internal/lrgateway/write_error.go
@@ -38,7 +38,12 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		data, status = []byte("{}"), http.StatusInternalServerError
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(data)
 }
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -59,6 +59,8 @@
 	BodyTimeout    time.Duration
 	IdleTimeout    time.Duration
 	StreamTimeout  time.Duration
+	// WriteTimeout is the longest that a caller may take for one event of a stream or for a whole answer.
+	WriteTimeout time.Duration
 	// DrainDelay is the time between the end of readiness and the end of listening at a planned stop.
 	DrainDelay time.Duration
 	// DrainTimeout bounds how long a planned stop waits for running requests.
@@ -132,7 +134,7 @@
 		Peers:    Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
 			MaxBodyBytes: 16 << 20, MaxHeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second,
-			BodyTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, StreamTimeout: 10 * time.Minute,
+			BodyTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, StreamTimeout: 10 * time.Minute, WriteTimeout: 10 * time.Second,
 			DrainDelay: 2 * time.Second, DrainTimeout: time.Minute, MaxConnectionsPerAccount: 512,
 		},
 		Routing: Routing{
