Ask each engine for its load from one instance and share notes of placements

Cause: every instance asked every engine for its load, which 420 instances before 900 engines cannot do, and an instance knew nothing of what the others had placed.

Change: each engine is asked by one live instance of its zone, chosen by hashing. Reports, leaving marks, verdicts of unreachable engines and notes of placements go to the other instances each 100 ms over gRPC, within 6000 bytes a second. An engine without a report is usable, so that a restarted instance serves before the first report. A verdict lapses after 3 s unless it is confirmed.

Conclusion: make demo ends with demo: ok; the new tests of the registry pass.

--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplacement"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrregistry"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
@@ -20,16 +22,22 @@
 
 // wireRouting makes the parts that choose engines, order requests and run streams.
 func (d *Daemon) wireRouting() {
-	d.placer = lrroute.NewNested(
+	nested := lrroute.NewNested(
 		lrroute.WithZone(d.settings.Instance.Zone), lrroute.WithBeliefBytes(d.settings.Routing.BeliefBytes),
-		lrroute.WithSeed(uint64(d.started.UnixNano())),
+		lrroute.WithSeed(uint64(d.started.UnixNano())), lrroute.WithNotes(),
 	)
+	d.placer = nested
 	d.queue = lrqueue.NewUnbounded()
-	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log)
+	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
+		lrregistry.WithRoster(d.roster))
+	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
+	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
 	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
 		MaxAttempts: d.settings.Routing.MaxAttempts, EventTimeout: d.settings.Routing.EventTimeout,
 	}, d.log)
 	d.supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
+	d.supervisor.Add("publishNotices", lrsupervise.Every(lrplacement.Interval, d.registry.PublishChanges))
+	d.supervisor.Add("sharePlacements", lrsupervise.Every(lrplacement.Interval, sharer.Send))
 	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
 }
 
--- /dev/null
+++ b/internal/lrplacement/budget.go
@@ -0,0 +1,22 @@
+package lrplacement
+
+import "time"
+
+// budget bounds the bytes that are sent in a second.
+type budget struct {
+	perSecond float64
+	left      float64
+	updated   time.Time
+}
+
+// allowed returns the bytes that may be sent now. What was not used for a second lapses.
+func (b *budget) allowed(now time.Time) float64 {
+	if !b.updated.IsZero() {
+		b.left += b.perSecond * now.Sub(b.updated).Seconds()
+	}
+	b.updated = now
+	b.left = min(b.left, b.perSecond)
+	return b.left
+}
+
+func (b *budget) spend(bytes int) { b.left -= float64(bytes) }
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -11,40 +11,61 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
-const loadTimeout = 400 * time.Millisecond
-
 // A Registry keeps the backend servers. It is safe for use by several goroutines.
 type Registry struct {
 	zone      string
 	directory lrplatform.Directory
 	dialer    lrengine.Dialer
 	placer    lrroute.Placer
+	roster    lrpeer.Roster
 	log       zerolog.Logger
 
 	mutex     sync.RWMutex
 	instances map[string]lrplatform.Instance
 	engines   map[string]lrengine.Engine
-	loads     map[string]loadReport
+	reports   map[string]report
 	leaving   map[string]bool
-	asked     bool
+	// unsent names the engines whose report the other instances have not been told.
+	unsent []string
+	// changed tells that the placer does not know the latest notices yet.
+	changed bool
 }
 
-type loadReport struct {
-	load       lrengine.Load
-	reportedAt time.Time
+// report is what an engine told, or that it could not be reached.
+type report struct {
+	incarnation  string
+	queuedTokens int
+	running      int
+	unreachable  bool
+	at           time.Time
+}
+
+// An Option changes a setting of a Registry.
+type Option func(*Registry)
+
+// WithRoster makes the instance ask only its share of the engines. Without a roster it asks all of them.
+func WithRoster(roster lrpeer.Roster) Option {
+	return func(r *Registry) { r.roster = roster }
 }
 
 // New returns an empty Registry of an instance in the availability zone.
-func New(zone string, directory lrplatform.Directory, dialer lrengine.Dialer, placer lrroute.Placer, log zerolog.Logger) *Registry {
-	return &Registry{
+func New(
+	zone string, directory lrplatform.Directory, dialer lrengine.Dialer, placer lrroute.Placer, log zerolog.Logger, options ...Option,
+) *Registry {
+	r := &Registry{
 		zone: zone, directory: directory, dialer: dialer, placer: placer, log: log,
 		instances: map[string]lrplatform.Instance{}, engines: map[string]lrengine.Engine{},
-		loads: map[string]loadReport{}, leaving: map[string]bool{},
+		reports: map[string]report{}, leaving: map[string]bool{},
+	}
+	for _, option := range options {
+		option(r)
 	}
+	return r
 }
 
 // Engine returns the engine of the name and reports whether there is one.
@@ -94,15 +115,16 @@
 func (r *Registry) MarkLeaving(now time.Time, name string) {
 	r.mutex.Lock()
 	r.leaving[name] = true
+	r.tell(name)
 	r.mutex.Unlock()
 	r.publish(now)
 }
 
-// Known reports whether a list of instances has been read and every engine in it has been asked for its load.
+// Known reports whether a list of instances has been read.
 func (r *Registry) Known() bool {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
-	return r.asked
+	return len(r.instances) > 0
 }
 
 // RefreshList reads the platform's list of instances. The last list stays in use when the platform is down.
@@ -124,6 +146,7 @@
 		r.instances[i.Name] = i
 		if i.Role == lrplatform.RoleEngine && previous[i.Name].Address != i.Address {
 			r.engines[i.Name] = r.dialer.Dial(i.Address)
+			delete(r.reports, i.Name)
 			delete(r.leaving, i.Name)
 		}
 	}
@@ -131,43 +154,13 @@
 		_, ok := r.instances[name]
 		if !ok {
 			delete(r.engines, name)
-			delete(r.loads, name)
+			delete(r.reports, name)
 		}
 	}
 	r.mutex.Unlock()
 	r.publish(now)
 }
 
-// RefreshLoads asks every engine for its load and gives the result to the placer.
-func (r *Registry) RefreshLoads(ctx context.Context, now time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	var group sync.WaitGroup
-	for _, s := range r.Servers(lrplatform.RoleEngine) {
-		group.Go(func() { r.refreshLoad(ctx, now, s.Name) })
-	}
-	group.Wait()
-	r.mutex.Lock()
-	r.asked = len(r.instances) > 0
-	r.mutex.Unlock()
-	r.publish(now)
-}
-
-func (r *Registry) refreshLoad(ctx context.Context, now time.Time, name string) {
-	engine, ok := r.Engine(name)
-	if !ok {
-		return
-	}
-	load, err := engine.Load(ctx)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if err != nil {
-		delete(r.loads, name)
-		return
-	}
-	r.loads[name] = loadReport{load: load, reportedAt: now}
-}
-
 // publish gives the placer the engines of each model that take new work.
 func (r *Registry) publish(now time.Time) {
 	r.mutex.RLock()
@@ -176,11 +169,10 @@
 		if i.Role != lrplatform.RoleEngine {
 			continue
 		}
-		report, live := r.loads[name]
 		for _, m := range i.Models {
 			list := engines[m]
-			if live && !i.Leaving && !r.leaving[name] {
-				list = append(list, describe(i, report))
+			if !i.Leaving && !r.leaving[name] {
+				list = append(list, describe(now, i, r.reports[name]))
 			}
 			engines[m] = list
 		}
@@ -197,9 +189,10 @@
 	}
 }
 
-func describe(i lrplatform.Instance, report loadReport) lrroute.Engine {
+func describe(now time.Time, i lrplatform.Instance, last report) lrroute.Engine {
 	return lrroute.Engine{
-		Name: i.Name, Zone: i.Zone, Incarnation: report.load.Incarnation,
-		QueuedTokens: report.load.QueuedTokens, Running: report.load.Running, ReportedAt: report.reportedAt,
+		Name: i.Name, Zone: i.Zone, Incarnation: last.incarnation,
+		QueuedTokens: last.queuedTokens, Running: last.running, ReportedAt: last.at,
+		Unreachable: last.unreachable && now.Sub(last.at) < verdictValidity,
 	}
 }
--- /dev/null
+++ b/internal/lrregistry/registry_test.go
@@ -0,0 +1,162 @@
+package lrregistry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
+)
+
+const testModel = "award-review"
+
+func testStart() time.Time { return time.Unix(1_700_000_000, 0) }
+
+// fakeEngines counts the calls to each engine and fails those to the engines that are cut off.
+type fakeEngines struct {
+	calls map[string]int
+	cut   map[string]bool
+}
+
+type fakeEngine struct {
+	lrengine.Engine
+	address string
+	all     *fakeEngines
+}
+
+func (f *fakeEngines) Dial(address string) lrengine.Engine {
+	return &fakeEngine{address: address, all: f}
+}
+
+func (f *fakeEngine) Load(context.Context) (lrengine.Load, error) {
+	f.all.calls[f.address]++
+	if f.all.cut[f.address] {
+		return lrengine.Load{}, lrengine.ErrNotSent.New("cut off")
+	}
+	return lrengine.Load{Incarnation: "1", QueuedTokens: 7}, nil
+}
+
+// fakePlacer keeps the last list of engines.
+type fakePlacer struct {
+	lrroute.Placer
+	engines []lrroute.Engine
+}
+
+func (f *fakePlacer) SetEngines(_ time.Time, _ string, engines []lrroute.Engine) { f.engines = engines }
+
+type fakeRoster struct {
+	self    lrpeer.Member
+	members []lrpeer.Member
+}
+
+func (f fakeRoster) Self() lrpeer.Member      { return f.self }
+func (f fakeRoster) Members() []lrpeer.Member { return f.members }
+
+func testInstances(engines int) []lrplatform.Instance {
+	instances := make([]lrplatform.Instance, 0, engines)
+	for n := range engines {
+		name := fmt.Sprintf("engine-%03d", n)
+		instances = append(instances, lrplatform.Instance{
+			Name: name, Address: name, Role: lrplatform.RoleEngine, Zone: fmt.Sprint("zone-", n%3), Models: []string{testModel},
+		})
+	}
+	return instances
+}
+
+func testMembers(zones, perZone int) []lrpeer.Member {
+	members := make([]lrpeer.Member, 0, zones*perZone)
+	for n := range zones * perZone {
+		members = append(members, lrpeer.Member{Name: fmt.Sprint("router-", n), Zone: fmt.Sprint("zone-", n%zones)})
+	}
+	return members
+}
+
+// newTestRegistries returns one registry for each member, all before the same engines.
+func newTestRegistries(members []lrpeer.Member, engines []lrplatform.Instance, fake *fakeEngines) ([]*Registry, []*fakePlacer) {
+	registries := make([]*Registry, 0, len(members))
+	placers := make([]*fakePlacer, 0, len(members))
+	for _, m := range members {
+		placer := &fakePlacer{}
+		r := New(m.Zone, nil, fake, placer, zerolog.Nop(), WithRoster(fakeRoster{self: m, members: members}))
+		r.SetInstances(testStart(), engines)
+		registries, placers = append(registries, r), append(placers, placer)
+	}
+	return registries, placers
+}
+
+func requireEqual[T comparable](t *testing.T, got, want T, what string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func TestEachEngineIsAskedOnce(t *testing.T) {
+	cases := []struct {
+		name           string
+		zones, perZone int
+	}{{"instances in every zone", 3, 4}, {"no instance in one zone", 2, 4}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			askers := map[string]int{}
+			members := testMembers(c.zones, c.perZone)
+			registries, _ := newTestRegistries(members, testInstances(60), &fakeEngines{})
+			for _, r := range registries {
+				for _, name := range r.Share() {
+					askers[name]++
+				}
+			}
+			requireEqual(t, len(askers), 60, "engines that are asked")
+			for name, count := range askers {
+				requireEqual(t, count, 1, "instances that ask "+name)
+			}
+		})
+	}
+}
+
+func TestNoticesSpreadLoadsAndVerdicts(t *testing.T) {
+	fake := &fakeEngines{calls: map[string]int{}, cut: map[string]bool{"engine-001": true}}
+	registries, placers := newTestRegistries(testMembers(3, 1), testInstances(3), fake)
+	now := testStart().Add(time.Second)
+	for _, r := range registries {
+		r.RefreshLoads(context.Background(), now)
+	}
+	for _, from := range registries {
+		notices := from.Notices(now.Add(10 * time.Millisecond))
+		requireEqual(t, len(notices), 1, "notices of one instance")
+		for _, to := range registries {
+			to.Apply(now.Add(20*time.Millisecond), notices)
+		}
+	}
+	for n, p := range placers {
+		registries[n].PublishChanges(context.Background(), now.Add(30*time.Millisecond))
+		requireEqual(t, len(p.engines), 3, "engines")
+		requireEqual(t, p.engines[0].QueuedTokens, 7, "queue of an engine that another instance asked")
+		requireEqual(t, p.engines[1].Unreachable, true, "verdict on the engine that is cut off")
+		registries[n].Apply(now.Add(verdictValidity), nil)
+		registries[n].changed = true
+		registries[n].PublishChanges(context.Background(), now.Add(2*verdictValidity))
+		requireEqual(t, p.engines[1].Unreachable, false, "verdict that nobody confirmed")
+	}
+}
+
+func TestLeavingEngineGetsNoWorkAtOnce(t *testing.T) {
+	registries, placers := newTestRegistries(testMembers(3, 1), testInstances(3), &fakeEngines{})
+	registries[0].MarkLeaving(testStart(), "engine-002")
+	requireEqual(t, len(placers[0].engines), 2, "engines that take new work")
+	registries[1].Apply(testStart(), registries[0].Notices(testStart()))
+	registries[1].PublishChanges(context.Background(), testStart())
+	requireEqual(t, len(placers[1].engines), 2, "engines that take new work after a notice")
+}
+
+func TestEnginesWithoutReportAreUsable(t *testing.T) {
+	_, placers := newTestRegistries(testMembers(1, 1), testInstances(3), &fakeEngines{})
+	requireEqual(t, len(placers[0].engines), 3, "engines")
+	requireEqual(t, placers[0].engines[0].Unreachable, false, "verdict before the first report")
+}
