Measure placement against least loaded and an oracle on a model of engines

Leaving marks also go with the heartbeats of the membership, and end with the incarnation they were made for.

--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -30,6 +30,7 @@
 	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
 		lrregistry.WithRoster(d.roster))
+	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
 	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
--- a/internal/lrmodel/run.go
+++ b/internal/lrmodel/run.go
@@ -25,13 +25,11 @@
 	Zones       int
 	Traffic     Traffic
 	Costs       Costs
-	// Restart is when every router loses all that it knows. Zero means never.
-	Restart time.Duration
+	// RestartEvery is the time after which every router loses all that it knows, again and again. Zero means never.
+	RestartEvery time.Duration
 	// Lose is when an engine crashes. It comes back empty after LostFor.
 	Lose    time.Duration
 	LostFor time.Duration
-	// From is the part of the run that is not counted, while the caches fill.
-	From time.Duration
 }
 
 // NewPlacer makes the placer of a router.
@@ -118,8 +116,8 @@
 	for at := noteInterval; at < setup.Traffic.Duration; at += noteInterval {
 		r.at(r.start.Add(at), r.exchangeNotes)
 	}
-	if setup.Restart > 0 {
-		r.at(r.start.Add(setup.Restart), r.restartRouters)
+	for at := setup.RestartEvery; at > 0 && at < setup.Traffic.Duration; at += setup.RestartEvery {
+		r.at(r.start.Add(at), r.restartRouters)
 	}
 	if setup.Lose > 0 {
 		r.at(r.start.Add(setup.Lose), r.lose)
--- a/internal/lrmodel/summary.go
+++ b/internal/lrmodel/summary.go
@@ -22,15 +22,28 @@
 	WorstAccount time.Duration
 }
 
-// Summarize sums up the requests that arrived from the one time to the other.
-func Summarize(served []Served, from, to time.Duration) Summary {
+// A Window tells whether a request that arrived at the time is counted.
+type Window func(at time.Duration) bool
+
+// Between counts what arrives from the one time to the other.
+func Between(from, to time.Duration) Window {
+	return func(at time.Duration) bool { return at >= from && at < to }
+}
+
+// AfterEach counts what arrives within the length after each multiple of the period.
+func AfterEach(period, length time.Duration) Window {
+	return func(at time.Duration) bool { return at >= period && at%period < length }
+}
+
+// Summarize sums up the requests in the window.
+func Summarize(served []Served, window Window) Summary {
 	var summary Summary
 	var tokens, cached, wasted int
 	var times []time.Duration
 	byAccount := map[int][]time.Duration{}
 	var total time.Duration
 	for _, s := range served {
-		if s.Arrival.At < from || s.Arrival.At >= to {
+		if !window(s.Arrival.At) {
 			continue
 		}
 		tokens += s.Arrival.Tokens
--- a/internal/lrregistry/notice.go
+++ b/internal/lrregistry/notice.go
@@ -42,7 +42,7 @@
 		}
 		notices = append(notices, Notice{
 			Name: name, Incarnation: report.incarnation, QueuedTokens: report.queuedTokens, Running: report.running,
-			Leaving: r.leaving[name], Unreachable: report.unreachable, Age: age,
+			Leaving: r.isLeaving(r.instances[name]), Unreachable: report.unreachable, Age: age,
 		})
 	}
 	r.unsent = r.unsent[:0]
@@ -83,7 +83,7 @@
 		return
 	}
 	if notice.Leaving {
-		r.leaving[notice.Name] = true
+		r.leaving[notice.Name] = notice.Incarnation
 	}
 	at := now.Add(-notice.Age)
 	if instance.Role != lrplatform.RoleEngine || at.Before(r.reports[notice.Name].at) {
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -29,7 +29,8 @@
 	instances map[string]lrplatform.Instance
 	engines   map[string]lrengine.Engine
 	reports   map[string]report
-	leaving   map[string]bool
+	// leaving holds the backend servers that were found leaving, with their incarnation at that time.
+	leaving map[string]string
 	// unsent names the engines whose report the other instances have not been told.
 	unsent []string
 	// changed tells that the placer does not know the latest notices yet.
@@ -60,7 +61,7 @@
 	r := &Registry{
 		zone: zone, directory: directory, dialer: dialer, placer: placer, log: log,
 		instances: map[string]lrplatform.Instance{}, engines: map[string]lrengine.Engine{},
-		reports: map[string]report{}, leaving: map[string]bool{},
+		reports: map[string]report{}, leaving: map[string]string{},
 	}
 	for _, option := range options {
 		option(r)
@@ -83,7 +84,7 @@
 	var servers []lrplatform.Instance
 	for _, i := range r.instances {
 		if i.Role == role {
-			i.Leaving = i.Leaving || r.leaving[i.Name]
+			i.Leaving = r.isLeaving(i)
 			servers = append(servers, i)
 		}
 	}
@@ -114,12 +115,19 @@
 // MarkLeaving notes that the backend server must get no new work.
 func (r *Registry) MarkLeaving(now time.Time, name string) {
 	r.mutex.Lock()
-	r.leaving[name] = true
+	r.leaving[name] = r.reports[name].incarnation
 	r.tell(name)
 	r.mutex.Unlock()
 	r.publish(now)
 }
 
+// isLeaving reports whether the instance is listed as leaving or was found so in its present incarnation.
+func (r *Registry) isLeaving(i lrplatform.Instance) bool {
+	marked, ok := r.leaving[i.Name]
+	present := r.reports[i.Name].incarnation
+	return i.Leaving || ok && (marked == "" || present == "" || marked == present)
+}
+
 // Known reports whether a list of instances has been read.
 func (r *Registry) Known() bool {
 	r.mutex.RLock()
@@ -171,7 +179,7 @@
 		}
 		for _, m := range i.Models {
 			list := engines[m]
-			if !i.Leaving && !r.leaving[name] {
+			if !r.isLeaving(i) {
 				list = append(list, describe(now, i, r.reports[name]))
 			}
 			engines[m] = list
--- a/internal/lrregistry/registry_test.go
+++ b/internal/lrregistry/registry_test.go
@@ -155,6 +155,18 @@
 	requireEqual(t, len(placers[1].engines), 2, "engines that take new work after a notice")
 }
 
+func TestLeavingMarkEndsWithIncarnation(t *testing.T) {
+	fake := &fakeEngines{calls: map[string]int{}}
+	registries, placers := newTestRegistries(testMembers(1, 1), testInstances(3), fake)
+	registries[0].RefreshLoads(context.Background(), testStart())
+	NewBoard(registries[0]).TakeNotices(testStart(), []lrpeer.ServerNotice{{Name: "engine-002", Leaving: true, Incarnation: "1"}})
+	requireEqual(t, len(placers[0].engines), 2, "engines while one is leaving")
+	requireEqual(t, NewBoard(registries[0]).Notices(testStart(), 10)[0].Name, "engine-002", "name in the notice that goes on")
+	registries[0].Apply(testStart().Add(time.Second), []Notice{{Name: "engine-002", Incarnation: "2"}})
+	registries[0].PublishChanges(context.Background(), testStart().Add(time.Second))
+	requireEqual(t, len(placers[0].engines), 3, "engines after the leaving one has come back")
+}
+
 func TestEnginesWithoutReportAreUsable(t *testing.T) {
 	_, placers := newTestRegistries(testMembers(1, 1), testInstances(3), &fakeEngines{})
 	requireEqual(t, len(placers[0].engines), 3, "engines")
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -26,7 +26,9 @@
 
 // areas returns every area, in the order in which they are measured.
 func areas() []area {
-	return []area{}
+	return []area{
+		{name: "route", measure: measureRoute},
+	}
 }
 
 // main measures the areas that are named, or all of them.
