--- a/scripts/bench/route.go
+++ b/scripts/bench/route.go
@@ -73,7 +73,7 @@
 
 // run plays the case with several seeds and sums them up together.
 func (c routeCase) run(policy lrmodel.NewPlacer) lrmodel.Summary {
-	var served []lrmodel.Served
+	served := make([]lrmodel.Served, 0, routeSeeds)
 	for seed := range routeSeeds {
 		setup := lrmodel.Setup{
 			Engines: c.engines, CachePieces: c.pieces, Zones: 3, Costs: lrmodel.DefaultCosts(),
@@ -169,6 +169,7 @@
 	placer := lrroute.NewNested(lrroute.WithSeed(1))
 	placer.SetEngines(now, lrmodel.Model, list)
 	return testing.Benchmark(func(b *testing.B) {
+		b.Helper()
 		b.ReportAllocs()
 		for n := range b.N {
 			a := trace[n%len(trace)]
@@ -186,6 +187,7 @@
 func chainSpeed() float64 {
 	prompt := strings.Repeat("The rules of the trust. ", 11*lrprefix.PieceBytes/24+1)
 	result := testing.Benchmark(func(b *testing.B) {
+		b.Helper()
 		b.SetBytes(int64(len(prompt)))
 		for range b.N {
 			_ = lrprefix.Chain(lrprefix.ID{}, prompt)
