Give the demo's processes a package of their own

Cause: long randomised runs over processes need the same cluster, and the demo's steps repeated how a key is added. Ruled out: a second copy in a test.

--- a/scripts/demo/caller.go
+++ b/internal/lrcluster/caller.go
@@ -1,32 +1,50 @@
-package main
+package lrcluster
 
 import (
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
 )
 
 const callTimeout = 30 * time.Second
 
-// answer is what a caller got.
-type answer struct {
-	status       int
-	requestID    string
-	header       http.Header
-	text         string
-	body         string
-	cachedTokens int
-	firstToken   time.Duration
-	complete     bool
+// An Answer is what a caller got.
+type Answer struct {
+	Status    int
+	RequestID string
+	Header    http.Header
+	// Text is the generated text, Body the answer of a plain service or the error.
+	Text         string
+	Body         string
+	CachedTokens int
+	FirstToken   time.Duration
+	// Complete tells that the stream ended as it should.
+	Complete bool
+}
+
+// CheckWhole returns an error unless the answer is the whole one that engine stand-ins give to the prompt.
+func (a Answer) CheckWhole(prompt string, tokens int) error {
+	switch {
+	case a.Status != http.StatusOK:
+		return fmt.Errorf("status %d: %s", a.Status, a.Body)
+	case !a.Complete:
+		return fmt.Errorf("the stream did not end with [DONE]: %s", a.Body)
+	case a.Text != lrstub.Answer("<|user|>\n"+prompt+"\n", tokens):
+		return errors.New("the text is not the whole answer")
+	}
+	return nil
 }
 
-// chat sends a streamed chat completion of the model award-review.
-func chat(address, key, prompt string, maxTokens int) (answer, error) {
+// Chat sends a streamed chat completion of the model award-review.
+func Chat(address, key, prompt string, maxTokens int) (Answer, error) {
 	body := struct {
 		Model         string          `json:"model"`
 		Messages      []message       `json:"messages"`
@@ -36,18 +54,18 @@
 	}{"award-review", []message{{"user", prompt}}, true, map[string]bool{"include_usage": true}, maxTokens}
 	data, err := json.Marshal(body)
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	started := time.Now()
 	response, err := send(http.MethodPost, address, "/v1/chat/completions", key, "", data)
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	got := answer{status: response.StatusCode, header: response.Header, requestID: response.Header.Get("X-Request-Id")}
+	got := Answer{Status: response.StatusCode, Header: response.Header, RequestID: response.Header.Get("X-Request-Id")}
 	if response.StatusCode != http.StatusOK {
 		text, err := io.ReadAll(response.Body)
-		got.body = string(text)
+		got.Body = string(text)
 		return got, err
 	}
 	return got, got.readStream(response.Body, started)
@@ -58,7 +76,7 @@
 	Content string `json:"content"`
 }
 
-func (a *answer) readStream(body io.Reader, started time.Time) error {
+func (a *Answer) readStream(body io.Reader, started time.Time) error {
 	scanner := bufio.NewScanner(body)
 	for scanner.Scan() {
 		line, ok := strings.CutPrefix(scanner.Text(), "data: ")
@@ -66,7 +84,7 @@
 			continue
 		}
 		if line == "[DONE]" {
-			a.complete = true
+			a.Complete = true
 			continue
 		}
 		err := a.readChunk(line, started)
@@ -77,7 +95,7 @@
 	return scanner.Err()
 }
 
-func (a *answer) readChunk(line string, started time.Time) error {
+func (a *Answer) readChunk(line string, started time.Time) error {
 	var chunk struct {
 		Choices []struct {
 			Delta struct {
@@ -96,27 +114,27 @@
 		return fmt.Errorf("decode chunk: %w", err)
 	}
 	if chunk.Error != nil {
-		a.body = string(chunk.Error)
+		a.Body = string(chunk.Error)
 	}
-	if a.firstToken == 0 {
-		a.firstToken = time.Since(started)
+	if a.FirstToken == 0 {
+		a.FirstToken = time.Since(started)
 	}
 	for _, c := range chunk.Choices {
-		a.text += c.Delta.Content
+		a.Text += c.Delta.Content
 	}
-	a.cachedTokens = max(a.cachedTokens, chunk.Usage.Details.CachedTokens)
+	a.CachedTokens = max(a.CachedTokens, chunk.Usage.Details.CachedTokens)
 	return nil
 }
 
-// call sends a request to a plain service.
-func call(method, address, path, key, idempotencyKey, body string) (answer, error) {
+// Call sends a request to a plain service.
+func Call(method, address, path, key, idempotencyKey, body string) (Answer, error) {
 	response, err := send(method, address, path, key, idempotencyKey, []byte(body))
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(text)}, err
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(text)}, err
 }
 
 func send(method, address, path, key, idempotencyKey string, body []byte) (*http.Response, error) {
--- a/scripts/demo/cluster.go
+++ b/internal/lrcluster/cluster.go
@@ -1,4 +1,5 @@
-package main
+// Package lrcluster runs a small deployment on this machine, every part as a process of its own.
+package lrcluster
 
 import (
 	"bytes"
@@ -11,6 +12,8 @@
 	"regexp"
 	"slices"
 	"strings"
+	"syscall"
+	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
@@ -22,32 +25,36 @@
 	modelList    = "award-review=2026-11,essay-check=2026-10"
 )
 
-// cluster is a deployment on this machine: three availability zones with one of each part.
-type cluster struct {
+// A Cluster is a deployment on this machine: three availability zones with one of each part.
+type Cluster struct {
 	directory string
 	platform  string
 	processes map[string]*process
 	instances []lrplatform.Instance
 }
 
-func zones() []string { return []string{"gulf-south-a", "gulf-south-b", "gulf-south-c"} }
+// Zones returns the availability zones of every cluster.
+func Zones() []string { return []string{"gulf-south-a", "gulf-south-b", "gulf-south-c"} }
 
-func newCluster() (*cluster, error) {
+// New returns a Cluster that does not run yet.
+func New() (*Cluster, error) {
 	directory, err := os.MkdirTemp("", "lavenderrouter-demo-")
 	if err != nil {
 		return nil, err
 	}
-	return &cluster{directory: directory, processes: map[string]*process{}}, nil
+	return &Cluster{directory: directory, processes: map[string]*process{}}, nil
 }
 
-func (c *cluster) stop() {
+// Stop removes everything that the cluster has started.
+func (c *Cluster) Stop() {
 	for _, p := range c.processes {
 		p.kill()
 	}
 	_ = os.RemoveAll(c.directory)
 }
 
-func (c *cluster) start() error {
+// Start builds the programs, starts every part and applies the configuration.
+func (c *Cluster) Start() error {
 	err := buildPrograms(c.directory)
 	if err != nil {
 		return err
@@ -72,8 +79,8 @@
 	if err != nil {
 		return err
 	}
-	for _, z := range zones() {
-		err = c.startRouter(z)
+	for _, z := range Zones() {
+		err = c.StartRouter(z)
 		if err != nil {
 			return err
 		}
@@ -81,8 +88,8 @@
 	return nil
 }
 
-func (c *cluster) startBackends() error {
-	for _, z := range zones() {
+func (c *Cluster) startBackends() error {
+	for _, z := range Zones() {
 		for _, role := range []lrplatform.Role{lrplatform.RoleEngine, lrplatform.RoleService, lrplatform.RoleKVStore} {
 			name := strings.ToLower(string(role)) + "-" + z
 			args := []string{}
@@ -102,7 +109,7 @@
 	return nil
 }
 
-func (c *cluster) startStub(name, kind string, args ...string) (string, error) {
+func (c *Cluster) startStub(name, kind string, args ...string) (string, error) {
 	address, err := freeAddress()
 	if err != nil {
 		return "", err
@@ -116,7 +123,7 @@
 	return address, waitListening(address)
 }
 
-func (c *cluster) newProcess(name, program string, args []string) *process {
+func (c *Cluster) newProcess(name, program string, args []string) *process {
 	p := &process{
 		name: name, program: filepath.Join(c.directory, program), args: args,
 		log: filepath.Join(c.directory, name+".log"),
@@ -125,11 +132,33 @@
 	return p
 }
 
+// Address returns where the instance of the zone serves callers.
+func (c *Cluster) Address(zone string) string { return c.Instance(routerName(zone)).Address }
+
+// Platform returns the address of the platform stand-in.
+func (c *Cluster) Platform() string { return c.platform }
+
+// StopRouter asks the instance of the zone to stop and returns an error unless it exits with code 0.
+func (c *Cluster) StopRouter(zone string) error { return c.processes[routerName(zone)].terminate() }
+
+// KillRouter ends the instance of the zone without warning.
+func (c *Cluster) KillRouter(zone string) { c.processes[routerName(zone)].kill() }
+
+// PauseRouter stops the instance of the zone from running until ResumeRouter is called.
+func (c *Cluster) PauseRouter(zone string) error {
+	return c.processes[routerName(zone)].signal(syscall.SIGSTOP)
+}
+
+// ResumeRouter lets a paused instance run again.
+func (c *Cluster) ResumeRouter(zone string) error {
+	return c.processes[routerName(zone)].signal(syscall.SIGCONT)
+}
+
 func routerName(zone string) string { return "router-" + zone }
 
 // addRouters chooses the addresses of the instances, so that the list is complete before the first one starts.
-func (c *cluster) addRouters() error {
-	for _, z := range zones() {
+func (c *Cluster) addRouters() error {
+	for _, z := range Zones() {
 		addresses := make([]string, 3)
 		for n := range addresses {
 			address, err := freeAddress()
@@ -146,17 +175,19 @@
 	return nil
 }
 
-func (c *cluster) instance(name string) lrplatform.Instance {
+// Instance returns the entry of the name in the platform's list.
+func (c *Cluster) Instance(name string) lrplatform.Instance {
 	n := slices.IndexFunc(c.instances, func(i lrplatform.Instance) bool { return i.Name == name })
 	return c.instances[n]
 }
 
-func (c *cluster) publishInstances() error {
+func (c *Cluster) publishInstances() error {
 	return put("http://"+c.platform+"/control/instances", c.instances)
 }
 
-func (c *cluster) startRouter(zone string) error {
-	i := c.instance(routerName(zone))
+// StartRouter starts the instance of the zone and waits until it is ready.
+func (c *Cluster) StartRouter(zone string) error {
+	i := c.Instance(routerName(zone))
 	var seeds []string
 	for _, other := range c.instances {
 		if other.Role == lrplatform.RoleRouter {
@@ -195,17 +226,17 @@
 	return nil
 }
 
-func (c *cluster) configure() error {
-	_, err := c.operate("plans", "apply", plansFile)
+func (c *Cluster) configure() error {
+	_, err := c.Operate("plans", "apply", plansFile)
 	if err != nil {
 		return err
 	}
-	_, err = c.operate("accounts", "apply", accountsFile)
+	_, err = c.Operate("accounts", "apply", accountsFile)
 	return err
 }
 
-// operate runs an operator's command and returns what it printed.
-func (c *cluster) operate(args ...string) (string, error) {
+// Operate runs an operator's command and returns what it printed.
+func (c *Cluster) Operate(args ...string) (string, error) {
 	args = append(args, "--platform", "http://"+c.platform, "--who", "demo")
 	output, err := exec.Command(filepath.Join(c.directory, "lavenderrouter"), args...).CombinedOutput()
 	if err != nil {
@@ -214,9 +245,9 @@
 	return string(output), nil
 }
 
-// addKey adds a key for the client account and returns it.
-func (c *cluster) addKey(account string) (string, error) {
-	output, err := c.operate("keys", "add", account)
+// AddKey adds a key for the client account, waits until every instance accepts it, and returns it.
+func (c *Cluster) AddKey(account string) (string, error) {
+	output, err := c.Operate("keys", "add", account)
 	if err != nil {
 		return "", err
 	}
@@ -224,11 +255,51 @@
 	if match == nil {
 		return "", fmt.Errorf("no key in: %s", output)
 	}
-	return match[1], nil
+	return match[1], c.AwaitKey(match[1], http.StatusOK)
+}
+
+// AwaitKey waits until every instance answers a request with the key by the status.
+func (c *Cluster) AwaitKey(key string, status int) error {
+	deadline := time.Now().Add(startTimeout)
+	for _, z := range Zones() {
+		for {
+			got, err := Call(http.MethodGet, c.Address(z), "/v1/models", key, "", "")
+			if err == nil && got.Status == status {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s answered %d instead of %d: %s", z, got.Status, status, got.Body)
+			}
+			time.Sleep(pollDelay)
+		}
+	}
+	return nil
+}
+
+// Effects returns how often the plain services have carried out the action.
+func (c *Cluster) Effects(action string) (int, error) {
+	count := 0
+	for _, z := range Zones() {
+		got, err := Call(http.MethodGet, c.Instance("service-"+z).Address, "/control/ledger", "", "", "")
+		if err != nil {
+			return 0, err
+		}
+		var effects []lrstub.Effect
+		err = json.Unmarshal([]byte(got.Body), &effects)
+		if err != nil {
+			return 0, fmt.Errorf("the ledger of a service is not readable: %w: %s", err, got.Body)
+		}
+		for _, e := range effects {
+			if e.IdempotencyKey == action {
+				count++
+			}
+		}
+	}
+	return count, nil
 }
 
-// setFaults replaces the faults of a stand-in.
-func (c *cluster) setFaults(address string, faults lrstub.Faults) error {
+// SetFaults replaces the faults of the stand-in at the address.
+func (c *Cluster) SetFaults(address string, faults lrstub.Faults) error {
 	return put("http://"+address+"/control/faults", faults)
 }
 
--- a/scripts/demo/process.go
+++ b/internal/lrcluster/process.go
@@ -1,4 +1,4 @@
-package main
+package lrcluster
 
 import (
 	"fmt"
@@ -63,6 +63,11 @@
 	}
 }
 
+// signal sends a signal to the process.
+func (p *process) signal(signal os.Signal) error {
+	return p.command.Process.Signal(signal)
+}
+
 func (p *process) kill() {
 	if p.command == nil {
 		return
--- a/scripts/demo/main.go
+++ b/scripts/demo/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrcluster"
 )
 
 func main() {
@@ -17,12 +19,12 @@
 }
 
 func run() error {
-	cluster, err := newCluster()
+	cluster, err := lrcluster.New()
 	if err != nil {
 		return err
 	}
-	defer cluster.stop()
-	err = cluster.start()
+	defer cluster.Stop()
+	err = cluster.Start()
 	if err != nil {
 		return err
 	}
--- a/scripts/demo/paid_step.go
+++ b/scripts/demo/paid_step.go
@@ -1,39 +1,33 @@
 package main
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 
-	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrcluster"
 )
 
 // showPaidCall sends a paid action through one instance and again through another one.
-func showPaidCall(c *cluster) (string, error) {
-	key, err := c.addKey("north-school")
-	if err != nil {
-		return "", err
-	}
-	err = waitForKey(c, key)
+func showPaidCall(c *lrcluster.Cluster) (string, error) {
+	key, err := c.AddKey("north-school")
 	if err != nil {
 		return "", err
 	}
 	const action = "award-4711"
-	var answers [2]answer
+	var answers [2]lrcluster.Answer
 	for n := range answers {
-		answers[n], err = call(http.MethodPost, c.address(zones()[n]), "/disbursements", key, action, `{"amount":100}`)
+		answers[n], err = lrcluster.Call(http.MethodPost, c.Address(lrcluster.Zones()[n]), "/disbursements", key, action, `{"amount":100}`)
 		if err != nil {
 			return "", err
 		}
-		if answers[n].status != http.StatusOK {
-			return "", fmt.Errorf("status %d: %s", answers[n].status, answers[n].body)
+		if answers[n].Status != http.StatusOK {
+			return "", fmt.Errorf("status %d: %s", answers[n].Status, answers[n].Body)
 		}
 	}
-	if answers[0].body != answers[1].body {
-		return "", fmt.Errorf("the second answer differs: %s", answers[1].body)
+	if answers[0].Body != answers[1].Body {
+		return "", fmt.Errorf("the second answer differs: %s", answers[1].Body)
 	}
-	effects, err := countEffects(c, action)
+	effects, err := c.Effects(action)
 	if err != nil {
 		return "", err
 	}
@@ -42,25 +36,3 @@
 	}
 	return "2 equal answers from 2 instances, 1 effect", nil
 }
-
-// countEffects returns how often the services have carried out the action.
-func countEffects(c *cluster, action string) (int, error) {
-	count := 0
-	for _, z := range zones() {
-		got, err := call(http.MethodGet, c.instance("service-"+z).Address, "/control/ledger", "", "", "")
-		if err != nil {
-			return 0, err
-		}
-		var effects []lrstub.Effect
-		err = json.Unmarshal([]byte(got.body), &effects)
-		if err != nil {
-			return 0, errors.New("the ledger of a service is not readable: " + got.body)
-		}
-		for _, e := range effects {
-			if e.IdempotencyKey == action {
-				count++
-			}
-		}
-	}
-	return count, nil
-}
