Check the limiter against a ledger under faults, and mend what it found

Cause: nothing showed that the grants keep an account within its rate and burst under loss, pauses, restarts, cuts and outages of the platform.

Change: an answer is taken in once; the check compares all that was used with all that was granted; a daemon reports when a fiftieth of the burst was used, asks fuller pools first and holds tokens ahead only from four requests a second on. What comes back counts as never used: it fits only as far as the pool had room ever since it was reported as used.

--- a/internal/lrgrant/caller.go
+++ b/internal/lrgrant/caller.go
@@ -68,12 +68,14 @@
 	if err != nil || !reply.GetTenure() || reply.GetView() != view.Number {
 		c.keeper.Kick(view.Zone)
 	}
-	if err != nil || len(reply.GetGrants()) > len(asks) {
-		return
-	}
 	now := c.keeper.clock()
-	for n, grant := range reply.GetGrants() {
-		asks[n].accept(now, sentAt, answerOf(grant))
+	grants := reply.GetGrants()
+	for n, a := range asks {
+		if err != nil || n >= len(grants) {
+			a.fail(now)
+			continue
+		}
+		a.accept(now, sentAt, answerOf(grants[n]))
 	}
 }
 
@@ -129,4 +131,10 @@
 	a.holding.Accept(now, sentAt, a.sequence, answer)
 }
 
+func (a *ask) fail(now time.Time) {
+	a.account.mutex.Lock()
+	defer a.account.mutex.Unlock()
+	a.holding.Fail(now, a.sequence)
+}
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/lrgrant/limiter.go
+++ b/internal/lrgrant/limiter.go
@@ -11,12 +11,8 @@
 )
 
 const (
-	// batchTime is how much of an account's demand one exchange asks for.
-	batchTime = 500 * time.Millisecond
-	// prefetchTime is the demand that is held before more is fetched ahead of requests.
-	prefetchTime = 200 * time.Millisecond
 	// reportsPerValidity is how often within the validity of a grant the holdings are looked through.
-	reportsPerValidity = 8
+	reportsPerValidity = 16
 	minRetryDelay      = 10 * time.Millisecond
 	maxRetryDelay      = 200 * time.Millisecond
 	prefetchRoom       = 256
@@ -89,9 +85,17 @@
 	}
 }
 
-// fetch asks the homes one after the other, the own zone's first, until the request fits.
+// order returns the zones in the order in which to ask their homes.
+func (l *Limiter) order(a *account) []string {
+	zones := l.zones()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.Order(l.clock(), zones, a.limits.WithShare(1/float64(len(zones))))
+}
+
+// fetch asks the homes one after the other until the request fits.
 func (l *Limiter) fetch(ctx context.Context, a *account, request lrlimit.Request) lrlimit.Reservation {
-	for _, z := range l.zones() {
+	for _, z := range l.order(a) {
 		reserved := l.take(a, request.Tokens)
 		if reserved != nil {
 			return reserved
@@ -106,7 +110,7 @@
 	now := l.clock()
 	a.mutex.Lock()
 	need := max(tokens-a.state.Held(now), 0)
-	want := need + a.state.Demand(now)*batchTime.Seconds()
+	want := a.state.Want(now, need)
 	a.mutex.Unlock()
 	l.caller.call(ctx, zone, []*ask{{account: a, need: need, want: want}})
 }
@@ -168,8 +172,7 @@
 func (l *Limiter) fetchAhead(a *account) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	now := l.clock()
-	if a.queued || a.state.Held(now) >= a.state.Demand(now)*prefetchTime.Seconds() {
+	if a.queued || !a.state.IsShort(l.clock()) {
 		return
 	}
 	a.queued = l.prefetch.Push(a)
--- a/internal/lrgrant/reporting.go
+++ b/internal/lrgrant/reporting.go
@@ -28,12 +28,11 @@
 		return
 	}
 	defer func() { <-a.turn }()
-	for _, z := range l.zones() {
-		now := l.clock()
+	for _, z := range l.order(a) {
 		a.mutex.Lock()
-		enough := a.state.Held(now) >= a.state.Demand(now)*prefetchTime.Seconds()
+		short := a.state.IsShort(l.clock())
 		a.mutex.Unlock()
-		if enough {
+		if !short {
 			return
 		}
 		l.exchange(ctx, a, z, 0)
@@ -73,9 +72,13 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	due := map[string]*ask{}
-	demand := a.state.Demand(now) * batchTime.Seconds()
-	for _, z := range a.state.Due(now, before) {
-		due[z] = &ask{account: a, release: a.state.Held(now) > demand}
+	release := a.state.HasSurplus(now)
+	want := a.state.Want(now, 0)
+	if release {
+		want = 0
+	}
+	for _, z := range a.state.Due(now, before, a.limits.Burst) {
+		due[z] = &ask{account: a, release: release, want: want}
 	}
 	return due
 }
--- a/pkg/lrlimit/account.go
+++ b/pkg/lrlimit/account.go
@@ -1,6 +1,7 @@
 package lrlimit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -8,8 +9,20 @@
 	"time"
 )
 
-// demandTime is the time over which the demand of an account is averaged.
-const demandTime = 2 * time.Second
+const (
+	// demandTime is the time over which the demand of an account is averaged.
+	demandTime = 2 * time.Second
+	// busyRate is the number of requests a second from which on tokens are held for requests to come.
+	busyRate = 4
+	// batchTime is how much of an account's demand one exchange asks for.
+	batchTime = 500 * time.Millisecond
+	// untoldShare is the part of the burst that may be used before the home is told.
+	untoldShare = 0.02
+	// ownZonePreference is how many times fuller another zone's pool must be to be asked before the own zone's.
+	ownZonePreference = 1.5
+	// prefetchTime is the demand that is held before more is fetched ahead of requests.
+	prefetchTime = 200 * time.Millisecond
+)
 
 // An Account is what one daemon holds of one client account, from the homes of all zones. It must be guarded by its
 // owner.
@@ -19,9 +32,11 @@
 	// sources are ordered by zone, the daemon's own zone first.
 	sources []source
 	made    uint64
-	demand  float64
-	updated time.Time
-	active  int
+	// demand and requests are averages a second.
+	demand   float64
+	requests float64
+	updated  time.Time
+	active   int
 }
 
 type source struct {
@@ -92,13 +107,24 @@
 
 // Ask notes the demand of a request.
 func (a *Account) Ask(now time.Time, tokens float64) {
-	a.demand = a.Demand(now) + tokens/demandTime.Seconds()
+	decay := a.decay(now)
+	a.demand = a.demand*decay + tokens/demandTime.Seconds()
+	a.requests = a.requests*decay + 1/demandTime.Seconds()
 	a.updated = now
 }
 
-// Demand returns the tokens a second that were asked for of late.
+// Demand returns the tokens a second that were asked for of late, or zero when requests are too rare to hold tokens
+// for the next one.
 func (a *Account) Demand(now time.Time) float64 {
-	return a.demand * math.Exp(-now.Sub(a.updated).Seconds()/demandTime.Seconds())
+	decay := a.decay(now)
+	if a.requests*decay < busyRate {
+		return 0
+	}
+	return a.demand * decay
+}
+
+func (a *Account) decay(now time.Time) float64 {
+	return math.Exp(-now.Sub(a.updated).Seconds() / demandTime.Seconds())
 }
 
 // IsIdle reports whether nothing is held, waiting to be given back or in use.
@@ -109,12 +135,57 @@
 	return !slices.ContainsFunc(a.sources, func(s source) bool { return s.holding.HasCredits() })
 }
 
-// Due returns the zones whose homes should hear from the daemon before the time, since grants end then or credits wait.
-func (a *Account) Due(now, before time.Time) []string {
+// Order returns the zones in the order in which to ask their homes: fuller pools first, so that no pool overflows while
+// another is empty, and the own zone's before others that are little fuller. Homes that did not answer a moment ago are
+// left out. Every pool has the given limits.
+func (a *Account) Order(now time.Time, zones []string, limits Limits) []string {
+	levels := make(map[string]float64, len(zones))
+	for _, z := range zones {
+		levels[z] = limits.Burst
+	}
+	for _, s := range a.sources {
+		levels[s.zone] = s.holding.PoolLevel(now, limits)
+		if s.holding.IsSilent(now) {
+			delete(levels, s.zone)
+		}
+	}
+	level, answers := levels[a.zone]
+	if answers {
+		levels[a.zone] = level * ownZonePreference
+	}
+	ordered := slices.DeleteFunc(slices.Clone(zones), func(z string) bool {
+		_, ok := levels[z]
+		return !ok
+	})
+	slices.SortStableFunc(ordered, func(x, y string) int { return cmp.Compare(levels[y], levels[x]) })
+	return ordered
+}
+
+// Want returns how many tokens to ask a home for when a request lacks some: what will be used within the batch time,
+// and no more than the request lacks when the account is not busy here.
+func (a *Account) Want(now time.Time, need float64) float64 {
+	return max(need, a.Demand(now)*batchTime.Seconds()-a.Held(now))
+}
+
+// IsShort reports whether what is held will be used up before long.
+func (a *Account) IsShort(now time.Time) bool {
+	return a.Held(now) < a.Demand(now)*prefetchTime.Seconds()
+}
+
+// HasSurplus reports whether more is held than will be used within the batch time.
+func (a *Account) HasSurplus(now time.Time) bool {
+	return a.Held(now) > a.Demand(now)*batchTime.Seconds()
+}
+
+// Due returns the zones whose homes should hear from the daemon: grants end before the given time or are not needed,
+// credits wait, or so much of the burst was used that the home's pool could seem full.
+func (a *Account) Due(now, before time.Time, burst float64) []string {
+	surplus := a.HasSurplus(now)
 	var zones []string
 	for _, s := range a.sources {
-		expiring := s.holding.Tokens(now) > 0 && s.holding.Expires().Before(before)
-		if expiring || s.holding.HasCredits() {
+		held := s.holding.Tokens(now) > 0
+		unneeded := held && (surplus || s.holding.Expires().Before(before))
+		if unneeded || s.holding.HasCredits() || s.holding.Untold() > untoldShare*burst {
 			zones = append(zones, s.zone)
 		}
 	}
--- a/pkg/lrlimit/exchange.go
+++ b/pkg/lrlimit/exchange.go
@@ -34,6 +34,8 @@
 	Tokens float64
 	// Validity of all tokens held, counted from the sending of the report.
 	Validity time.Duration
+	// Level is the number of tokens left in the pool.
+	Level float64
 	// Mark identifies the exchange in later credits.
 	Mark uint64
 }
--- a/pkg/lrlimit/holding.go
+++ b/pkg/lrlimit/holding.go
@@ -2,19 +2,32 @@
 
 import "time"
 
-// maxCredits bounds the credits that wait for the next report.
-const maxCredits = 16
+const (
+	// maxCredits bounds the credits that wait for the next report.
+	maxCredits = 16
+	// silenceTime is how long a home that did not answer is left alone.
+	silenceTime = time.Second
+)
 
 // A Holding is what one daemon holds of one client account from one home. It must be guarded by its owner.
 type Holding struct {
 	daemon   string
 	sequence uint64
+	// awaiting tells that the answer to the latest report has not come.
+	awaiting bool
 	tokens   float64
 	used     float64
-	expires  time.Time
-	fresh    []*Part
-	reported []*Part
-	credits  []Credit
+	// told is the count of used tokens in the latest report.
+	told    float64
+	expires time.Time
+	// level is what the last answer said of the home's pool, and levelAt when.
+	level   float64
+	levelAt time.Time
+	// silentUntil is when a home that did not answer can be asked again.
+	silentUntil time.Time
+	fresh       []*Part
+	reported    []*Part
+	credits     []Credit
 }
 
 // NewHolding returns an empty Holding. No two holdings may share a name, also when they belong to one process.
@@ -31,6 +44,17 @@
 // Expires returns when the tokens end.
 func (h *Holding) Expires() time.Time { return h.expires }
 
+// Untold returns the tokens used since the latest report.
+func (h *Holding) Untold() float64 { return h.used - h.told }
+
+// PoolLevel estimates the tokens in the home's pool, which has the given limits.
+func (h *Holding) PoolLevel(now time.Time, limits Limits) float64 {
+	if h.levelAt.IsZero() {
+		return limits.Burst
+	}
+	return min(h.level+now.Sub(h.levelAt).Seconds()*limits.Rate, limits.Burst)
+}
+
 // HasCredits reports whether tokens wait to be given back.
 func (h *Holding) HasCredits() bool { return len(h.credits) > 0 }
 
@@ -54,6 +78,7 @@
 func (h *Holding) Report(now time.Time, need, want float64) Report {
 	h.lose()
 	h.sequence++
+	h.awaiting = true
 	for _, p := range h.fresh {
 		p.state = partReported
 	}
@@ -62,17 +87,19 @@
 		Daemon: h.daemon, Sequence: h.sequence, Used: h.used, Held: h.Tokens(now), Need: need, Want: max(need, want),
 		Credits: h.credits,
 	}
-	h.credits = nil
+	h.credits, h.told = nil, h.used
 	return report
 }
 
 // Accept takes in the answer to the report of the given sequence, which was sent at the given time.
 func (h *Holding) Accept(now, sentAt time.Time, sequence uint64, answer Answer) {
-	if sequence != h.sequence || !answer.Accepted {
+	if sequence != h.sequence || !h.awaiting || !answer.Accepted {
 		return
 	}
+	h.awaiting = false
 	h.tokens = h.Tokens(now) + answer.Tokens
 	h.expires = sentAt.Add(answer.Validity)
+	h.level, h.levelAt = answer.Level, now
 	for _, p := range h.reported {
 		p.state, p.mark = partMarked, answer.Mark
 		h.credit(p.pending, p.mark)
@@ -80,6 +107,16 @@
 	h.reported = nil
 }
 
+// Fail notes that there was no answer to the report of the given sequence.
+func (h *Holding) Fail(now time.Time, sequence uint64) {
+	if sequence == h.sequence && h.awaiting {
+		h.silentUntil = now.Add(silenceTime)
+	}
+}
+
+// IsSilent reports whether the home did not answer a moment ago.
+func (h *Holding) IsSilent(now time.Time) bool { return now.Before(h.silentUntil) }
+
 // lose gives up what was reported in an exchange without an answer: it can't be told when the home learned of it.
 func (h *Holding) lose() {
 	for _, p := range h.reported {
--- a/pkg/lrlimit/home.go
+++ b/pkg/lrlimit/home.go
@@ -40,10 +40,14 @@
 
 type session struct {
 	sequence uint64
-	used     float64
-	granted  float64
-	expires  time.Time
-	heard    time.Time
+	// used is the count of the last report, usedBefore the count when the home first heard of the daemon.
+	used       float64
+	usedBefore float64
+	// granted is what the daemon may still use, total what it was ever granted.
+	granted float64
+	total   float64
+	expires time.Time
+	heard   time.Time
 }
 
 // NewHome returns a Home whose pool is empty. Every grant of an earlier home must have ended.
@@ -59,7 +63,7 @@
 	h.applyLimits(limits)
 	s, known := h.sessions[report.Daemon]
 	if !known {
-		s = &session{used: report.Used}
+		s = &session{used: report.Used, usedBefore: report.Used}
 		h.sessions[report.Daemon] = s
 	}
 	if known && report.Sequence <= s.sequence {
@@ -89,21 +93,17 @@
 	}
 }
 
-// settle compares the report with what was granted. What is neither used nor held comes back to the pool.
+// settle compares the report with what was granted. What is neither used nor held comes back to the pool. What was
+// used of a grant that has expired here has been counted already.
 func (h *Home) settle(s *session, report Report) error {
-	used := report.Used - s.used
 	held := min(report.Held, s.granted)
-	unused := s.granted - used - held
-	expired := s.granted == 0
+	unused := max(s.granted-(report.Used-s.used)-held, 0)
 	h.outstanding -= s.granted - held
 	s.used, s.granted = report.Used, held
-	if unused < 0 {
-		if !expired && unused < -h.slack() {
-			return ErrInvariant.New("a daemon has used %g tokens more than it was granted", -unused)
-		}
-		unused = 0
-	}
 	h.level = min(h.level+unused, h.room())
+	if s.used-s.usedBefore > s.total+h.slack() {
+		return ErrInvariant.New("a daemon has used %g tokens of %g granted", s.used-s.usedBefore, s.total)
+	}
 	return nil
 }
 
@@ -122,11 +122,12 @@
 	h.level -= tokens
 	h.outstanding += tokens
 	s.granted += tokens
+	s.total += tokens
 	s.expires = now.Add(WithMargin(h.validity))
 	if s.granted > 0 && (h.nextExpiry.IsZero() || s.expires.Before(h.nextExpiry)) {
 		h.nextExpiry = s.expires
 	}
-	return Answer{Accepted: true, Tokens: tokens, Validity: h.validity, Mark: h.mark}
+	return Answer{Accepted: true, Tokens: tokens, Level: h.level, Validity: h.validity, Mark: h.mark}
 }
 
 // advance refills the pool and ends the grants that have expired, in the order of time.
--- /dev/null
+++ b/pkg/lrlimit/seeds_soak_test.go
@@ -0,0 +1,5 @@
+//go:build soak
+
+package lrlimit_test
+
+const seeds = 400
