--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrexplain"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrgrant"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
@@ -57,6 +58,7 @@
 	queue      lrqueue.Queue
 	runner     *lrstream.Runner
 	limiter    lrlimit.Limiter
+	keeper     *lrgrant.Keeper
 	paid       lrgateway.PaidRunner
 	services   lrservice.Client
 	gateway    *lrgateway.Gateway
--- a/internal/lrdaemon/handlers.go
+++ b/internal/lrdaemon/handlers.go
@@ -80,6 +80,9 @@
 	if !d.registry.Known() {
 		missing = append(missing, "no list of instances has been read from the platform or a peer")
 	}
+	if !d.keeper.IsReady() {
+		missing = append(missing, "no view of the homes of client accounts has been read from the platform or a peer")
+	}
 	return missing
 }
 
--- a/internal/lrdaemon/wire_limits.go
+++ b/internal/lrdaemon/wire_limits.go
@@ -18,12 +18,14 @@
 		},
 		Zone: s.Instance.Zone, LeaseValidity: s.Limits.LeaseValidity, GrantValidity: s.Limits.GrantValidity, MaxWait: s.Limits.MaxWait,
 	}
-	violation := func(name string) { d.metrics.Violations.WithLabelValues(name).Inc() }
-	keeper := lrgrant.NewKeeper(options, d.clock, d.platform, d.roster, d.pool, violation, d.log)
+	keeper := lrgrant.NewKeeper(options, lrgrant.Parts{
+		Clock: d.clock, Platform: d.platform, Directory: d.listing, Candidates: d.candidates, Pool: d.pool, Log: d.log,
+		Violation: func(name string) { d.metrics.Violations.WithLabelValues(name).Inc() },
+	})
 	server := lrgrant.NewServer(keeper)
 	limiter := lrgrant.NewLimiter(keeper, server)
 	lrpeerpb.RegisterLimitServer(d.peers, server)
-	d.limiter = limiter
+	d.limiter, d.keeper = limiter, keeper
 	d.supervisor.Add("keepViews", keeper.Run)
 	d.supervisor.Add("prefetchGrants", limiter.RunPrefetch)
 	d.supervisor.Add("reportGrants", lrsupervise.Every(limiter.ReportPeriod(), limiter.Report))
--- a/internal/lrgrant/caller.go
+++ b/internal/lrgrant/caller.go
@@ -56,7 +56,7 @@
 }
 
 func (c caller) callHome(ctx context.Context, view lrlimit.View, home lrlimit.Member, asks []*ask) {
-	sentAt := c.keeper.clock()
+	sentAt := c.keeper.Clock()
 	self := c.keeper.options.Self
 	request := &lrpeerpb.AcquireRequest{Daemon: self.Name, Incarnation: self.Incarnation, Zone: view.Zone, View: view.Number}
 	for _, a := range asks {
@@ -68,7 +68,7 @@
 	if err != nil || !reply.GetTenure() || reply.GetView() != view.Number {
 		c.keeper.Kick(view.Zone)
 	}
-	now := c.keeper.clock()
+	now := c.keeper.Clock()
 	grants := reply.GetGrants()
 	for n, a := range asks {
 		if err != nil || n >= len(grants) {
@@ -83,7 +83,7 @@
 	if home == c.keeper.options.Self {
 		return c.server.Acquire(ctx, request)
 	}
-	now := c.keeper.clock()
+	now := c.keeper.Clock()
 	until, silent := c.silent.Load(home.ID())
 	if silent && now.Before(until.(time.Time)) {
 		return nil, errSilent
@@ -98,7 +98,7 @@
 }
 
 func (c caller) send(ctx context.Context, home lrlimit.Member, request *lrpeerpb.AcquireRequest) (*lrpeerpb.AcquireReply, error) {
-	connection, err := c.keeper.pool.Connection(home.Address)
+	connection, err := c.keeper.Pool.Connection(home.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lrgrant/keeper.go
+++ b/internal/lrgrant/keeper.go
@@ -37,16 +37,25 @@
 	MaxWait       time.Duration
 }
 
+// Parts are what a Keeper works with.
+type Parts struct {
+	Clock    func() time.Time
+	Platform lrplatform.Platform
+	// Directory is the list of instances. It may be relayed by peers.
+	Directory lrplatform.Directory
+	// Candidates returns instances that can be asked for views when none is known.
+	Candidates func(ctx context.Context) []lrpeer.Member
+	Pool       *lrpeer.Pool
+	// Violation counts a violated invariant.
+	Violation func(name string)
+	Log       zerolog.Logger
+}
+
 // A Keeper keeps the views of all zones up to date, and the tenure of this process as a home.
 type Keeper struct {
-	options   Options
-	clock     func() time.Time
-	platform  lrplatform.Platform
-	roster    lrpeer.Roster
-	pool      *lrpeer.Pool
-	log       zerolog.Logger
-	kick      chan struct{}
-	violation func(name string)
+	Parts
+	options Options
+	kick    chan struct{}
 
 	mutex       sync.Mutex
 	homes       *lrlimit.Homes
@@ -58,12 +67,9 @@
 }
 
 // NewKeeper returns a Keeper that knows no view.
-func NewKeeper(options Options, clock func() time.Time, platform lrplatform.Platform, roster lrpeer.Roster, pool *lrpeer.Pool,
-	violation func(name string), log zerolog.Logger,
-) *Keeper {
+func NewKeeper(options Options, parts Parts) *Keeper {
 	return &Keeper{
-		options: options, clock: clock, platform: platform, roster: roster, pool: pool, log: log, violation: violation,
-		kick:   make(chan struct{}, 1),
+		Parts: parts, options: options, kick: make(chan struct{}, 1),
 		homes:  lrlimit.NewHomes(options.Self, options.LeaseValidity, options.GrantValidity),
 		others: map[string]lrlimit.View{}, stale: map[string]bool{}, missing: map[lrlimit.Member]time.Time{},
 	}
@@ -96,6 +102,13 @@
 	}
 }
 
+// IsReady reports whether the homes of this zone are known, so that grants can be asked for.
+func (k *Keeper) IsReady() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.homes.View().Number > 0 && len(k.entitlement.Zones) > 0
+}
+
 // Zones returns the zones with an entitlement, this process's own first.
 func (k *Keeper) Zones() []string {
 	k.mutex.Lock()
@@ -141,12 +154,12 @@
 	defer cancel()
 	err := k.readPlatform(ctx)
 	if err != nil {
-		k.log.Debug().Err(err).Msg("limits: platform not read, going on with the views of the peers")
+		k.Log.Debug().Err(err).Msg("limits: platform not read, going on with the views of the peers")
 	}
 	k.askMembers(ctx, err != nil)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.homes.Sweep(k.clock())
+	k.homes.Sweep(k.Clock())
 }
 
 // adopt takes the view in if it is newer than the known one.
@@ -159,8 +172,8 @@
 		}
 		return
 	}
-	if k.homes.Adopt(k.clock(), view) {
-		k.log.Info().Uint64("view", view.Number).Int("members", len(view.Members)).Msg("limits: view adopted")
+	if k.homes.Adopt(k.Clock(), view) {
+		k.Log.Info().Uint64("view", view.Number).Int("members", len(view.Members)).Msg("limits: view adopted")
 	}
 }
 
@@ -190,7 +203,7 @@
 		ask = view.Members
 	}
 	if platformDown && len(view.Members) == 0 {
-		ask = k.rosterMembers()
+		ask = k.candidates(ctx)
 	}
 	var group sync.WaitGroup
 	for _, m := range ask {
@@ -201,10 +214,11 @@
 	group.Wait()
 }
 
-func (k *Keeper) rosterMembers() []lrlimit.Member {
+// candidates returns instances to ask for views.
+func (k *Keeper) candidates(ctx context.Context) []lrlimit.Member {
 	var members []lrlimit.Member
-	for _, m := range k.roster.Members() {
-		if m.Name != k.options.Self.Name {
+	for _, m := range k.Candidates(ctx) {
+		if m.PeerAddress != k.options.Self.Address {
 			members = append(members, lrlimit.Member{Name: m.Name, Incarnation: m.Incarnation, Address: m.PeerAddress})
 		}
 	}
@@ -214,11 +228,11 @@
 func (k *Keeper) askMember(ctx context.Context, m lrlimit.Member) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	connection, err := k.pool.Connection(m.Address)
+	connection, err := k.Pool.Connection(m.Address)
 	if err != nil {
 		return
 	}
-	sentAt := k.clock()
+	sentAt := k.Clock()
 	number := k.View(k.options.Zone).Number
 	reply, err := lrpeerpb.NewLimitClient(connection).ExchangeViews(ctx, &lrpeerpb.ExchangeViewsRequest{
 		Daemon: k.options.Self.ID(), Zone: k.options.Zone, View: number,
@@ -235,7 +249,7 @@
 		k.adopt(view)
 		if view.Zone == k.options.Zone && reply.GetDaemon() == m.ID() {
 			k.mutex.Lock()
-			k.homes.ConfirmByMember(k.clock(), sentAt, m, view.Number)
+			k.homes.ConfirmByMember(k.Clock(), sentAt, m, view.Number)
 			k.mutex.Unlock()
 		}
 	}
--- a/internal/lrgrant/limiter.go
+++ b/internal/lrgrant/limiter.go
@@ -12,7 +12,7 @@
 
 const (
 	// reportsPerValidity is how often within the validity of a grant the holdings are looked through.
-	reportsPerValidity = 16
+	reportsPerValidity = 4
 	minRetryDelay      = 10 * time.Millisecond
 	maxRetryDelay      = 200 * time.Millisecond
 	prefetchRoom       = 256
@@ -44,7 +44,7 @@
 // NewLimiter returns a Limiter that takes grants from the homes in the keeper's views.
 func NewLimiter(keeper *Keeper, server *Server) *Limiter {
 	return &Limiter{
-		options: keeper.options, clock: keeper.clock, caller: caller{keeper: keeper, server: server, sent: &atomic.Uint64{}, silent: &sync.Map{}}, zones: keeper.Zones,
+		options: keeper.options, clock: keeper.Clock, caller: caller{keeper: keeper, server: server, sent: &atomic.Uint64{}, silent: &sync.Map{}}, zones: keeper.Zones,
 		prefetch: lrring.New[*account](prefetchRoom), accounts: map[string]*account{},
 	}
 }
--- /dev/null
+++ b/internal/lrgrant/limiter_test.go
@@ -0,0 +1,177 @@
+package lrgrant
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+)
+
+const waitLimit = 20 * time.Second
+
+// instance is one daemon's part of the limiter, with a gRPC server of its own.
+type instance struct {
+	*Limiter
+	keeper *Keeper
+	server *grpc.Server
+}
+
+// startInstances starts the instances of three zones on one platform and waits until the pools have begun to fill.
+func startInstances(t *testing.T, platform *lrplatform.Memory, perZone int) []*instance {
+	t.Helper()
+	listed := make([]lrplatform.Instance, 0, 3*perZone)
+	listeners := make([]net.Listener, 0, 3*perZone)
+	for n := range 3 * perZone {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		listed = append(listed, lrplatform.Instance{
+			Name: fmt.Sprint("router-", n), Role: lrplatform.RoleRouter, Zone: fmt.Sprint("zone-", n%3),
+			PeerAddress: listener.Addr().String(),
+		})
+	}
+	platform.SetInstances(listed)
+	instances := make([]*instance, len(listed))
+	for n, l := range listed {
+		instances[n] = startInstance(t, platform, l, listeners[n])
+	}
+	eventually(t, "every zone has a settled view", func() bool {
+		for _, i := range instances {
+			if !i.keeper.isSettled() || len(i.keeper.Zones()) != 3 || i.lacksView() {
+				return false
+			}
+		}
+		return true
+	})
+	return instances
+}
+
+func startInstance(t *testing.T, platform *lrplatform.Memory, listed lrplatform.Instance, listener net.Listener) *instance {
+	t.Helper()
+	options := Options{
+		Self: lrlimit.Member{Name: listed.Name, Incarnation: uint64(time.Now().UnixNano()), Address: listed.PeerAddress},
+		Zone: listed.Zone, LeaseValidity: time.Second, GrantValidity: 200 * time.Millisecond, MaxWait: 50 * time.Millisecond,
+	}
+	pool := lrpeer.NewPool(insecure.NewCredentials())
+	keeper := NewKeeper(options, Parts{
+		Clock: time.Now, Platform: platform, Directory: platform, Pool: pool, Log: zerolog.Nop(),
+		Candidates: func(context.Context) []lrpeer.Member { return nil },
+		Violation:  func(name string) { t.Errorf("invariant %s violated", name) },
+	})
+	server := NewServer(keeper)
+	i := &instance{Limiter: NewLimiter(keeper, server), keeper: keeper, server: grpc.NewServer()}
+	lrpeerpb.RegisterLimitServer(i.server, server)
+	ctx, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = i.server.Serve(listener) })
+	group.Go(func() { _ = keeper.Run(ctx) })
+	group.Go(func() { _ = i.RunPrefetch(ctx) })
+	group.Go(func() {
+		for ctx.Err() == nil {
+			i.Report(ctx, time.Now())
+			sleep(ctx, i.ReportPeriod())
+		}
+	})
+	t.Cleanup(func() {
+		stop()
+		i.server.Stop()
+		group.Wait()
+		pool.Close()
+	})
+	return i
+}
+
+func (k *Keeper) isSettled() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.homes.IsSettled(k.Clock()) && k.homes.View().Contains(k.options.Self)
+}
+
+func (i *instance) lacksView() bool {
+	for _, z := range i.keeper.Zones() {
+		if i.keeper.View(z).Number == 0 {
+			i.keeper.Kick(z)
+			return true
+		}
+	}
+	return false
+}
+
+func TestInstancesShareOneBurst(t *testing.T) {
+	instances := startInstances(t, lrplatform.NewMemory(), 2)
+	admitted := 0
+	request := lrlimit.Request{Account: "parish-office", Rate: 1000, Burst: 3000, Tokens: 100}
+	started := time.Now()
+	for range 20 {
+		for _, i := range instances {
+			reservation, err := i.Reserve(context.Background(), time.Now(), request)
+			if err == nil {
+				admitted++
+				reservation.Settle(time.Now(), request.Tokens)
+			}
+		}
+	}
+	limit := request.Burst + request.Rate*time.Since(started).Seconds()
+	if float64(admitted)*request.Tokens > limit {
+		t.Errorf("%d requests of %g tokens were admitted, above %g", admitted, request.Tokens, limit)
+	}
+}
+
+func TestWholeBurstThroughOneInstance(t *testing.T) {
+	instances := startInstances(t, lrplatform.NewMemory(), 1)
+	request := lrlimit.Request{Account: "parish-office", Rate: 1e6, Burst: 3000, Tokens: 3000}
+	eventually(t, "the whole burst is admitted", func() bool {
+		reservation, err := instances[0].Reserve(context.Background(), time.Now(), request)
+		if err == nil {
+			reservation.Settle(time.Now(), 0)
+		}
+		return err == nil
+	})
+}
+
+func TestRequestAboveBurstIsRefused(t *testing.T) {
+	instances := startInstances(t, lrplatform.NewMemory(), 1)
+	_, err := instances[0].Reserve(context.Background(), time.Now(), lrlimit.Request{Account: "a", Rate: 10, Burst: 10, Tokens: 11})
+	if !lrerror.Is(err, lrerror.KindRateLimited) || lrerror.From(err).RetryAfter() != 0 {
+		t.Errorf("got %v, want a refusal without a time to retry", err)
+	}
+}
+
+func TestLeavingInstanceHandsItsAccountsOver(t *testing.T) {
+	platform := lrplatform.NewMemory()
+	instances := startInstances(t, platform, 2)
+	leaving := instances[0]
+	leaving.Release(context.Background())
+	leaving.keeper.Leave(context.Background())
+	leaving.server.Stop()
+	request := lrlimit.Request{Account: "parish-office", Rate: 1e6, Burst: 3000, Tokens: 3000}
+	eventually(t, "the rest of the zone gives the whole burst", func() bool {
+		_, err := instances[1].Reserve(context.Background(), time.Now(), request)
+		return err == nil
+	})
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never came true: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/lrgrant/server.go
+++ b/internal/lrgrant/server.go
@@ -45,10 +45,10 @@
 func (s *Server) exchange(request *lrpeerpb.AcquireRequest, item *lrpeerpb.AcquireItem) (*lrpeerpb.Grant, bool) {
 	k := s.keeper
 	limits := lrlimit.Limits{Rate: item.GetRate(), Burst: item.GetBurst()}
-	answer, ok, err := k.homes.Exchange(k.clock(), request.GetView(), item.GetAccount(), limits, reportOf(request, item))
+	answer, ok, err := k.homes.Exchange(k.Clock(), request.GetView(), item.GetAccount(), limits, reportOf(request, item))
 	if err != nil {
-		k.log.Error().Err(err).Str("account", item.GetAccount()).Msg("limits: invariant violated")
-		k.violation("limit")
+		k.Log.Error().Err(err).Str("account", item.GetAccount()).Msg("limits: invariant violated")
+		k.Violation("limit")
 	}
 	return grantOf(item.GetAccount(), answer), ok
 }
--- a/internal/lrgrant/views.go
+++ b/internal/lrgrant/views.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	sentAt := k.clock()
+	sentAt := k.Clock()
 	object, view, err := k.readView(ctx, k.options.Zone)
 	if err != nil {
 		return err
@@ -50,7 +50,7 @@
 	if k.Share(k.options.Zone) > 0 {
 		return nil
 	}
-	object, err := k.platform.Get(ctx, lrplatform.KindView, entitlementName)
+	object, err := k.Platform.Get(ctx, lrplatform.KindView, entitlementName)
 	if lrplatform.ErrNotFound.Has(err) {
 		object, err = k.divide(ctx)
 	}
@@ -62,7 +62,7 @@
 }
 
 func (k *Keeper) divide(ctx context.Context) (lrplatform.Object, error) {
-	instances, err := k.platform.Instances(ctx)
+	instances, err := k.Directory.Instances(ctx)
 	if err != nil {
 		return lrplatform.Object{}, err
 	}
@@ -77,11 +77,11 @@
 	if err != nil {
 		return lrplatform.Object{}, err
 	}
-	return k.platform.Create(ctx, lrplatform.KindView, entitlementName, value)
+	return k.Platform.Create(ctx, lrplatform.KindView, entitlementName, value)
 }
 
 func (k *Keeper) readOtherZones(ctx context.Context) error {
-	now := k.clock()
+	now := k.Clock()
 	k.mutex.Lock()
 	all := now.Sub(k.readAt) > otherZonesPeriod
 	stale := k.stale
@@ -107,7 +107,7 @@
 
 // readView returns the view of the zone and the object that holds it. A zone without one has a view of number zero.
 func (k *Keeper) readView(ctx context.Context, zone string) (lrplatform.Object, lrlimit.View, error) {
-	object, err := k.platform.Get(ctx, lrplatform.KindView, viewPrefix+zone)
+	object, err := k.Platform.Get(ctx, lrplatform.KindView, viewPrefix+zone)
 	if lrplatform.ErrNotFound.Has(err) {
 		return lrplatform.Object{}, lrlimit.View{Zone: zone}, nil
 	}
@@ -126,9 +126,9 @@
 		return err
 	}
 	if object.Version == 0 {
-		_, err = k.platform.Create(ctx, lrplatform.KindView, viewPrefix+next.Zone, value)
+		_, err = k.Platform.Create(ctx, lrplatform.KindView, viewPrefix+next.Zone, value)
 	} else {
-		_, err = k.platform.Update(ctx, object.WithValue(value))
+		_, err = k.Platform.Update(ctx, object.WithValue(value))
 	}
 	if err != nil {
 		return err
@@ -142,13 +142,13 @@
 	gone := k.goneMembers(ctx, view)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.homes.Next(k.clock(), view, gone)
+	return k.homes.Next(k.Clock(), view, gone)
 }
 
 // goneMembers returns the members that have been missing from the platform's list for long.
 func (k *Keeper) goneMembers(ctx context.Context, view lrlimit.View) []lrlimit.Member {
-	instances, err := k.platform.Instances(ctx)
-	now := k.clock()
+	instances, err := k.Directory.Instances(ctx)
+	now := k.Clock()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if err != nil {
--- a/pkg/lrlimit/home_test.go
+++ b/pkg/lrlimit/home_test.go
@@ -90,3 +90,113 @@
 		t.Errorf("the pool holds %g tokens, want %g", got, want)
 	}
 }
+
+func TestHeldTokensLeaveNoRoom(t *testing.T) {
+	home, limits := fullHome()
+	charged := &ledger{bucket: lrlimit.NewBucket(start(), limits.Rate, limits.Burst).WithTokens(limits.Burst)}
+	holdings := []*lrlimit.Holding{lrlimit.NewHolding("first"), lrlimit.NewHolding("second")}
+	now := start()
+	for _, h := range holdings {
+		report := h.Report(now, limits.Burst, limits.Burst)
+		answer, _ := home.Exchange(now, limits, report)
+		h.Accept(now, now, report.Sequence, answer)
+		now = now.Add(testValidity - 1)
+	}
+	now = start().Add(testValidity - 1)
+	for _, h := range holdings {
+		charged.charge(now, h.Tokens(now))
+	}
+	if charged.worst < -roundingTokens {
+		t.Errorf("tokens held beside a refilled pool were %g too many", -charged.worst)
+	}
+}
+
+func TestMovedAccountStartsEmpty(t *testing.T) {
+	first, second := members("a")[0], members("b")[0]
+	account := accountOf(viewOf("ab"), second)
+	homes := lrlimit.NewHomes(first, testLease, testValidity)
+	homes.Entitle(1)
+	limits := lrlimit.Limits{Rate: 100, Burst: 1000}
+	granted := func(now time.Time) float64 {
+		homes.ConfirmByPlatform(now)
+		report := lrlimit.NewHolding(now.String()).Report(now, limits.Burst, limits.Burst)
+		answer, _, err := homes.Exchange(now, homes.View().Number, account, limits, report)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer.Tokens
+	}
+	alone := lrlimit.View{Zone: "zone"}.WithMember(first)
+	both := alone.WithMember(second)
+	cases := []struct {
+		name  string
+		view  lrlimit.View
+		after time.Duration
+		want  float64
+	}{
+		{"alone for long", alone, time.Hour, 1000},
+		{"given to another", both, time.Hour, 0},
+		{"back, but grants of the other may last", both.WithoutLeaver(second), lrlimit.WithMargin(testValidity) - 1, 0},
+		{"back for two seconds", both.WithoutLeaver(second), lrlimit.WithMargin(testValidity) + 2*time.Second, 200},
+	}
+	now, adopted := start(), start()
+	for _, c := range cases {
+		if homes.Adopt(now, c.view) {
+			for _, m := range c.view.Members {
+				homes.ConfirmByMember(now, now, m, c.view.Number)
+			}
+			adopted = now
+		}
+		now = adopted.Add(c.after)
+		got := granted(now)
+		if got != c.want {
+			t.Errorf("%s: granted %g, want %g", c.name, got, c.want)
+		}
+	}
+}
+
+// accountOf returns the name of an account whose home is the member.
+func accountOf(view lrlimit.View, m lrlimit.Member) string {
+	for _, name := range accountNames() {
+		home, _ := view.Home(name)
+		if home == m {
+			return name
+		}
+	}
+	return ""
+}
+
+func TestRestartOfAllStartsEmpty(t *testing.T) {
+	f := newFleet(1, 3, 3)
+	f.runFor(warmUp)
+	flood := func(duration time.Duration) {
+		for range int(duration / step) {
+			for _, name := range accountNames() {
+				f.flood(name)
+			}
+			f.runFor(step)
+		}
+	}
+	flood(20 * time.Second)
+	f.runFor(warmUp)
+	flood(5 * time.Second)
+	for _, p := range f.procs {
+		p.start()
+	}
+	flood(20 * time.Second)
+	checkNoExcess(t, f)
+}
+
+func TestGrantsEndByThemselves(t *testing.T) {
+	home, limits := fullHome()
+	holding := lrlimit.NewHolding("daemon")
+	report := holding.Report(start(), 400, 400)
+	answer, _ := home.Exchange(start().Add(time.Millisecond), limits, report)
+	holding.Accept(start().Add(2*time.Millisecond), start(), report.Sequence, answer)
+	if holding.Take(start().Add(testValidity-1), 100) == nil {
+		t.Error("the grant ended early")
+	}
+	if holding.Take(start().Add(testValidity), 100) != nil {
+		t.Error("the grant is used after its end, counted from the sending of the report")
+	}
+}
