Measure the grants against a store counter and equal shares

Nine instances in three zones over gRPC on loopback, one account at 90% of its rate with requests of 540 tokens on average, half of them through one instance; then three times the rate while the platform goes down.

--- /dev/null
+++ b/scripts/bench/limit.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+)
+
+const (
+	limitWarmUp     = 6 * time.Second
+	steadyTime      = 6 * time.Second
+	floodTime       = 5 * time.Second
+	outageAfter     = 2 * time.Second
+	steadyRequests  = 100
+	floodRequests   = 300
+	limitLoad       = 0.9
+	limitRate       = 60_000
+	limitBurst      = 240_000
+	futureDaemons   = 420
+	futureRequests  = 19_000.0
+	futureAccounts  = 16_000
+	percentile99    = 0.99
+	maxControlBytes = 8_000
+	maxControlCore  = 3.7
+	// wrongfulTarget is in percent of the requests.
+	wrongfulTarget = 0.1
+)
+
+// limitRun is what one limiter did under the same load.
+type limitRun struct {
+	requests     int
+	wrongful     int
+	calls        float64
+	messages     float64
+	wireBytes    float64
+	added        time.Duration
+	overAdmitted float64
+}
+
+// limitLedger is charged with every admitted request, in the order of admission.
+type limitLedger struct {
+	mutex  sync.Mutex
+	bucket lrlimit.Bucket
+	worst  float64
+	run    limitRun
+	added  []time.Duration
+}
+
+func (l *limitLedger) admissible(now time.Time, tokens float64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.bucket.WithTime(now).Tokens() >= tokens
+}
+
+func (l *limitLedger) decided(now time.Time, tokens float64, admissible, admitted bool, took time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.run.requests++
+	l.bucket = l.bucket.WithTime(now)
+	switch {
+	case admitted:
+		l.bucket = l.bucket.WithTokens(-tokens)
+		l.worst = min(l.worst, l.bucket.Tokens())
+		l.added = append(l.added, took)
+	case admissible:
+		l.run.wrongful++
+	}
+}
+
+func measureLimit(ctx context.Context) ([]figure, error) {
+	var runs [3]limitRun
+	for n, build := range []func() (*limitFleet, error){grants, storeCounters, equalShares} {
+		fleet, err := build()
+		if err != nil {
+			return nil, err
+		}
+		runs[n] = runLimiter(ctx, fleet)
+		fleet.stop()
+	}
+	figures := compareRuns("StoreCounter", runs[0], runs[1])
+	figures = append(figures, compareRuns("EqualShares", runs[0], runs[2])...)
+	return append(figures, limitCosts(runs[0])...), ctx.Err()
+}
+
+func compareRuns(against string, ours, baseline limitRun) []figure {
+	none := math.NaN()
+	name := func(metric string) string { return metric + "Vs" + against }
+	return []figure{
+		{name("overAdmittedTokens"), ours.overAdmitted, baseline.overAdmitted, 0, "tokens"},
+		{name("wrongfulRefusals"), percent(ours), percent(baseline), wrongfulTarget, "percent"},
+		{name("platformCalls"), ours.calls, baseline.calls, none, "calls/s"},
+		{name("messagesPerRequest"), ours.messages, baseline.messages, 1, "messages"},
+		{name("addedTimeP99"), milliseconds(ours.added), milliseconds(baseline.added), 1, "ms"},
+	}
+}
+
+func percent(r limitRun) float64 { return 100 * float64(r.wrongful) / float64(r.requests) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// runLimiter sends a steady load at a part of the rate, then a flood during which the platform goes down.
+func runLimiter(ctx context.Context, f *limitFleet) limitRun {
+	sendLimited(ctx, f, newLimitLedger(), limitWarmUp, 1, limitLoad/steadyRequests)
+	ledger := newLimitLedger()
+	calls, messages, bytes := f.platform.calls.Load(), f.messages(), f.bytes.Load()
+	sendLimited(ctx, f, ledger, steadyTime, steadyRequests, limitLoad)
+	run := ledger.run
+	run.calls = float64(f.platform.calls.Load()-calls) / steadyTime.Seconds()
+	run.messages = float64(f.messages()-messages) / float64(run.requests)
+	run.wireBytes = float64(f.bytes.Load()-bytes) / max(float64(f.messages()-messages), 1)
+	slices.Sort(ledger.added)
+	run.added = ledger.added[int(float64(len(ledger.added))*percentile99)]
+	outage := time.AfterFunc(outageAfter, func() { f.platform.down.Store(true) })
+	defer outage.Stop()
+	sendLimited(ctx, f, ledger, floodTime, floodRequests, floodRequests/steadyRequests)
+	run.overAdmitted = max(-ledger.worst, 0)
+	return run
+}
+
+func newLimitLedger() *limitLedger {
+	return &limitLedger{bucket: lrlimit.NewBucket(time.Now(), limitRate, limitBurst).WithTokens(limitBurst)}
+}
+
+// sendLimited sends requests at the given part of the rate: half to one instance, a quarter to its zone, the rest to any.
+func sendLimited(ctx context.Context, f *limitFleet, l *limitLedger, duration time.Duration, perSecond, load float64) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var group sync.WaitGroup
+	next := time.Now()
+	for end := next.Add(duration); next.Before(end) && ctx.Err() == nil; {
+		next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		tokens := min(random.ExpFloat64()*load*limitRate/perSecond, limitBurst/4)
+		limiter := f.limiters[unevenIndex(random)]
+		group.Go(func() { reserveOnce(ctx, limiter, l, tokens) })
+	}
+	group.Wait()
+}
+
+func unevenIndex(random *rand.Rand) int {
+	switch random.IntN(4) {
+	case 0, 1:
+		return 0
+	case 2:
+		return random.IntN(limitInstances/limitZones) * limitZones
+	default:
+		return random.IntN(limitInstances)
+	}
+}
+
+func reserveOnce(ctx context.Context, limiter lrlimit.Limiter, l *limitLedger, tokens float64) {
+	request := lrlimit.Request{Account: "school", Rate: limitRate, Burst: limitBurst, Tokens: tokens}
+	started := time.Now()
+	admissible := l.admissible(started, tokens)
+	reservation, err := limiter.Reserve(ctx, started, request)
+	now := time.Now()
+	l.decided(now, tokens, admissible, err == nil, now.Sub(started))
+	if err == nil {
+		reservation.Settle(now, tokens)
+	}
+}
+
+// limitCosts gives the slopes at the size of two years from now, when most accounts send few requests to each daemon.
+func limitCosts(run limitRun) []figure {
+	const quietMessages = 2
+	exchange := testing.Benchmark(benchmarkExchange)
+	perDaemon := futureRequests / futureDaemons * quietMessages
+	core := 100 * perDaemon * 2 * float64(exchange.NsPerOp()) / float64(time.Second)
+	none := math.NaN()
+	return []figure{
+		{"wireBytesPerMessage", run.wireBytes, none, none, "bytes"},
+		{"wireBytesPerDaemon420", perDaemon * 2 * run.wireBytes, none, maxControlBytes, "bytes/s"},
+		{"exchangeTime", float64(exchange.NsPerOp()), none, none, "ns"},
+		{"decisionCorePerDaemon420", core, none, maxControlCore, "percent"},
+		{"stateBytesPerAccount", accountBytes(), none, none, "bytes"},
+		{"stateBytesPerDaemon16000", accountBytes() * futureAccounts, none, 128 << 20, "bytes"},
+	}
+}
+
+// benchmarkExchange measures the decisions of both sides for one report.
+func benchmarkExchange(b *testing.B) {
+	b.Helper()
+	limits := lrlimit.Limits{Rate: limitRate, Burst: limitBurst}
+	now := time.Now()
+	home := lrlimit.NewHome(now, limits, time.Second)
+	account := lrlimit.NewAccount("daemon", "zone", now)
+	holding := account.Holding("zone", lrlimit.Member{Name: "home"})
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		report := holding.Report(now, 10, 10)
+		answer, err := home.Exchange(now, limits, report)
+		if err != nil {
+			b.Fatal(err)
+		}
+		holding.Accept(now, now, report.Sequence, answer)
+		parts, ok := account.Take(now, 10)
+		if ok {
+			account.Return(now, parts, 0)
+		}
+	}
+}
+
+// accountBytes measures what a daemon keeps of one client account: what it holds from the homes of all zones, and the
+// pool of the accounts that it is the home of, with one session.
+func accountBytes() float64 {
+	const accounts = 4000
+	now := time.Now()
+	kept := make([]*lrlimit.Account, accounts)
+	pools := make([]*lrlimit.Home, accounts)
+	limits := lrlimit.Limits{Rate: limitRate, Burst: limitBurst}
+	before := heapBytes()
+	for n := range kept {
+		kept[n] = lrlimit.NewAccount("", "zone-0", now)
+		pools[n] = lrlimit.NewHome(now, limits, time.Second)
+		for z := range limitZones {
+			report := kept[n].Holding(fmt.Sprint("zone-", z), lrlimit.Member{Name: "home"}).Report(now, 1, 1)
+			if z == 0 {
+				_, _ = pools[n].Exchange(now, limits, report)
+			}
+		}
+	}
+	used := heapBytes() - before
+	runtime.KeepAlive(kept)
+	runtime.KeepAlive(pools)
+	return used / accounts
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
