--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -29,7 +29,7 @@
 	d.placer = nested
 	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
-		lrregistry.WithRoster(d.roster))
+		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested))
 	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
@@ -39,6 +39,7 @@
 	d.supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
 	d.supervisor.Add("publishNotices", lrsupervise.Every(lrplacement.Interval, d.registry.PublishChanges))
 	d.supervisor.Add("sharePlacements", lrsupervise.Every(lrplacement.Interval, sharer.Send))
+	d.supervisor.Add("refreshHoldings", lrsupervise.Every(lrplacement.Interval, d.registry.RefreshHoldings))
 	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
 }
 
--- a/internal/lrmodel/engine.go
+++ b/internal/lrmodel/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
 // Engine is a queue with one prefill at a time before a cache of pieces with eviction of the least recently used.
@@ -20,6 +21,8 @@
 	busyUntil   time.Time
 	order       *list.List
 	pieces      map[lrprefix.ID]*list.Element
+	stored      []lrprefix.ID
+	evicted     []lrprefix.ID
 }
 
 func newEngine(name, zone string, room int) *Engine {
@@ -33,6 +36,7 @@
 	e.busyUntil = time.Time{}
 	e.order = list.New()
 	e.pieces = map[lrprefix.ID]*list.Element{}
+	e.stored, e.evicted = nil, nil
 }
 
 func (e *Engine) incarnationName() string { return e.name + "/" + strconv.Itoa(e.incarnation) }
@@ -56,14 +60,40 @@
 			continue
 		}
 		e.pieces[id] = e.order.PushFront(id)
+		e.stored = append(e.stored, id)
 	}
 	for e.order.Len() > e.room {
 		oldest := e.order.Back()
 		id, _ := e.order.Remove(oldest).(lrprefix.ID)
 		delete(e.pieces, id)
+		e.evicted = append(e.evicted, id)
 	}
 }
 
+// events returns what was stored and evicted since the last call.
+func (e *Engine) events() lrroute.Holding {
+	holding := lrroute.Holding{Engine: e.name, Incarnation: e.incarnationName(), Evicted: e.evicted}
+	for n := len(e.stored) - 1; n >= 0; n-- {
+		id := e.stored[n]
+		_, ok := e.pieces[id]
+		if ok {
+			holding.Stored = append(holding.Stored, id)
+		}
+	}
+	e.stored, e.evicted = nil, nil
+	return holding
+}
+
+// contents returns all that the cache holds, the latest used first.
+func (e *Engine) contents() lrroute.Holding {
+	holding := lrroute.Holding{Engine: e.name, Incarnation: e.incarnationName()}
+	for element := e.order.Front(); element != nil; element = element.Next() {
+		id, _ := element.Value.(lrprefix.ID)
+		holding.Stored = append(holding.Stored, id)
+	}
+	return holding
+}
+
 // queued returns the time until a request that arrives now would be started.
 func (e *Engine) queued(now time.Time) time.Duration {
 	return max(0, e.busyUntil.Sub(now))
--- a/internal/lrmodel/run.go
+++ b/internal/lrmodel/run.go
@@ -14,6 +14,7 @@
 	reportInterval = 500 * time.Millisecond
 	noteInterval   = 100 * time.Millisecond
 	noteLimit      = 64
+	eventLag       = 200 * time.Millisecond
 	decodeTime     = 3 * time.Second
 )
 
@@ -27,6 +28,10 @@
 	Costs       Costs
 	// RestartEvery is the time after which every router loses all that it knows, again and again. Zero means never.
 	RestartEvery time.Duration
+	// Events makes the engines' cache events reach every router with the load reports.
+	Events bool
+	// NoHoldings keeps the contents of the caches from routers that start.
+	NoHoldings bool
 	// Lose is when an engine crashes. It comes back empty after LostFor.
 	Lose    time.Duration
 	LostFor time.Duration
@@ -143,13 +148,36 @@
 		r.placers = append(r.placers, r.newPlacer(r, n, r.setup.Traffic.Seed*1000+r.restarts*100+uint64(n)))
 	}
 	r.report(now)
+	for _, e := range r.engines {
+		r.tellHolding(now, e.contents())
+	}
 }
 
-// report gives every router the load of every engine.
+// report gives every router the load and the cache events of every engine.
 func (r *Fleet) report(now time.Time) {
 	for _, p := range r.placers {
 		p.SetEngines(now, Model, r.describe(now))
 	}
+	for _, e := range r.engines {
+		if r.setup.Events {
+			holding := e.events()
+			r.at(now.Add(eventLag), func(now time.Time) { r.tellHolding(now, holding) })
+		}
+	}
+}
+
+// holder is a placer that takes in cache events.
+type holder interface {
+	ApplyHolding(now time.Time, holding lrroute.Holding)
+}
+
+func (r *Fleet) tellHolding(now time.Time, holding lrroute.Holding) {
+	for _, p := range r.placers {
+		to, ok := p.(holder)
+		if ok && !r.setup.NoHoldings {
+			to.ApplyHolding(now, holding)
+		}
+	}
 }
 
 // noter is a placer that tells the other instances of its placements.
--- a/internal/lrplacement/message.go
+++ b/internal/lrplacement/message.go
@@ -9,7 +9,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
-func newShareRequest(notes []lrroute.Note, notices []lrregistry.Notice) *lrpeerpb.ShareRequest {
+func newShareRequest(notes []lrroute.Note, notices []lrregistry.Notice, holdings []lrroute.Holding) *lrpeerpb.ShareRequest {
 	request := &lrpeerpb.ShareRequest{}
 	for _, n := range notes {
 		request.Placements = append(request.Placements, &lrpeerpb.PlacementNote{
@@ -23,9 +23,25 @@
 			Leaving: n.Leaving, Unreachable: n.Unreachable, AgeMillis: uint32(n.Age.Milliseconds()),
 		})
 	}
+	for _, h := range holdings {
+		request.Holdings = append(request.Holdings, &lrpeerpb.HoldingNote{
+			Engine: h.Engine, Incarnation: h.Incarnation, Stored: joinChain(h.Stored), Evicted: joinChain(h.Evicted),
+		})
+	}
 	return request
 }
 
+func holdingsOf(request *lrpeerpb.ShareRequest) []lrroute.Holding {
+	holdings := make([]lrroute.Holding, 0, len(request.GetHoldings()))
+	for _, h := range request.GetHoldings() {
+		holdings = append(holdings, lrroute.Holding{
+			Engine: h.GetEngine(), Incarnation: h.GetIncarnation(),
+			Stored: splitChain(h.GetStored()), Evicted: splitChain(h.GetEvicted()),
+		})
+	}
+	return holdings
+}
+
 func notesOf(request *lrpeerpb.ShareRequest) []lrroute.Note {
 	notes := make([]lrroute.Note, 0, len(request.GetPlacements()))
 	for _, p := range request.GetPlacements() {
--- a/internal/lrplacement/sharer.go
+++ b/internal/lrplacement/sharer.go
@@ -31,12 +31,14 @@
 type Notebook interface {
 	TakeNotes(now time.Time, limit int) []lrroute.Note
 	ApplyNotes(now time.Time, notes []lrroute.Note)
+	ApplyHolding(now time.Time, holding lrroute.Holding)
 }
 
-// A LoadBook keeps the load of engines.
+// A LoadBook keeps the load of engines and what their cache events told.
 type LoadBook interface {
 	Notices(now time.Time) []lrregistry.Notice
 	Apply(now time.Time, notices []lrregistry.Notice)
+	TakeHoldings() []lrroute.Holding
 }
 
 // A Sharer sends notes and load reports to the other instances, within a budget of bytes. It serves those of others.
@@ -64,11 +66,12 @@
 
 // Send sends what is new to as many other instances as the budget allows, those of the own zone first.
 func (s *Sharer) Send(ctx context.Context, now time.Time) {
-	request := newShareRequest(s.notes.TakeNotes(now, noteLimit), s.loads.Notices(now))
-	if len(request.GetPlacements()) == 0 && len(request.GetLoads()) == 0 {
+	request := newShareRequest(s.notes.TakeNotes(now, noteLimit), s.loads.Notices(now), s.loads.TakeHoldings())
+	size := proto.Size(request)
+	if size == 0 {
 		return
 	}
-	size := proto.Size(request) + messageBytes
+	size += messageBytes
 	receivers := s.receivers(int(s.budget.allowed(now) / float64(size)))
 	s.budget.spend(size * len(receivers))
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -128,5 +131,8 @@
 	now := s.clock()
 	s.notes.ApplyNotes(now, notesOf(request))
 	s.loads.Apply(now, noticesOf(request))
+	for _, h := range holdingsOf(request) {
+		s.notes.ApplyHolding(now, h)
+	}
 	return &lrpeerpb.ShareReply{}, nil
 }
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -35,6 +35,12 @@
 	unsent []string
 	// changed tells that the placer does not know the latest notices yet.
 	changed bool
+
+	holdingTaker HoldingTaker
+	cursors      map[string]cursor
+	holdings     []lrroute.Holding
+	// holdingsDueAt is when cache events are read next.
+	holdingsDueAt time.Time
 }
 
 // report is what an engine told, or that it could not be reached.
@@ -61,7 +67,7 @@
 	r := &Registry{
 		zone: zone, directory: directory, dialer: dialer, placer: placer, log: log,
 		instances: map[string]lrplatform.Instance{}, engines: map[string]lrengine.Engine{},
-		reports: map[string]report{}, leaving: map[string]string{},
+		reports: map[string]report{}, leaving: map[string]string{}, cursors: map[string]cursor{},
 	}
 	for _, option := range options {
 		option(r)
@@ -155,6 +161,7 @@
 		if i.Role == lrplatform.RoleEngine && previous[i.Name].Address != i.Address {
 			r.engines[i.Name] = r.dialer.Dial(i.Address)
 			delete(r.reports, i.Name)
+			delete(r.cursors, i.Name)
 			delete(r.leaving, i.Name)
 		}
 	}
@@ -163,6 +170,7 @@
 		if !ok {
 			delete(r.engines, name)
 			delete(r.reports, name)
+			delete(r.cursors, name)
 		}
 	}
 	r.mutex.Unlock()
--- a/internal/lrregistry/registry_test.go
+++ b/internal/lrregistry/registry_test.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
@@ -22,6 +23,8 @@
 type fakeEngines struct {
 	calls map[string]int
 	cut   map[string]bool
+
+	incarnation string
 }
 
 type fakeEngine struct {
@@ -42,6 +45,21 @@
 	return lrengine.Load{Incarnation: "1", QueuedTokens: 7}, nil
 }
 
+// Events returns one piece as stored, another as evicted, and none when all was read.
+func (f *fakeEngine) Events(_ context.Context, from uint64) (lrengine.EventBatch, error) {
+	batch := lrengine.EventBatch{Incarnation: f.all.incarnation, Next: 3}
+	for n := from; n < 3; n++ {
+		batch.Events = append(batch.Events, lrengine.CacheEvent{Sequence: n, Piece: lrprefix.ID{byte(n % 2)}.String(), Stored: n < 2})
+	}
+	return batch, nil
+}
+
+type fakeTaker struct{ taken []lrroute.Holding }
+
+func (f *fakeTaker) ApplyHolding(_ time.Time, holding lrroute.Holding) {
+	f.taken = append(f.taken, holding)
+}
+
 // fakePlacer keeps the last list of engines.
 type fakePlacer struct {
 	lrroute.Placer
@@ -172,3 +190,20 @@
 	requireEqual(t, len(placers[0].engines), 3, "engines")
 	requireEqual(t, placers[0].engines[0].Unreachable, false, "verdict before the first report")
 }
+
+func TestCacheEventsAreReadOnceAndAnewAfterRestart(t *testing.T) {
+	fake, taker := &fakeEngines{incarnation: "1"}, &fakeTaker{}
+	r := New("zone-0", nil, fake, &fakePlacer{}, zerolog.Nop(), WithHoldings(taker))
+	r.SetInstances(testStart(), testInstances(1))
+	r.RefreshHoldings(context.Background(), testStart())
+	requireEqual(t, len(taker.taken[0].Stored), 1, "pieces stored")
+	requireEqual(t, taker.taken[0].Stored[0], lrprefix.ID{1}, "piece stored")
+	requireEqual(t, taker.taken[0].Evicted[0], lrprefix.ID{0}, "piece evicted")
+	r.RefreshHoldings(context.Background(), testStart().Add(eventInterval))
+	requireEqual(t, len(taker.taken[1].Stored), 0, "pieces told twice")
+	fake.incarnation = "2"
+	r.RefreshHoldings(context.Background(), testStart().Add(2*eventInterval))
+	requireEqual(t, taker.taken[2].Incarnation, "2", "incarnation")
+	requireEqual(t, len(taker.taken[2].Stored), 1, "pieces stored by the new incarnation")
+	requireEqual(t, len(r.TakeHoldings()), 1, "holdings for the other instances")
+}
--- a/scripts/bench/route.go
+++ b/scripts/bench/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -73,19 +74,19 @@
 
 // run plays the case with several seeds and sums them up together.
 func (c routeCase) run(policy lrmodel.NewPlacer) lrmodel.Summary {
-	served := make([]lrmodel.Served, 0, routeSeeds)
-	for seed := range routeSeeds {
+	runs := make([][]lrmodel.Served, routeSeeds)
+	for seed := range runs {
 		setup := lrmodel.Setup{
 			Engines: c.engines, CachePieces: c.pieces, Zones: 3, Costs: lrmodel.DefaultCosts(),
-			Traffic: lrmodel.DefaultTraffic(c.load * float64(c.engines)),
+			Traffic: lrmodel.DefaultTraffic(c.load * float64(c.engines)), Events: true,
 		}
 		setup.Traffic.Seed = uint64(seed + 1)
 		if c.adjust != nil {
 			c.adjust(&setup)
 		}
-		served = append(served, lrmodel.Run(setup, policy)...)
+		runs[seed] = lrmodel.Run(setup, policy)
 	}
-	return lrmodel.Summarize(served, c.window)
+	return lrmodel.Summarize(slices.Concat(runs...), c.window)
 }
 
 func measureRoute(context.Context) ([]figure, error) {
@@ -104,11 +105,7 @@
 		return nil
 	})
 	err := group.Wait()
-	var figures []figure
-	for _, r := range results {
-		figures = append(figures, r...)
-	}
-	return append(figures, costFigures()...), err
+	return append(slices.Concat(results...), costFigures()...), err
 }
 
 func (c routeCase) figures() []figure {
