Compare the idlest engines too and learn the speed of engines

Cause: the 99th percentile was that of cold prompts, which met busy engines because only the engines that hashing chose and one at random were compared.

Change: eight engines with the least work are kept from each report and the best two of them compared; answers correct the time of one token.

--- a/pkg/lrroute/candidate.go
+++ b/pkg/lrroute/candidate.go
@@ -39,20 +39,14 @@
 }
 
 // gather collects the candidates for the request.
-func (n *Nested) gather(m *modelState, request Request, known int) {
+func (n *Nested) gather(now time.Time, m *modelState, request Request, known int) {
 	s := &n.scratch
 	s.candidates, s.order, s.walked = s.candidates[:0], s.order[:0], 0
 	if len(request.Chain) > 0 {
 		n.gatherMembers(m, request, known)
 		n.gatherHolders(request)
 	}
-	for range homeMembers {
-		if len(s.candidates) > 0 && len(request.Chain) > 0 && len(s.candidates) > homeMembers {
-			break
-		}
-		n.add(request, candidate{engine: m.indexes[n.random.IntN(len(m.indexes))], reason: "random"})
-	}
-	n.add(request, candidate{engine: m.indexes[n.random.IntN(len(m.indexes))], reason: "random"})
+	n.gatherIdle(now, m, request)
 	if len(s.candidates) == 0 {
 		n.gatherAny(m, request)
 	}
--- a/pkg/lrroute/engine_state.go
+++ b/pkg/lrroute/engine_state.go
@@ -15,6 +15,8 @@
 type flight struct {
 	engine uint16
 	tokens int
+	// ahead is the work that was believed to wait on the engine, in tokens.
+	ahead  int
 	sentAt time.Time
 	// remembered is the number of leading pieces that the engine once held, and age what it has stored since then.
 	remembered int
--- a/pkg/lrroute/nested.go
+++ b/pkg/lrroute/nested.go
@@ -34,6 +34,7 @@
 const (
 	firstTrust = 0.8
 	trustStep  = 0.05
+	speedStep  = 0.02
 )
 
 type flightKey struct{ request, engine string }
@@ -43,8 +44,10 @@
 	names   []string
 	indexes []uint16
 	table   *slotTable
-	rate    float64
-	usedAt  uint32
+	// idle are the engines that had the least work at the last report.
+	idle   []uint16
+	rate   float64
+	usedAt uint32
 }
 
 // NewNested returns a Placer that needs no messages between instances: a prefix chooses a subset of the engines sized
@@ -80,6 +83,7 @@
 		n.update(n.byName[e.Name], e)
 	}
 	n.recount()
+	n.findIdle(m)
 }
 
 func (n *Nested) replaceEngines(m *modelState, engines []Engine) {
@@ -178,6 +182,7 @@
 	if !ok || f.engine != index {
 		return
 	}
+	n.learnSpeed(f, feedback)
 	cached := feedback.CachedTokens / lrprefix.PieceTokens
 	n.engines[index].judge(f, cached)
 	n.engines[index].stored += uint32(max(0, f.held-cached))
@@ -191,6 +196,16 @@
 	n.recount()
 }
 
+// learnSpeed moves the time of one prompt token towards what the first token took. Short waits tell too little.
+func (n *Nested) learnSpeed(f flight, feedback Feedback) {
+	tokens := f.ahead + feedback.Request.Tokens - feedback.CachedTokens
+	if tokens < lrprefix.PieceTokens || feedback.FirstToken <= 0 || len(feedback.Request.Excluded) > 0 {
+		return
+	}
+	seen := float64(feedback.FirstToken) / float64(tokens)
+	n.perToken = max(1, n.perToken+time.Duration(speedStep*(seen-float64(n.perToken))))
+}
+
 // learnPieces confirms the pieces of the prompt: the engine holds all of them once it has given the first token.
 func (n *Nested) learnPieces(now time.Time, index uint16, feedback Feedback) {
 	h := n.holder(now, index)
--- a/pkg/lrroute/nested_test.go
+++ b/pkg/lrroute/nested_test.go
@@ -104,7 +104,8 @@
 	one, other := newTestNested(900, WithSeed(1)), newTestNested(900, WithSeed(2))
 	for branch := range 50 {
 		request := testRequest(fmt.Sprint(branch), testChain("parish-office", 0, 11, branch))
-		requireEqual(t, mustServe(t, one, testStart(), request).Engine, mustServe(t, other, testStart(), request).Engine, "engine")
+		now := testStart().Add(time.Duration(branch) * 5 * time.Second)
+		requireEqual(t, mustServe(t, one, now, request).Engine, mustServe(t, other, now, request).Engine, "engine")
 	}
 }
 
--- a/pkg/lrroute/place.go
+++ b/pkg/lrroute/place.go
@@ -28,7 +28,7 @@
 	}
 	ticks := n.ticks(now)
 	known := n.observe(m, ticks, request)
-	n.gather(m, request, known)
+	n.gather(now, m, request, known)
 	best := n.cheapest(now, request)
 	if best == nil {
 		return Placement{}, false
@@ -85,9 +85,10 @@
 // prefix follows it instead of computing them anew elsewhere.
 func (n *Nested) send(now time.Time, request Request, c *candidate) {
 	tokens := n.missing(request, c)
+	ahead := int(n.engines[c.engine].queueWait(now) / n.perToken)
 	n.engines[c.engine].send(now, time.Duration(tokens)*n.perToken)
 	n.flights[flightKey{request.ID, n.engines[c.engine].Name}] = flight{
-		engine: c.engine, tokens: tokens, sentAt: now, remembered: c.remembered, age: c.age,
+		engine: c.engine, tokens: tokens, ahead: ahead, sentAt: now, remembered: c.remembered, age: c.age,
 		held: c.held, assumed: c.assumed,
 	}
 	n.engines[c.engine].stored += uint32(tokens / lrprefix.PieceTokens)
