Import cached pieces from the kept-KV store when that is cheaper

Cause: a prompt whose pieces some engine had computed was computed anew when that engine was busy or had restarted.

Change: placement expects the known pieces of a prompt in the kept-KV store of its zone, counts what an import saves for each candidate, and names the store to the engine. The engine stand-in exports computed pieces, imports, and looks into its cache when it starts a request instead of when it receives it. Every placement counts for the shares of the load, also with excluded engines, and a request that gave no token only takes back what it was to compute.

--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -29,7 +29,7 @@
 	d.placer = nested
 	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
-		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested))
+		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested), lrregistry.WithStores(nested))
 	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -37,6 +37,7 @@
 	changed bool
 
 	holdingTaker HoldingTaker
+	storeTaker   StoreTaker
 	cursors      map[string]cursor
 	holdings     []lrroute.Holding
 	// holdingsDueAt is when cache events are read next.
@@ -175,6 +176,7 @@
 	}
 	r.mutex.Unlock()
 	r.publish(now)
+	r.publishStores(now)
 }
 
 // publish gives the placer the engines of each model that take new work.
--- a/internal/lrstream/source.go
+++ b/internal/lrstream/source.go
@@ -64,6 +64,7 @@
 	request.RequestID = s.attempt.ID
 	request.ResumeFrom = g.result.OutputTokens
 	request.Generated = g.generated.String()
+	request.ImportFrom = s.attempt.Placement.ImportFrom
 	return request
 }
 
--- a/internal/lrstub/command.go
+++ b/internal/lrstub/command.go
@@ -48,6 +48,8 @@
 		c.Flags().IntVar(&options.CachePieces, "cache-pieces", options.CachePieces, "room for cached pieces")
 		c.Flags().DurationVar(&options.PrefillPerToken, "prefill-per-token", options.PrefillPerToken, "prefill time of a token")
 		c.Flags().DurationVar(&options.DecodePerToken, "decode-per-token", options.DecodePerToken, "decode time of a token")
+		c.Flags().DurationVar(&options.ImportPerToken, "import-per-token", options.ImportPerToken, "import time of a cached token")
+		c.Flags().StringVar(&options.ExportTo, "export-to", options.ExportTo, "IP:port of the kept-KV store for computed pieces")
 		c.Flags().BoolVar(&options.ChecksFencing, "checks-fencing", options.ChecksFencing, "refuse orders with an old fencing number")
 		return func() http.Handler { return NewEngine(options) }
 	})
--- a/internal/lrstub/engine.go
+++ b/internal/lrstub/engine.go
@@ -34,14 +34,18 @@
 	CachePieces     int
 	PrefillPerToken time.Duration
 	DecodePerToken  time.Duration
-	ChecksFencing   bool
+	// ImportPerToken is the time that the import of one cached token takes.
+	ImportPerToken time.Duration
+	// ExportTo is the address of the store to which computed pieces are exported. It is empty when none are.
+	ExportTo      string
+	ChecksFencing bool
 }
 
 // DefaultEngineOptions returns the options of a fast engine with room for 80 pieces.
 func DefaultEngineOptions() EngineOptions {
 	return EngineOptions{
 		Name: "engine", Versions: map[string]string{}, CachePieces: 80,
-		PrefillPerToken: 20 * time.Microsecond, DecodePerToken: 5 * time.Millisecond,
+		PrefillPerToken: 20 * time.Microsecond, DecodePerToken: 5 * time.Millisecond, ImportPerToken: 2 * time.Microsecond,
 	}
 }
 
@@ -254,22 +258,46 @@
 
 func (g *engineGeneration) run(ctx context.Context, chain []lrprefix.ID) {
 	e := g.engine
+	tokens := lrprefix.Tokens(g.request.Prompt) + g.request.ResumeFrom
 	e.mutex.Lock()
-	cached := e.cache.match(chain) * lrprefix.PieceTokens
+	expected := tokens - e.cache.match(chain)*lrprefix.PieceTokens
 	e.mutex.Unlock()
-	missing := lrprefix.Tokens(g.request.Prompt) - cached + g.request.ResumeFrom
-	queued := e.lane.queuedTokens()
-	if !e.lane.run(ctx, g.request.Priority, missing, e.options.PrefillPerToken) {
+	held := 0
+	prefill := func() time.Duration {
+		var duration time.Duration
+		held, duration = g.prefill(ctx, chain, tokens)
+		return duration
+	}
+	if !e.lane.runFor(ctx, g.request.Priority, expected, prefill) {
 		return
 	}
 	e.mutex.Lock()
-	e.cache.store(chain)
+	stored := e.cache.store(chain)
 	incarnation := e.incarnation
 	e.mutex.Unlock()
-	first := lrengine.Event{CachedTokens: cached, QueuedTokens: queued, Incarnation: incarnation}
+	e.export(stored)
+	first := lrengine.Event{
+		CachedTokens: held * lrprefix.PieceTokens, QueuedTokens: e.lane.queuedTokens(), Incarnation: incarnation,
+	}
 	g.decode(ctx, first)
 }
 
+// prefill returns the number of pieces that need not be computed, because they are cached or were imported, and the
+// time that the import and the computation of the others take.
+func (g *engineGeneration) prefill(ctx context.Context, chain []lrprefix.ID, tokens int) (int, time.Duration) {
+	e := g.engine
+	e.mutex.Lock()
+	cached := e.cache.match(chain)
+	e.mutex.Unlock()
+	imported := 0
+	if g.request.ImportFrom != "" {
+		imported = e.countKept(ctx, g.request.ImportFrom, chain[cached:])
+	}
+	held := cached + imported
+	compute := time.Duration(tokens-held*lrprefix.PieceTokens) * e.options.PrefillPerToken
+	return held, compute + time.Duration(imported*lrprefix.PieceTokens)*e.options.ImportPerToken
+}
+
 func (g *engineGeneration) decode(ctx context.Context, event lrengine.Event) {
 	for n := g.request.ResumeFrom; n < g.request.MaxTokens; n++ {
 		if !g.pause(ctx) {
--- a/internal/lrstub/piece_cache.go
+++ b/internal/lrstub/piece_cache.go
@@ -34,7 +34,9 @@
 	return len(chain)
 }
 
-func (c *pieceCache) store(chain []lrprefix.ID) {
+// store puts the pieces into the cache and returns those that were not in it.
+func (c *pieceCache) store(chain []lrprefix.ID) []lrprefix.ID {
+	var stored []lrprefix.ID
 	for _, id := range chain {
 		element, ok := c.pieces[id]
 		if ok {
@@ -43,6 +45,7 @@
 		}
 		c.pieces[id] = c.order.PushFront(id)
 		c.record(id, true)
+		stored = append(stored, id)
 	}
 	for c.order.Len() > c.room {
 		oldest := c.order.Back()
@@ -50,6 +53,7 @@
 		delete(c.pieces, id)
 		c.record(id, false)
 	}
+	return stored
 }
 
 func (c *pieceCache) record(id lrprefix.ID, stored bool) {
--- a/pkg/lrroute/candidate.go
+++ b/pkg/lrroute/candidate.go
@@ -36,14 +36,16 @@
 	order      []uint16
 	walked     uint64
 	candidates []candidate
+	// known is the number of leading pieces that an engine is known to have served lately.
+	known int
 }
 
 // gather collects the candidates for the request.
-func (n *Nested) gather(now time.Time, m *modelState, request Request, known int) {
+func (n *Nested) gather(now time.Time, m *modelState, request Request) {
 	s := &n.scratch
 	s.candidates, s.order, s.walked = s.candidates[:0], s.order[:0], 0
 	if len(request.Chain) > 0 {
-		n.gatherMembers(m, request, known)
+		n.gatherMembers(m, request)
 		n.gatherHolders(request)
 	}
 	n.gatherIdle(now, m, request)
@@ -53,23 +55,23 @@
 }
 
 // gatherMembers adds the engines that hashing chooses.
-func (n *Nested) gatherMembers(m *modelState, request Request, known int) {
+func (n *Nested) gatherMembers(m *modelState, request Request) {
 	s := &n.scratch
 	last := len(s.levels) - 1
 	shared := n.sharedPieces()
 	for member := range homeMembers {
 		engine := n.member(m, last, member)
-		c := candidate{engine: engine, reason: "prefix", assumed: min(shared, known)}
+		c := candidate{engine: engine, reason: "prefix", assumed: min(shared, s.known)}
 		c.home = member == 0
 		if member < s.levels[last].size {
-			c.assumed = known
+			c.assumed = s.known
 		}
 		n.add(request, c)
 	}
 	size := s.levels[0].size
 	for range subsetProbes {
 		engine := n.ranked(m, n.random.IntN(size))
-		n.add(request, candidate{engine: engine, reason: "prefix subset", assumed: min(shared, known)})
+		n.add(request, candidate{engine: engine, reason: "prefix subset", assumed: min(shared, s.known)})
 	}
 	if size < len(m.indexes) {
 		n.add(request, candidate{engine: n.ranked(m, size), reason: "next of prefix subset"})
--- a/pkg/lrroute/engine_state.go
+++ b/pkg/lrroute/engine_state.go
@@ -24,7 +24,9 @@
 	// held and assumed are the numbers of leading pieces that were believed and assumed to be held.
 	held    int
 	assumed int
-	first   bool
+	// wanted is the number of pieces to be imported.
+	wanted int
+	first  bool
 }
 
 // engineState is what is known of one engine beyond its description.
--- a/pkg/lrroute/level.go
+++ b/pkg/lrroute/level.go
@@ -22,33 +22,27 @@
 }
 
 // observe counts the request for every piece of its chain and finds its levels: a level ends at a piece after which
-// different pieces were seen. It returns the number of leading pieces that an engine
-// is known to have served lately.
-func (n *Nested) observe(m *modelState, now uint32, request Request) int {
+// different pieces were seen.
+func (n *Nested) observe(m *modelState, now uint32, request Request) {
 	s := &n.scratch
 	s.levels, s.chain = s.levels[:0], s.chain[:0]
-	count := len(request.Excluded) == 0
-	if count {
-		m.rate = m.rate*n.pieces.decay(m.usedAt, now) + float64(request.Tokens)/n.options.window.Seconds()
-		m.usedAt = max(m.usedAt, now)
-	}
-	known, contiguous := 0, true
+	m.rate = m.rate*n.pieces.decay(m.usedAt, now) + float64(request.Tokens)/n.options.window.Seconds()
+	m.usedAt = max(m.usedAt, now)
+	contiguous := true
+	s.known = 0
 	var previous *piece
 	for k, id := range request.Chain {
 		p, found := n.pieces.take(id, now)
 		contiguous = contiguous && found && p.answered && p.recent(now, n.options.memory)
 		if contiguous {
-			known = k + 1
-		}
-		if count {
-			n.pieces.use(p, now, request.Tokens)
-			n.resize(m, p, request.Tokens)
+			s.known = k + 1
 		}
+		n.pieces.use(p, now, request.Tokens)
+		n.resize(m, p, request.Tokens)
 		n.extend(previous, p, id)
 		s.chain = append(s.chain, p)
 		previous = p
 	}
-	return known
 }
 
 // extend adds the piece to the last level, or begins a new one behind a piece that branches.
--- a/pkg/lrroute/nested.go
+++ b/pkg/lrroute/nested.go
@@ -25,6 +25,7 @@
 	// trust is the part of the pieces assumed to be held that answers showed to be held.
 	trust   float64
 	scratch scratch
+	store   keptStore
 
 	outgoing    []outgoingNote
 	foreign     [foreignSendRoom]foreignSend
@@ -182,11 +183,15 @@
 	if !ok || f.engine != index {
 		return
 	}
-	n.learnSpeed(f, feedback)
+	n.learnSpeed(now, f, feedback)
 	cached := feedback.CachedTokens / lrprefix.PieceTokens
-	n.engines[index].judge(f, cached)
+	if f.wanted > 0 {
+		n.store.judge(now, f.wanted, cached-f.held)
+	} else {
+		n.engines[index].judge(f, cached)
+	}
 	n.engines[index].stored += uint32(max(0, f.held-cached))
-	if f.assumed > f.held {
+	if f.assumed > f.held && f.wanted == 0 {
 		kept := float64(cached-f.held) / float64(f.assumed-f.held)
 		n.trust += trustStep * (min(1, max(0, kept)) - n.trust)
 	}
@@ -197,12 +202,12 @@
 }
 
 // learnSpeed moves the time of one prompt token towards what the first token took. Short waits tell too little.
-func (n *Nested) learnSpeed(f flight, feedback Feedback) {
+func (n *Nested) learnSpeed(now time.Time, f flight, feedback Feedback) {
 	tokens := f.ahead + feedback.Request.Tokens - feedback.CachedTokens
-	if tokens < lrprefix.PieceTokens || feedback.FirstToken <= 0 || len(feedback.Request.Excluded) > 0 {
+	if tokens < lrprefix.PieceTokens || f.wanted > 0 {
 		return
 	}
-	seen := float64(feedback.FirstToken) / float64(tokens)
+	seen := float64(now.Sub(f.sentAt)) / float64(tokens)
 	n.perToken = max(1, n.perToken+time.Duration(speedStep*(seen-float64(n.perToken))))
 }
 
@@ -238,10 +243,10 @@
 		return
 	}
 	n.recount()
-	n.forget(f.engine, request.Chain)
+	n.forget(f.engine, request.Chain[min(f.remembered, len(request.Chain)):])
 }
 
-// forget drops the belief that an engine holds pieces of a request that gave no token.
+// forget drops the belief that an engine holds the pieces, which a request without a first token was to compute.
 func (n *Nested) forget(index uint16, chain []lrprefix.ID) {
 	for _, id := range chain {
 		p := n.pieces.find(id)
--- a/pkg/lrroute/nested_options.go
+++ b/pkg/lrroute/nested_options.go
@@ -15,6 +15,7 @@
 	memory          time.Duration
 	room            float64
 	notes           bool
+	importCost      float64
 	doubt           float64
 	workWeight      float64
 	homeShare       float64
@@ -58,6 +59,11 @@
 	return func(o *nestedOptions) { o.notes = true }
 }
 
+// WithImportCost sets the time that the import of a token from the kept-KV store takes, as a part of its computation.
+func WithImportCost(part float64) NestedOption {
+	return func(o *nestedOptions) { o.importCost = part }
+}
+
 // WithDoubt sets how many standard deviations are taken off a share of the load before it counts.
 func WithDoubt(deviations float64) NestedOption {
 	return func(o *nestedOptions) { o.doubt = deviations }
@@ -75,6 +81,7 @@
 
 const (
 	defaultHomeShare       = 0.3
+	defaultImportCost      = 0.2
 	defaultDoubt           = 1.0
 	defaultWorkWeight      = 0.25
 	defaultBeliefBytes     = 32 << 20
@@ -89,6 +96,6 @@
 	return nestedOptions{
 		seed: 1, beliefBytes: defaultBeliefBytes, prefillPerToken: defaultPrefillPerToken,
 		window: defaultWindow, spread: defaultSpread, memory: defaultMemory, room: defaultRoom,
-		doubt: defaultDoubt, workWeight: defaultWorkWeight, homeShare: defaultHomeShare,
+		doubt: defaultDoubt, workWeight: defaultWorkWeight, importCost: defaultImportCost, homeShare: defaultHomeShare,
 	}
 }
--- a/pkg/lrroute/place.go
+++ b/pkg/lrroute/place.go
@@ -27,8 +27,8 @@
 		return Placement{}, false
 	}
 	ticks := n.ticks(now)
-	known := n.observe(m, ticks, request)
-	n.gather(now, m, request, known)
+	n.observe(m, ticks, request)
+	n.gather(now, m, request)
 	best := n.cheapest(now, request)
 	if best == nil {
 		return Placement{}, false
@@ -37,6 +37,7 @@
 	return Placement{
 		Engine: n.engines[best.engine].Name, Reason: best.reason, Candidates: len(n.scratch.candidates),
 		ExpectedCachedTokens: best.held * lrprefix.PieceTokens, ExpectedWait: n.wait(now, request, best),
+		ImportFrom: n.importFrom(now),
 	}, true
 }
 
@@ -65,7 +66,7 @@
 		unknown := len(request.Chain) - max(c.held, c.assumed)
 		missing -= n.options.homeShare * float64(unknown) * lrprefix.PieceTokens
 	}
-	cost := n.engines[c.engine].queueWait(now) + time.Duration(max(0, missing)*(1+n.options.workWeight)*float64(n.perToken))
+	cost := n.engines[c.engine].queueWait(now) - max(0, n.importSaving(now, c)) + time.Duration(max(0, missing)*(1+n.options.workWeight)*float64(n.perToken))
 	if n.options.zone != "" && n.engines[c.engine].Zone != n.options.zone {
 		cost += zonePenalty
 	}
@@ -86,10 +87,15 @@
 func (n *Nested) send(now time.Time, request Request, c *candidate) {
 	tokens := n.missing(request, c)
 	ahead := int(n.engines[c.engine].queueWait(now) / n.perToken)
-	n.engines[c.engine].send(now, time.Duration(tokens)*n.perToken)
+	saved := max(0, n.importSaving(now, c))
+	n.engines[c.engine].send(now, time.Duration(tokens)*n.perToken-saved)
+	wanted := 0
+	if saved > 0 {
+		wanted = n.importable(c)
+	}
 	n.flights[flightKey{request.ID, n.engines[c.engine].Name}] = flight{
 		engine: c.engine, tokens: tokens, ahead: ahead, sentAt: now, remembered: c.remembered, age: c.age,
-		held: c.held, assumed: c.assumed,
+		held: c.held, assumed: c.assumed, wanted: wanted,
 	}
 	n.engines[c.engine].stored += uint32(tokens / lrprefix.PieceTokens)
 	h := n.holder(now, c.engine)
