--- a/internal/lrstub/engine.go
+++ b/internal/lrstub/engine.go
@@ -268,7 +268,7 @@
 		held, duration = g.prefill(ctx, chain, tokens)
 		return duration
 	}
-	if !e.lane.runFor(ctx, g.request.Priority, expected, prefill) {
+	if !e.lane.run(ctx, g.request.Priority, expected, prefill) {
 		return
 	}
 	e.mutex.Lock()
--- a/internal/lrstub/prefill_lane.go
+++ b/internal/lrstub/prefill_lane.go
@@ -19,13 +19,8 @@
 	ready    chan struct{}
 }
 
-// run waits for the lane and holds it for the given time. It reports false when the context ended before.
-func (l *prefillLane) run(ctx context.Context, priority, tokens int, perToken time.Duration) bool {
-	return l.runFor(ctx, priority, tokens, func() time.Duration { return time.Duration(tokens) * perToken })
-}
-
-// runFor waits for the lane and holds it for the time that the function returns when the wait is over.
-func (l *prefillLane) runFor(ctx context.Context, priority, tokens int, hold func() time.Duration) bool {
+// run waits for the lane and holds it for the time that the function returns when the wait is over.
+func (l *prefillLane) run(ctx context.Context, priority, tokens int, hold func() time.Duration) bool {
 	if !l.enter(ctx, priority, tokens) {
 		return false
 	}
