--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -1,6 +1,7 @@
 package lrdaemon
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -25,8 +26,14 @@
 	nested := lrroute.NewNested(
 		lrroute.WithZone(d.settings.Instance.Zone), lrroute.WithBeliefBytes(d.settings.Routing.BeliefBytes),
 		lrroute.WithSeed(uint64(d.started.UnixNano())), lrroute.WithNotes(),
+		lrroute.WithViolations(d.placementViolated),
 	)
 	d.placer = nested
+	d.beforeExit = append(d.beforeExit, func(context.Context) {
+		if d.gateway.Running() == 0 && !nested.Idle() {
+			d.placementViolated(lrroute.InvariantLoad)
+		}
+	})
 	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
 		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested), lrregistry.WithStores(nested))
@@ -43,6 +50,11 @@
 	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
 }
 
+func (d *Daemon) placementViolated(invariant string) {
+	d.metrics.Violations.WithLabelValues(invariant).Inc()
+	d.log.Error().Str("invariant", invariant).Msg("placement: invariant violated")
+}
+
 func engineHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: engineDialTimeout}
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext}}
--- /dev/null
+++ b/internal/lrmodel/policy_test.go
@@ -0,0 +1,108 @@
+package lrmodel
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
+)
+
+const testBeliefBytes = 4 << 20
+
+func leastLoaded(*Fleet, int, uint64) lrroute.Placer { return lrroute.NewLeastLoaded() }
+
+func oracleOf(fleet *Fleet, _ int, _ uint64) lrroute.Placer { return NewOracle(fleet) }
+
+func nested(options ...lrroute.NestedOption) NewPlacer {
+	return func(_ *Fleet, _ int, seed uint64) lrroute.Placer {
+		violated := func(invariant string) { panic("violated: " + invariant) }
+		return lrroute.NewNested(append([]lrroute.NestedOption{
+			lrroute.WithSeed(seed), lrroute.WithBeliefBytes(testBeliefBytes), lrroute.WithViolations(violated),
+		}, options...)...)
+	}
+}
+
+func testSetup(engines, pieces int, load float64) Setup {
+	return Setup{
+		Engines: engines, CachePieces: pieces, Zones: 3, Costs: DefaultCosts(), Events: true,
+		Traffic: DefaultTraffic(load * float64(engines)),
+	}
+}
+
+func warm() Window { return Between(time.Minute, 5*time.Minute) }
+
+func requireAtLeast(t *testing.T, got, least float64, what string) {
+	t.Helper()
+	if got < least {
+		t.Fatalf("%s: got %.4f, want at least %.4f", what, got, least)
+	}
+}
+
+func TestPlacementComesNearTheOracle(t *testing.T) {
+	cases := []struct {
+		name   string
+		setup  Setup
+		window Window
+	}{
+		{"12 engines, 80 pieces", testSetup(12, 80, 0.7), warm()},
+		{"12 engines, 40 pieces", testSetup(12, 40, 0.5), warm()},
+		{"9 engines, 80 pieces", testSetup(9, 80, 0.5), warm()},
+		{"60 engines, 80 pieces", testSetup(60, 80, 0.7), warm()},
+		{"shift of hot prefixes", shifted(testSetup(12, 80, 0.5)), Between(150*time.Second, 180*time.Second)},
+		{"engine lost", withLoss(testSetup(12, 80, 0.5)), Between(150*time.Second, 180*time.Second)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			served := Run(c.setup, nested(lrroute.WithNotes()))
+			if len(served) != len(c.setup.Traffic.Trace()) {
+				t.Fatalf("%d of %d requests were served", len(served), len(c.setup.Traffic.Trace()))
+			}
+			ours := Summarize(served, c.window)
+			best := Summarize(Run(c.setup, oracleOf), c.window)
+			base := Summarize(Run(c.setup, leastLoaded), c.window)
+			requireAtLeast(t, ours.HitRate, 0.95*best.HitRate, "hit rate")
+			requireAtLeast(t, base.Wasted/3, ours.Wasted, "third of the baseline's wasted tokens")
+			requireAtLeast(t, base.TailFirstToken.Seconds()/2, ours.TailFirstToken.Seconds(), "half of the baseline's tail")
+		})
+	}
+}
+
+func shifted(s Setup) Setup {
+	s.Traffic.ShiftAt = 150 * time.Second
+	return s
+}
+
+func withLoss(s Setup) Setup {
+	s.Lose, s.LostFor = 150*time.Second, 30*time.Second
+	return s
+}
+
+func TestHerdRestartLandsNearTheWarmHitRate(t *testing.T) {
+	setup := testSetup(12, 80, 0.5)
+	setup.Traffic.Duration = 10 * time.Minute
+	usual := Summarize(Run(setup, nested(lrroute.WithNotes())), warm())
+	setup.RestartEvery = 30 * time.Second
+	first := Summarize(Run(setup, nested(lrroute.WithNotes())), AfterEach(setup.RestartEvery, time.Second))
+	requireAtLeast(t, first.HitRate, 0.9*usual.HitRate, "hit rate of the first second")
+	setup.NoHoldings = true
+	blind := Summarize(Run(setup, nested(lrroute.WithNotes())), AfterEach(setup.RestartEvery, time.Second))
+	requireAtLeast(t, 0.9*usual.HitRate, blind.HitRate, "limit that a start without the caches' contents misses")
+}
+
+func TestNotesCarryTheHitRate(t *testing.T) {
+	setup := testSetup(12, 40, 0.7)
+	best := Summarize(Run(setup, oracleOf), warm())
+	setup.NoHoldings = true
+	alone := Summarize(Run(setup, nested()), warm())
+	requireAtLeast(t, 0.95*best.HitRate, alone.HitRate, "limit that placement without notes misses")
+}
+
+func TestRunsAreRepeatable(t *testing.T) {
+	setup := withLoss(testSetup(12, 40, 0.7))
+	one, other := Run(setup, nested(lrroute.WithNotes())), Run(setup, nested(lrroute.WithNotes()))
+	for k := range one {
+		if one[k].FirstToken != other[k].FirstToken || one[k].Cached != other[k].Cached {
+			t.Fatalf("request %s differs between two runs", one[k].Arrival.ID)
+		}
+	}
+}
--- a/internal/lrplacement/budget.go
+++ b/internal/lrplacement/budget.go
@@ -11,11 +11,12 @@
 
 // allowed returns the bytes that may be sent now. What was not used for a second lapses.
 func (b *budget) allowed(now time.Time) float64 {
+	gained := b.perSecond
 	if !b.updated.IsZero() {
-		b.left += b.perSecond * now.Sub(b.updated).Seconds()
+		gained *= now.Sub(b.updated).Seconds()
 	}
 	b.updated = now
-	b.left = min(b.left, b.perSecond)
+	b.left = min(b.left+gained, b.perSecond)
 	return b.left
 }
 
--- a/pkg/lrroute/nested_options.go
+++ b/pkg/lrroute/nested_options.go
@@ -16,6 +16,7 @@
 	room            float64
 	notes           bool
 	importCost      float64
+	violated        func(invariant string)
 	doubt           float64
 	workWeight      float64
 	homeShare       float64
@@ -59,6 +60,11 @@
 	return func(o *nestedOptions) { o.notes = true }
 }
 
+// WithViolations sets what is called with the name of an invariant that does not hold.
+func WithViolations(violated func(invariant string)) NestedOption {
+	return func(o *nestedOptions) { o.violated = violated }
+}
+
 // WithImportCost sets the time that the import of a token from the kept-KV store takes, as a part of its computation.
 func WithImportCost(part float64) NestedOption {
 	return func(o *nestedOptions) { o.importCost = part }
@@ -96,6 +102,6 @@
 	return nestedOptions{
 		seed: 1, beliefBytes: defaultBeliefBytes, prefillPerToken: defaultPrefillPerToken,
 		window: defaultWindow, spread: defaultSpread, memory: defaultMemory, room: defaultRoom,
-		doubt: defaultDoubt, workWeight: defaultWorkWeight, importCost: defaultImportCost, homeShare: defaultHomeShare,
+		doubt: defaultDoubt, workWeight: defaultWorkWeight, importCost: defaultImportCost, violated: func(string) {}, homeShare: defaultHomeShare,
 	}
 }
--- a/pkg/lrroute/nested_test.go
+++ b/pkg/lrroute/nested_test.go
@@ -49,7 +49,8 @@
 }
 
 func newTestNested(engines int, options ...NestedOption) *Nested {
-	n := NewNested(append([]NestedOption{WithSeed(1), WithBeliefBytes(1 << 20), WithNotes()}, options...)...)
+	violated := WithViolations(func(invariant string) { panic("violated: " + invariant) })
+	n := NewNested(append([]NestedOption{WithSeed(1), WithBeliefBytes(1 << 20), WithNotes(), violated}, options...)...)
 	n.SetEngines(testStart(), testModel, testEngines(engines, testStart()))
 	return n
 }
--- a/pkg/lrroute/place.go
+++ b/pkg/lrroute/place.go
@@ -33,6 +33,7 @@
 	if best == nil {
 		return Placement{}, false
 	}
+	n.check(request, best)
 	n.send(now, request, best)
 	return Placement{
 		Engine: n.engines[best.engine].Name, Reason: best.reason, Candidates: len(n.scratch.candidates),
