--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -1,6 +1,7 @@
 package lrdaemon
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -25,11 +26,17 @@
 	nested := lrroute.NewNested(
 		lrroute.WithZone(d.settings.Instance.Zone), lrroute.WithBeliefBytes(d.settings.Routing.BeliefBytes),
 		lrroute.WithSeed(uint64(d.started.UnixNano())), lrroute.WithNotes(),
+		lrroute.WithViolations(d.placementViolated),
 	)
 	d.placer = nested
+	d.beforeExit = append(d.beforeExit, func(context.Context) {
+		if d.gateway.Running() == 0 && !nested.Idle() {
+			d.placementViolated(lrroute.InvariantLoad)
+		}
+	})
 	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
-		lrregistry.WithRoster(d.roster))
+		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested), lrregistry.WithStores(nested))
 	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
@@ -39,9 +46,15 @@
 	d.supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
 	d.supervisor.Add("publishNotices", lrsupervise.Every(lrplacement.Interval, d.registry.PublishChanges))
 	d.supervisor.Add("sharePlacements", lrsupervise.Every(lrplacement.Interval, sharer.Send))
+	d.supervisor.Add("refreshHoldings", lrsupervise.Every(lrplacement.Interval, d.registry.RefreshHoldings))
 	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
 }
 
+func (d *Daemon) placementViolated(invariant string) {
+	d.metrics.Violations.WithLabelValues(invariant).Inc()
+	d.log.Error().Str("invariant", invariant).Msg("placement: invariant violated")
+}
+
 func engineHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: engineDialTimeout}
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext}}
--- a/internal/lrstub/prefill_lane.go
+++ b/internal/lrstub/prefill_lane.go
@@ -19,12 +19,12 @@
 	ready    chan struct{}
 }
 
-// run waits for the lane and holds it for the given time. It reports false when the context ended before.
-func (l *prefillLane) run(ctx context.Context, priority, tokens int, perToken time.Duration) bool {
+// run waits for the lane and holds it for the time that the function returns when the wait is over.
+func (l *prefillLane) run(ctx context.Context, priority, tokens int, hold func() time.Duration) bool {
 	if !l.enter(ctx, priority, tokens) {
 		return false
 	}
-	timer := time.NewTimer(time.Duration(tokens) * perToken)
+	timer := time.NewTimer(hold())
 	defer timer.Stop()
 	defer l.leave(tokens)
 	select {
--- a/pkg/lrroute/engine_state.go
+++ b/pkg/lrroute/engine_state.go
@@ -15,6 +15,8 @@
 type flight struct {
 	engine uint16
 	tokens int
+	// ahead is the work that was believed to wait on the engine, in tokens.
+	ahead  int
 	sentAt time.Time
 	// remembered is the number of leading pieces that the engine once held, and age what it has stored since then.
 	remembered int
@@ -22,7 +24,9 @@
 	// held and assumed are the numbers of leading pieces that were believed and assumed to be held.
 	held    int
 	assumed int
-	first   bool
+	// wanted is the number of pieces to be imported.
+	wanted int
+	first  bool
 }
 
 // engineState is what is known of one engine beyond its description.
--- a/pkg/lrroute/nested.go
+++ b/pkg/lrroute/nested.go
@@ -25,6 +25,7 @@
 	// trust is the part of the pieces assumed to be held that answers showed to be held.
 	trust   float64
 	scratch scratch
+	store   keptStore
 
 	outgoing    []outgoingNote
 	foreign     [foreignSendRoom]foreignSend
@@ -34,6 +35,7 @@
 const (
 	firstTrust = 0.8
 	trustStep  = 0.05
+	speedStep  = 0.02
 )
 
 type flightKey struct{ request, engine string }
@@ -43,8 +45,10 @@
 	names   []string
 	indexes []uint16
 	table   *slotTable
-	rate    float64
-	usedAt  uint32
+	// idle are the engines that had the least work at the last report.
+	idle   []uint16
+	rate   float64
+	usedAt uint32
 }
 
 // NewNested returns a Placer that needs no messages between instances: a prefix chooses a subset of the engines sized
@@ -80,6 +84,7 @@
 		n.update(n.byName[e.Name], e)
 	}
 	n.recount()
+	n.findIdle(m)
 }
 
 func (n *Nested) replaceEngines(m *modelState, engines []Engine) {
@@ -178,10 +183,15 @@
 	if !ok || f.engine != index {
 		return
 	}
+	n.learnSpeed(now, f, feedback)
 	cached := feedback.CachedTokens / lrprefix.PieceTokens
-	n.engines[index].judge(f, cached)
+	if f.wanted > 0 {
+		n.store.judge(now, f.wanted, cached-f.held)
+	} else {
+		n.engines[index].judge(f, cached)
+	}
 	n.engines[index].stored += uint32(max(0, f.held-cached))
-	if f.assumed > f.held {
+	if f.assumed > f.held && f.wanted == 0 {
 		kept := float64(cached-f.held) / float64(f.assumed-f.held)
 		n.trust += trustStep * (min(1, max(0, kept)) - n.trust)
 	}
@@ -191,6 +201,16 @@
 	n.recount()
 }
 
+// learnSpeed moves the time of one prompt token towards what the first token took. Short waits tell too little.
+func (n *Nested) learnSpeed(now time.Time, f flight, feedback Feedback) {
+	tokens := f.ahead + feedback.Request.Tokens - feedback.CachedTokens
+	if tokens < lrprefix.PieceTokens || f.wanted > 0 {
+		return
+	}
+	seen := float64(now.Sub(f.sentAt)) / float64(tokens)
+	n.perToken = max(1, n.perToken+time.Duration(speedStep*(seen-float64(n.perToken))))
+}
+
 // learnPieces confirms the pieces of the prompt: the engine holds all of them once it has given the first token.
 func (n *Nested) learnPieces(now time.Time, index uint16, feedback Feedback) {
 	h := n.holder(now, index)
@@ -223,10 +243,10 @@
 		return
 	}
 	n.recount()
-	n.forget(f.engine, request.Chain)
+	n.forget(f.engine, request.Chain[min(f.remembered, len(request.Chain)):])
 }
 
-// forget drops the belief that an engine holds pieces of a request that gave no token.
+// forget drops the belief that an engine holds the pieces, which a request without a first token was to compute.
 func (n *Nested) forget(index uint16, chain []lrprefix.ID) {
 	for _, id := range chain {
 		p := n.pieces.find(id)
