Speak TLS with peers, callers and the platform, and bound a planned stop

The settings named certificate files that nothing read. Certificates and authorities are now read again when their files change, and the last good ones stay while a file is broken. Instances verify one another by the peer authority alone, since their addresses change. A planned stop now ends at a second signal or at drainTimeout, says how many requests it cut and why, and leaves with exit code 3; before, a second signal was swallowed. Ruled out: certificates by name between instances, as a replaced instance has another address. TestWithdrawalReachesInstanceCutFromPlatform never passes without the reading from peers.

--- a/internal/lrcommand/root.go
+++ b/internal/lrcommand/root.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lavenderrouter/lavenderrouter"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrdaemon"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstate"
 )
@@ -20,6 +21,8 @@
 const (
 	exitOK      = 0
 	exitFailure = 1
+	// exitCut is returned by serve when a planned stop has cut requests.
+	exitCut = 3
 	// envPlatform names the environment variable with the URL of the platform.
 	envPlatform = "LAVENDERROUTER_PLATFORM"
 )
@@ -42,11 +45,18 @@
 	err := root.ExecuteContext(ctx)
 	if err != nil {
 		_, _ = fmt.Fprintln(errors, "lavenderrouter:", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
 
+func exitCode(err error) int {
+	if lrdaemon.ErrCut.Has(err) {
+		return exitCut
+	}
+	return exitFailure
+}
+
 func newRootCommand(output io.Writer) *cobra.Command {
 	o := &operator{output: output}
 	root := &cobra.Command{
--- a/internal/lrcommand/serve.go
+++ b/internal/lrcommand/serve.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,11 +34,29 @@
 			return err
 		}
 		log = log.With().Str("instance", settings.Instance.Name).Logger()
-		return lavenderrouter.New(lavenderrouter.WithSettings(settings), lavenderrouter.WithLog(log)).Run(c.Context())
+		router := lavenderrouter.New(lavenderrouter.WithSettings(settings), lavenderrouter.WithLog(log))
+		go hurryAtSecondSignal(router)
+		return router.Run(c.Context())
 	}
 	return command
 }
 
+// hurryAtSecondSignal makes the router cut what still runs when a second signal to stop arrives.
+func hurryAtSecondSignal(router lavenderrouter.Router) {
+	const enough = 2
+	signals := make(chan os.Signal, enough)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	for range enough {
+		select {
+		case <-signals:
+		case <-router.Done():
+			return
+		}
+	}
+	router.StopNow()
+}
+
 func readSettings(path string) (lrsettings.Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,11 +30,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
-const (
-	explanationRoom = 4096
-	// endGrace is the time that requests get to write their last error event when a planned stop takes too long.
-	endGrace = 200 * time.Millisecond
-)
+const explanationRoom = 4096
 
 // A Daemon is one instance of lavenderrouter.
 type Daemon struct {
@@ -42,6 +39,10 @@
 	clock    func() time.Time
 	started  time.Time
 
+	// invalid says what is wrong with the files that the settings name.
+	invalid    error
+	transports transports
+
 	supervisor *lrsupervise.Supervisor
 	platform   lrplatform.Platform
 	peers      *grpc.Server
@@ -63,6 +64,9 @@
 	metrics    *lrmetric.Metrics
 	recorder   *lrexplain.Recorder
 	draining   atomic.Bool
+	// hurry is closed when running requests shall be cut.
+	hurry     chan struct{}
+	hurryOnce sync.Once
 	// beforeExit are called in order at a planned stop, when the last request has ended.
 	beforeExit []func(ctx context.Context)
 	done       chan struct{}
@@ -73,9 +77,11 @@
 	d := &Daemon{
 		settings: settings, log: log, clock: time.Now, started: time.Now(),
 		supervisor: lrsupervise.New("daemon", log),
-		metrics:    lrmetric.New(), recorder: lrexplain.NewRecorder(explanationRoom), done: make(chan struct{}),
+		metrics:    lrmetric.New(), recorder: lrexplain.NewRecorder(explanationRoom), done: make(chan struct{}), hurry: make(chan struct{}),
 	}
-	d.platform = lrplatform.NewClient(settings.Platform.URL, lrplatform.WithCallTimeout(settings.Platform.CallTimeout))
+	d.wireTransports()
+	d.platform = lrplatform.NewClient(settings.Platform.URL,
+		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout))...)
 	d.services = lrservice.NewClient(settings.Server.MaxBodyBytes)
 	d.wirePeers()
 	d.wireConfiguration()
@@ -107,6 +113,9 @@
 // Run serves until the context ends, then stops without cutting a request.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer close(d.done)
+	if d.invalid != nil {
+		return d.invalid
+	}
 	listeners, err := d.listen()
 	if err != nil {
 		return err
@@ -118,7 +127,8 @@
 	go func() { _ = d.supervisor.Run(duties) }()
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	go func() { _ = adminServer.Serve(listeners.admin) }()
-	go func() { _ = server.Serve(lrframe.NewListener(listeners.callers, d.settings.Server.MaxHeaderBytes)) }()
+	callers := lrframe.NewListener(d.transports.protect(listeners.callers), d.settings.Server.MaxHeaderBytes)
+	go func() { _ = server.Serve(callers) }()
 	d.log.Info().Str("address", d.settings.Instance.Address).Msg("daemon: serving")
 
 	<-ctx.Done()
@@ -160,25 +170,6 @@
 	}
 }
 
-// drain ends readiness, waits until the balancer has seen it, and lets every running request finish.
-func (d *Daemon) drain(server *http.Server) error {
-	d.draining.Store(true)
-	d.log.Info().Int("running", d.gateway.Running()).Msg("daemon: draining")
-	time.Sleep(d.settings.Server.DrainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Server.DrainTimeout)
-	defer cancel()
-	err := server.Shutdown(ctx)
-	if err != nil {
-		cut := d.gateway.Running()
-		d.gateway.EndAll("the instance is stopping")
-		time.Sleep(endGrace)
-		_ = server.Close()
-		return fmt.Errorf("drain: %d requests were cut after %s; raise drainTimeout: %w", cut, d.settings.Server.DrainTimeout, err)
-	}
-	d.log.Info().Msg("daemon: stopped, no request was cut")
-	return nil
-}
-
 // handBack lets every part return what it holds of others: grants, leases, its place in the membership.
 func (d *Daemon) handBack() {
 	for _, call := range d.beforeExit {
--- a/internal/lrdaemon/harness_test.go
+++ b/internal/lrdaemon/harness_test.go
@@ -141,6 +141,14 @@
 
 // startDaemon starts an instance and waits until it is ready.
 func (h *harness) startDaemon(name string, adjust func(*lrsettings.Settings)) *runningDaemon {
+	h.t.Helper()
+	d := h.launchDaemon(name, adjust)
+	eventually(h.t, "the instance is ready", func() bool { return len(d.missing()) == 0 })
+	return d
+}
+
+// launchDaemon starts an instance that may not become ready.
+func (h *harness) launchDaemon(name string, adjust func(*lrsettings.Settings)) *runningDaemon {
 	h.t.Helper()
 	settings := lrsettings.Default()
 	settings.Instance = lrsettings.Instance{
@@ -160,7 +168,6 @@
 		stop()
 		<-d.Done()
 	})
-	eventually(h.t, "the instance is ready", func() bool { return len(d.missing()) == 0 })
 	return d
 }
 
--- a/internal/lrdaemon/restart_test.go
+++ b/internal/lrdaemon/restart_test.go
@@ -1,6 +1,8 @@
 package lrdaemon
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"testing"
 
@@ -55,3 +57,41 @@
 	}
 	return daemons
 }
+
+func TestWithdrawalReachesInstanceCutFromPlatform(t *testing.T) {
+	h := newHarness(t, 1)
+	peer := h.startDaemons("router-1")[0]
+	seed := peer.settings.Instance.PeerAddress
+	cut := h.startDaemon("router-2", func(s *lrsettings.Settings) {
+		s.Platform.URL = "http://127.0.0.1:1"
+		s.Peers.Seeds = []string{seed}
+	})
+	status, _ := complete(t, cut, h.key, "prompt", 1)
+	requireEqual(t, status, http.StatusOK, "status before the withdrawal")
+	h.withdraw(h.key)
+	eventually(t, "the key is refused", func() bool {
+		status, _ := complete(t, cut, h.key, "prompt", 1)
+		return status == http.StatusUnauthorized
+	})
+}
+
+func TestAllRestartWithPlatformDownAndRecover(t *testing.T) {
+	h := newHarness(t, 1)
+	h.control(h.platform, "/control/faults", lrstub.Faults{Down: true})
+	first := h.launchDaemon("router-1", nil)
+	second := h.launchDaemon("router-2", func(s *lrsettings.Settings) {
+		s.Peers.Seeds = []string{first.settings.Instance.PeerAddress}
+	})
+	eventually(t, "the instances find each other", func() bool { return len(second.roster.Members()) == 2 })
+	response := post(t, second.url+"/v1/completions", h.key.Reveal(), []byte(`{"model":"`+testModel+`","prompt":"p"}`))
+	text, err := io.ReadAll(response.Body)
+	requireNoError(t, err)
+	_ = response.Body.Close()
+	requireEqual(t, bytes.Contains(text, []byte(`"notRun"`)), true, "the refusal says notRun: "+string(text))
+	h.control(h.platform, "/control/faults", lrstub.Faults{})
+	for _, d := range []*runningDaemon{first, second} {
+		eventually(t, "the instance recovers", func() bool { return len(d.missing()) == 0 })
+		status, _ := complete(t, d, h.key, "prompt", 1)
+		requireEqual(t, status, http.StatusOK, "status after the recovery")
+	}
+}
--- a/internal/lrdaemon/wire_peers.go
+++ b/internal/lrdaemon/wire_peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
@@ -17,8 +16,8 @@
 // wirePeers makes the server for the other instances, the connections to them, the roster and the list of instances.
 func (d *Daemon) wirePeers() {
 	s := d.settings
-	d.peers = grpc.NewServer()
-	d.pool = lrpeer.NewPool(insecure.NewCredentials())
+	d.peers = grpc.NewServer(grpc.Creds(d.transports.peerServer))
+	d.pool = lrpeer.NewPool(d.transports.peerClient)
 	self := lrpeer.Member{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, PeerAddress: s.Instance.PeerAddress,
 		Incarnation: uint64(d.started.UnixNano()),
--- /dev/null
+++ b/internal/lrtls/config.go
@@ -0,0 +1,103 @@
+package lrtls
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+)
+
+// NewServer returns the configuration of a server with the certificate. Clients need a certificate of the authority
+// unless its file is empty.
+func NewServer(certFile, keyFile, authorityFile string) (*tls.Config, error) {
+	certificate, err := loadCertificate(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	config := &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return certificate.get() },
+	}
+	if authorityFile == "" {
+		return config, nil
+	}
+	authority, err := loadAuthority(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	config.ClientAuth = tls.RequireAnyClientCert
+	config.VerifyConnection = func(state tls.ConnectionState) error { return verify(state, authority, "") }
+	return config, nil
+}
+
+// NewPeerClient returns the configuration with which an instance calls others. It shows the certificate and accepts
+// every one of the authority, whatever name it holds, since instances are known by addresses that change.
+func NewPeerClient(certFile, keyFile, authorityFile string) (*tls.Config, error) {
+	certificate, err := loadCertificate(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := loadAuthority(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:           tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return certificate.get() },
+		InsecureSkipVerify:   true, // VerifyConnection verifies the chain.
+		VerifyConnection:     func(state tls.ConnectionState) error { return verify(state, authority, "") },
+	}, nil
+}
+
+// NewClient returns the configuration with which a server of the authority is called by its name.
+func NewClient(authorityFile string) (*tls.Config, error) {
+	authority, err := loadAuthority(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS12,
+		InsecureSkipVerify: true, // VerifyConnection verifies the chain and the name.
+		VerifyConnection:   func(state tls.ConnectionState) error { return verify(state, authority, state.ServerName) },
+	}, nil
+}
+
+func loadCertificate(certFile, keyFile string) (*reloaded[*tls.Certificate], error) {
+	return newReloaded(func() (*tls.Certificate, error) {
+		pair, err := tls.LoadX509KeyPair(certFile, keyFile)
+		return &pair, err
+	}, certFile, keyFile)
+}
+
+func loadAuthority(file string) (*reloaded[*x509.CertPool], error) {
+	return newReloaded(func() (*x509.CertPool, error) {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(data) {
+			return nil, fmt.Errorf("%s holds no certificate in PEM form; name a file that does", file)
+		}
+		return pool, nil
+	}, file)
+}
+
+func verify(state tls.ConnectionState, authority *reloaded[*x509.CertPool], name string) error {
+	roots, err := authority.get()
+	if err != nil {
+		return err
+	}
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the other side showed no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err = state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: roots, Intermediates: intermediates, DNSName: name, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return err
+}
--- a/lavenderrouter.go
+++ b/lavenderrouter.go
@@ -18,6 +18,8 @@
 type Router interface {
 	// Run serves until the context ends, then stops without cutting a request.
 	Run(ctx context.Context) error
+	// StopNow makes a stop that is under way cut the requests that still run.
+	StopNow()
 	// Done is closed when Run has returned.
 	Done() <-chan struct{}
 }
