Tell of a leaving backend server without waiting for heartbeats

Notices went out with the probes of each interval alone, which reach 420 instances after about nine intervals of 500 ms, over the 2 s that are allowed. A notice that is new to an instance now starts up to three urgent rounds of 50 ms.

--- a/internal/lrpeer/membership.go
+++ b/internal/lrpeer/membership.go
@@ -24,6 +24,9 @@
 	// urgentDelay is the least time between two rounds that are started by news.
 	urgentDelay = 50 * time.Millisecond
 	maxNotices  = 32
+	maxLeaving  = 4096
+	// leavingRounds is the number of urgent rounds in which a leaving backend server is told of.
+	leavingRounds = 3
 	// leaveRounds is the number of rounds in which a leaving instance tells others.
 	leaveRounds = 3
 )
@@ -53,14 +56,22 @@
 	rounds   int
 	roundAt  time.Time
 	board    ServerBoard
-	onPeer   []func(now time.Time, peer Member)
+	// leaving are the backend servers that are known to be leaving.
+	leaving map[leavingServer]struct{}
+	// noticeRounds is the number of urgent rounds that notices are still told in.
+	noticeRounds int
+	onPeer       []func(now time.Time, peer Member)
 }
 
+// leavingServer is one process of a backend server.
+type leavingServer struct{ name, incarnation string }
+
 // NewMembership returns a Membership that knows of the own instance only.
 func NewMembership(self Member, exchanger Exchanger, options Options) *Membership {
 	self.Heartbeat = 1
 	return &Membership{
 		exchanger: exchanger, options: options, wake: make(chan struct{}, 1),
+		leaving: map[leavingServer]struct{}{},
 		table: lrmember.NewTable(self, lrmember.Options{
 			SuspectTimeout: suspectIntervals * options.Interval, DeadRetention: deadRetention,
 			SyncInterval: syncIntervals * options.Interval,
@@ -127,7 +138,8 @@
 		select {
 		case <-ticker.C:
 		case <-m.wake:
-			m.spread(ctx, m.options.Clock())
+			m.awaitMoreNews(ctx)
+			m.spread(ctx)
 		case <-ctx.Done():
 		}
 	}
@@ -165,16 +177,26 @@
 	m.exchangeAll(ctx, partners)
 }
 
-// spread tells news to a few members after a short delay in which more news may arrive.
-func (m *Membership) spread(ctx context.Context, _ time.Time) {
+// awaitMoreNews waits a moment, so that news that arrive together are told together.
+func (m *Membership) awaitMoreNews(ctx context.Context) {
+	timer := time.NewTimer(urgentDelay)
+	defer timer.Stop()
 	select {
-	case <-time.After(urgentDelay):
+	case <-timer.C:
 	case <-ctx.Done():
-		return
 	}
+}
+
+// spread tells news to a few members.
+func (m *Membership) spread(ctx context.Context) {
 	m.mutex.Lock()
 	partners := m.partners(m.table.Members())
+	m.noticeRounds = max(0, m.noticeRounds-1)
+	again := m.noticeRounds > 0
 	m.mutex.Unlock()
+	if again {
+		m.Spread()
+	}
 	m.exchangeAll(ctx, partners)
 }
 
@@ -192,7 +214,7 @@
 }
 
 func (m *Membership) partners(members []Member) []Member {
-	if !m.table.HasNews() {
+	if !m.table.HasNews() && m.noticeRounds == 0 {
 		return nil
 	}
 	return m.schedule.Spread(m.table.Self(), members, m.options.Fanout)
@@ -280,12 +302,35 @@
 	if m.board == nil {
 		return nil
 	}
-	return m.board.Notices(now, maxNotices)
+	notices := m.board.Notices(now, maxNotices)
+	m.hurryLeaving(notices)
+	return notices
+}
+
+func (m *Membership) takeNotices(now time.Time, encoded []*lrpeerpb.ServerNotice) {
+	if m.board == nil || len(encoded) == 0 {
+		return
+	}
+	notices := decodeNotices(encoded)
+	m.board.TakeNotices(now, notices)
+	m.hurryLeaving(notices)
 }
 
-func (m *Membership) takeNotices(now time.Time, notices []*lrpeerpb.ServerNotice) {
-	if m.board != nil && len(notices) > 0 {
-		m.board.TakeNotices(now, decodeNotices(notices))
+// hurryLeaving starts rounds at once when a backend server is found leaving that was not known to.
+func (m *Membership) hurryLeaving(notices []ServerNotice) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.leaving) > maxLeaving {
+		m.leaving = map[leavingServer]struct{}{}
+	}
+	for _, n := range notices {
+		server := leavingServer{name: n.Name, incarnation: n.Incarnation}
+		_, known := m.leaving[server]
+		if n.Leaving && !known {
+			m.leaving[server] = struct{}{}
+			m.noticeRounds = leavingRounds
+			m.Spread()
+		}
 	}
 }
 
