--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -107,6 +107,9 @@
 	d.follower.OnChange(d.gateway.Apply)
 }
 
+// ConfigVersion returns the version of the configuration in force on this instance.
+func (d *Daemon) ConfigVersion() uint64 { return d.follower.Snapshot().Version() }
+
 // Done is closed when Run has returned.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
--- a/internal/lrdaemon/restart_test.go
+++ b/internal/lrdaemon/restart_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
@@ -95,3 +96,26 @@
 		requireEqual(t, status, http.StatusOK, "status after the recovery")
 	}
 }
+
+func TestCutOffInstanceServesOnUnlessABoundIsSet(t *testing.T) {
+	cases := []struct {
+		name   string
+		bound  time.Duration
+		status int
+	}{
+		{"no bound", 0, http.StatusOK},
+		{"bound", time.Millisecond, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			d := h.startDaemon("router-1", func(s *lrsettings.Settings) { s.Keys.StaleBound = c.bound })
+			h.control(h.platform, "/control/faults", lrstub.Faults{Down: true})
+			h.platform.CloseClientConnections()
+			eventually(t, "the answer to the key", func() bool {
+				status, _ := complete(t, d, h.key, "prompt", 1)
+				return status == c.status
+			})
+		})
+	}
+}
