--- a/internal/lrdaemon/restart_test.go
+++ b/internal/lrdaemon/restart_test.go
@@ -1,8 +1,12 @@
 package lrdaemon
 
 import (
+	"bytes"
+	"io"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
@@ -55,3 +59,81 @@
 	}
 	return daemons
 }
+
+func TestWithdrawalReachesInstanceCutFromPlatform(t *testing.T) {
+	h := newHarness(t, 1)
+	peer := h.startDaemons("router-1")[0]
+	seed := peer.settings.Instance.PeerAddress
+	cut := h.startDaemon("router-2", func(s *lrsettings.Settings) {
+		s.Platform.URL = "http://127.0.0.1:1"
+		s.Peers.Seeds = []string{seed}
+	})
+	status, _ := complete(t, cut, h.key, "prompt", 1)
+	requireEqual(t, status, http.StatusOK, "status before the withdrawal")
+	h.withdraw(h.key)
+	eventually(t, "the key is refused", func() bool {
+		status, _ := complete(t, cut, h.key, "prompt", 1)
+		return status == http.StatusUnauthorized
+	})
+}
+
+func TestAllRestartWithPlatformDownAndRecover(t *testing.T) {
+	h := newHarness(t, 1)
+	h.control(h.platform, "/control/faults", lrstub.Faults{Down: true})
+	first := h.launchDaemon("router-1", nil)
+	second := h.launchDaemon("router-2", func(s *lrsettings.Settings) {
+		s.Peers.Seeds = []string{first.settings.Instance.PeerAddress}
+	})
+	eventually(t, "the instances find each other", func() bool { return len(second.roster.Members()) == 2 })
+	response := post(t, second.url+"/v1/completions", h.key.Reveal(), []byte(`{"model":"`+testModel+`","prompt":"p"}`))
+	text, err := io.ReadAll(response.Body)
+	requireNoError(t, err)
+	_ = response.Body.Close()
+	requireEqual(t, bytes.Contains(text, []byte(`"notRun"`)), true, "the refusal says notRun: "+string(text))
+	h.control(h.platform, "/control/faults", lrstub.Faults{})
+	for _, d := range []*runningDaemon{first, second} {
+		eventually(t, "the instance recovers", func() bool { return len(d.missing()) == 0 })
+		status, _ := complete(t, d, h.key, "prompt", 1)
+		requireEqual(t, status, http.StatusOK, "status after the recovery")
+	}
+}
+
+func TestCutOffInstanceServesOnUnlessABoundIsSet(t *testing.T) {
+	cases := []struct {
+		name   string
+		bound  time.Duration
+		status int
+	}{
+		{"no bound", 0, http.StatusOK},
+		{"bound", time.Millisecond, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			d := h.startDaemon("router-1", func(s *lrsettings.Settings) { s.Keys.StaleBound = c.bound })
+			h.control(h.platform, "/control/faults", lrstub.Faults{Down: true})
+			h.platform.CloseClientConnections()
+			eventually(t, "the answer to the key", func() bool {
+				status, _ := complete(t, d, h.key, "prompt", 1)
+				return status == c.status
+			})
+		})
+	}
+}
+
+func TestListReachesInstanceWithHeartbeats(t *testing.T) {
+	h := newHarness(t, 2)
+	peer := h.startDaemons("router-1")[0]
+	cut := h.startDaemon("router-2", func(s *lrsettings.Settings) {
+		s.Platform.URL = "http://127.0.0.1:1"
+		s.Platform.ListInterval = time.Hour
+		s.Peers.Seeds = []string{peer.settings.Instance.PeerAddress}
+	})
+	h.instances = append(h.instances, lrplatform.Instance{Name: "engine-new", Role: lrplatform.RoleEngine, Address: "127.0.0.1:1", Zone: testZone})
+	h.publishInstances()
+	eventually(t, "the new engine is known", func() bool {
+		return slices.ContainsFunc(cut.registry.Servers(lrplatform.RoleEngine), func(i lrplatform.Instance) bool {
+			return i.Name == "engine-new"
+		})
+	})
+}
--- a/internal/lrdaemon/wire_peers.go
+++ b/internal/lrdaemon/wire_peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
@@ -17,8 +16,8 @@
 // wirePeers makes the server for the other instances, the connections to them, the roster and the list of instances.
 func (d *Daemon) wirePeers() {
 	s := d.settings
-	d.peers = grpc.NewServer()
-	d.pool = lrpeer.NewPool(insecure.NewCredentials())
+	d.peers = grpc.NewServer(grpc.Creds(d.transports.peerServer))
+	d.pool = lrpeer.NewPool(d.transports.peerClient)
 	self := lrpeer.Member{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, PeerAddress: s.Instance.PeerAddress,
 		Incarnation: uint64(d.started.UnixNano()),
@@ -36,15 +35,17 @@
 		d.membership.SetListed(instances)
 		d.registry.SetInstances(now, instances)
 	})
+	d.membership.SetListing(d.listing)
 	lrpeerpb.RegisterMembershipServer(d.peers, lrpeer.NewMembershipService(d.membership, d.listing))
 	d.supervisor.Add("exchangeHeartbeats", d.membership.Run)
 	d.supervisor.Add("refreshListing", lrsupervise.Every(s.Platform.ListInterval/listReadsPerInterval, d.listing.Refresh))
+	d.supervisor.Add("pullListing", d.listing.Pull)
 	d.beforeExit = append(d.beforeExit, d.membership.Leave)
 }
 
 const (
 	// listPatience is the number of list intervals after which an instance reads a list that no peer renews itself.
-	listPatience = 3
+	listPatience = 10
 	// listReadsPerInterval makes a change pass a reader and a peer within one interval.
 	listReadsPerInterval = 2
 	// listingWait is how long the start waits for a list of the instances that can be asked.
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -29,6 +29,7 @@
 	return []area{
 		{name: "route", measure: measureRoute},
 		{name: "limit", measure: measureLimit},
+		{name: "state", measure: measureState},
 	}
 }
 
