Order requests by deficit round robin and spread quarantines

Cause: every request was dispatched at once, so that an overnight batch or one client account filled the engines' queues ahead of all others; the quarantine was known to one instance alone. Change: lrqueue.Fair over a pure Scheduler, with early refusal from the measured throughput, eviction from the account with the largest backlog, deadlines; lrquarantine.Service over gRPC, kept in the platform with its end; CrashReport has two more fields; EngineTokens now counts all instances together, 64,000 by default.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
@@ -56,6 +57,8 @@
 	registry   *lrregistry.Registry
 	queue      lrqueue.Queue
 	runner     *lrstream.Runner
+	budget     *lrretry.Budget
+	ejector    *lrretry.Ejector
 	limiter    lrlimit.Limiter
 	paid       lrgateway.PaidRunner
 	services   lrservice.Client
@@ -92,7 +95,7 @@
 	parts := lrgateway.Parts{
 		Config: d.follower, Freshness: d.freshness, Limiter: d.limiter, Queue: d.queue, Runner: d.runner,
 		Servers: d.registry, Services: d.services, Paid: d.paid, Recorder: d.recorder,
-		Metrics: d.metrics, Log: d.log, Clock: d.clock,
+		Metrics: d.metrics, Log: d.log, Clock: d.clock, Budget: d.budget, Ejector: d.ejector,
 	}
 	d.gateway = lrgateway.New(parts, lrgateway.Options{
 		MaxBodyBytes: s.MaxBodyBytes, BodyTimeout: s.BodyTimeout, StreamTimeout: s.StreamTimeout, WriteTimeout: s.WriteTimeout,
--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -9,9 +9,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplacement"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrregistry"
-	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
-	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
@@ -27,15 +25,12 @@
 		lrroute.WithSeed(uint64(d.started.UnixNano())), lrroute.WithNotes(),
 	)
 	d.placer = nested
-	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
 		lrregistry.WithRoster(d.roster))
 	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
-	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
-		MaxAttempts: d.settings.Routing.MaxAttempts, EventTimeout: d.settings.Routing.EventTimeout,
-	}, d.log)
+	d.wireStreams()
 	d.supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
 	d.supervisor.Add("publishNotices", lrsupervise.Every(lrplacement.Interval, d.registry.PublishChanges))
 	d.supervisor.Add("sharePlacements", lrsupervise.Every(lrplacement.Interval, sharer.Send))
@@ -44,5 +39,8 @@
 
 func engineHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: engineDialTimeout}
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext}}
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
--- /dev/null
+++ b/internal/lrdaemon/wire_streams.go
@@ -0,0 +1,54 @@
+package lrdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
+	quarantine "github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
+)
+
+// quarantineInterval is the time between readings of the quarantines in the platform.
+const quarantineInterval = 30 * time.Second
+
+// wireStreams makes the queue, the quarantine and the runner of streams. The registry and the placer must exist.
+func (d *Daemon) wireStreams() {
+	s := d.settings.Routing
+	queue := lrqueue.NewFair(lrqueue.Options{
+		Quantum: lrprefix.PieceTokens, MaxTokens: s.QueueTokens, MaxWait: s.QueueTimeout,
+	}, s.EngineTokens)
+	d.queue = queue
+	d.budget = lrretry.DefaultBudget()
+	d.ejector = lrretry.DefaultEjector()
+	suspects := lrquarantine.NewService(lrquarantine.Options{
+		Ledger: quarantine.DefaultOptions(), Roster: d.roster, Pool: d.pool, Store: d.platform, Clock: d.clock, Log: d.log,
+	})
+	lrpeerpb.RegisterQuarantineServer(d.peers, suspects)
+	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
+		MaxAttempts: s.MaxAttempts, EventTimeout: s.EventTimeout,
+		Budget: d.budget, Ejector: d.ejector, Suspects: suspects,
+	}, d.log)
+	d.supervisor.Add("sizeQueue", lrsupervise.Every(s.LoadInterval, func(_ context.Context, now time.Time) {
+		queue.SetCapacity(now, d.queueCapacity())
+	}))
+	d.supervisor.Add("spreadCrashes", suspects.Run)
+	d.supervisor.Add("refreshQuarantines", lrsupervise.Every(quarantineInterval, suspects.Refresh))
+}
+
+// queueCapacity returns this instance's share of the prompt tokens that may be in flight to all engines.
+func (d *Daemon) queueCapacity() int {
+	engines := 0
+	for _, s := range d.registry.Servers(lrplatform.RoleEngine) {
+		if !s.Leaving {
+			engines++
+		}
+	}
+	return d.settings.Routing.EngineTokens * max(engines, 1) / max(len(d.roster.Members()), 1)
+}
--- a/internal/lrgateway/call.go
+++ b/internal/lrgateway/call.go
@@ -139,6 +139,14 @@
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(until)
 }
 
+// priority returns the priority of the plan with that of the route.
+func (c *Call) priority() int {
+	if c.Route == nil {
+		return c.Plan.Priority
+	}
+	return c.Plan.Priority + c.Route.Priority
+}
+
 func (c *Call) routeName() string {
 	switch {
 	case c.Route != nil:
--- a/internal/lrgateway/completion.go
+++ b/internal/lrgateway/completion.go
@@ -13,6 +13,8 @@
 
 const (
 	chatPath         = "/v1/chat/completions"
+	completionsPath  = "/v1/completions"
+	modelsPath       = "/v1/models"
 	defaultMaxTokens = 256
 	adapterSeparator = ":"
 )
@@ -161,6 +163,8 @@
 	clock      func() time.Time
 	// writeTimeout is the longest that the caller may take for one event.
 	writeTimeout time.Duration
+	// onFirst is called at the first text, when the engine has read the prompt.
+	onFirst func()
 }
 
 func (g *Gateway) newCompletionSink(call *Call, request completionRequest) *completionSink {
@@ -172,6 +176,7 @@
 
 // Deliver writes the text to a streaming caller, or keeps it for the whole answer.
 func (s *completionSink) Deliver(text string) error {
+	s.onFirst()
 	if !s.request.Stream {
 		_, _ = s.text.WriteString(text)
 		return nil
--- a/internal/lrgateway/gateway.go
+++ b/internal/lrgateway/gateway.go
@@ -86,9 +86,9 @@
 	g.guards = withFreshness(g.guards, parts.Freshness)
 	g.router.UseEncodedPath()
 	g.router.SkipClean(true)
-	g.router.HandleFunc("/v1/chat/completions", g.serve(g.generate)).Methods(http.MethodPost)
-	g.router.HandleFunc("/v1/completions", g.serve(g.generate)).Methods(http.MethodPost)
-	g.router.HandleFunc("/v1/models", g.serve(g.listModels)).Methods(http.MethodGet)
+	g.router.HandleFunc(chatPath, g.serve(g.generate)).Methods(http.MethodPost)
+	g.router.HandleFunc(completionsPath, g.serve(g.generate)).Methods(http.MethodPost)
+	g.router.HandleFunc(modelsPath, g.serve(g.listModels)).Methods(http.MethodGet)
 	g.router.PathPrefix("/").HandlerFunc(g.serve(g.forward))
 	return g
 }
--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstream"
@@ -54,14 +55,16 @@
 func (g *Gateway) runJob(ctx context.Context, call *Call, request completionRequest, job lrstream.Job) (lrstream.Result, error) {
 	queuedAt := g.Clock()
 	release, err := g.Queue.Enter(ctx, queuedAt, lrqueue.Entry{
-		Account: call.Account.Name, Priority: call.Plan.Priority, Tokens: job.Route.Tokens,
+		Account: call.Account.Name, Priority: call.priority(), Tokens: job.Route.Tokens,
 	})
 	if err != nil {
 		return lrstream.Result{}, err
 	}
-	defer func() { release(g.Clock()) }()
+	leave := sync.OnceFunc(func() { release(g.Clock()) })
+	defer leave()
 	call.explanation.Queued = g.Clock().Sub(queuedAt)
 	sink := g.newCompletionSink(call, request)
+	sink.onFirst = leave
 	result, err := g.Runner.Run(ctx, job, sink)
 	call.recordResult(result)
 	g.observe(call, job, result)
@@ -105,7 +108,7 @@
 	return lrstream.Job{
 		Engine: lrengine.Request{
 			RequestID: call.ID, Salt: salt.String(), Model: model.Name, Adapter: request.Adapter, Version: model.Version,
-			Prompt: request.PromptText, MaxTokens: request.MaxTokens, Priority: call.Plan.Priority,
+			Prompt: request.PromptText, MaxTokens: request.MaxTokens, Priority: call.priority(),
 		},
 		Route: lrroute.Request{
 			ID: call.ID, Scope: scope, Chain: lrprefix.Chain(salt, request.PromptText),
--- a/internal/lrgateway/guard.go
+++ b/internal/lrgateway/guard.go
@@ -31,7 +31,7 @@
 type authenticationGuard struct{}
 
 func (*authenticationGuard) Check(_ time.Time, call *Call) error {
-	if call.Route != nil && call.Route.Open {
+	if call.Route != nil && call.Route.Open && !isModelPath(call.Request.URL.Path) {
 		return nil
 	}
 	key, ok := bearerKey(call.Request.Header.Get("Authorization"))
@@ -42,6 +42,11 @@
 	return checkKey(call, call.Snapshot)
 }
 
+// isModelPath reports whether models are served at the path, which needs a key under any route.
+func isModelPath(path string) bool {
+	return path == chatPath || path == completionsPath || path == modelsPath
+}
+
 // checkKey verifies the key of the call against a snapshot.
 func checkKey(call *Call, snapshot *lrconfig.Snapshot) error {
 	record, ok := snapshot.Key(call.Key.ID())
--- /dev/null
+++ b/internal/lrquarantine/service.go
@@ -0,0 +1,128 @@
+// Package lrquarantine spreads among the instances which requests crash engines.
+package lrquarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrring"
+)
+
+const (
+	ringCapacity = 1024
+	// spreadTimeout bounds the time that a failed request waits for the other instances to know of its quarantine.
+	spreadTimeout    = 250 * time.Millisecond
+	maxParallelCalls = 64
+)
+
+// A Service is the ledger of this instance, joined to those of the others. It is safe for use by several goroutines.
+type Service struct {
+	lrpeerpb.UnimplementedQuarantineServer
+	*lrquarantine.Ledger
+	options Options
+	// pending are the crashes that the other instances or the platform have yet to hear of.
+	pending *lrring.Ring[decision]
+}
+
+// Options are what a Service works with.
+type Options struct {
+	Ledger lrquarantine.Options
+	Roster lrpeer.Roster
+	Pool   *lrpeer.Pool
+	Store  lrplatform.Store
+	Clock  func() time.Time
+	Log    zerolog.Logger
+}
+
+// decision is a crash and what this instance has decided on it.
+type decision struct {
+	crash lrquarantine.Crash
+	state lrquarantine.State
+}
+
+// NewService returns a Service that trusts every request.
+func NewService(options Options) *Service {
+	return &Service{
+		Ledger: lrquarantine.NewLedger(options.Ledger), options: options, pending: lrring.New[decision](ringCapacity),
+	}
+}
+
+// Crashed takes in a crash that this instance has seen. When it returns that the request is quarantined, every instance
+// that could be reached in time knows so too.
+func (s *Service) Crashed(ctx context.Context, now time.Time, crash lrquarantine.Crash) lrquarantine.State {
+	decided := decision{crash: crash, state: s.Ledger.Report(now, crash)}
+	if decided.state == lrquarantine.Quarantined {
+		s.options.Log.Error().Str("digest", crash.Digest).Str("attempt", crash.AttemptID).Str("engine", crash.Server).
+			Msg("quarantine: request crashed its second engine, refusing it")
+		s.tellPeers(context.WithoutCancel(ctx), decided)
+	}
+	if !s.pending.Push(decided) {
+		s.options.Log.Warn().Str("digest", crash.Digest).Msg("quarantine: too many crashes at once, one was not spread")
+	}
+	return decided.state
+}
+
+// Run spreads crashes until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	for {
+		decided, err := s.pending.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		if decided.state == lrquarantine.Quarantined {
+			s.save(ctx, decided)
+			continue
+		}
+		s.tellPeers(ctx, decided)
+	}
+}
+
+// Report takes in a crash that another instance has seen.
+func (s *Service) Report(_ context.Context, report *lrpeerpb.CrashReport) (*lrpeerpb.CrashReply, error) {
+	now := s.options.Clock()
+	crash := lrquarantine.Crash{
+		Digest: report.GetDigest(), Server: report.GetServer(), Incarnation: report.GetIncarnation(),
+		AttemptID: report.GetAttemptId(), Isolated: report.GetIsolated(),
+	}
+	if report.GetQuarantined() {
+		s.Restore(now, crash, s.options.Ledger.QuarantineValidity)
+	} else {
+		s.Ledger.Report(now, crash)
+	}
+	return &lrpeerpb.CrashReply{Quarantined: s.State(now, crash.Digest) == lrquarantine.Quarantined}, nil
+}
+
+func (s *Service) tellPeers(ctx context.Context, decided decision) {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(maxParallelCalls)
+	for _, m := range s.options.Roster.Members() {
+		if m.Name != s.options.Roster.Self().Name {
+			group.Go(func() error { return s.tell(ctx, m.PeerAddress, decided) })
+		}
+	}
+	err := group.Wait()
+	if err != nil {
+		s.options.Log.Warn().Err(err).Str("digest", decided.crash.Digest).Msg("quarantine: not every instance heard of the crash")
+	}
+}
+
+func (s *Service) tell(ctx context.Context, address string, decided decision) error {
+	connection, err := s.options.Pool.Connection(address)
+	if err != nil {
+		return err
+	}
+	_, err = lrpeerpb.NewQuarantineClient(connection).Report(ctx, &lrpeerpb.CrashReport{
+		Digest: decided.crash.Digest, Server: decided.crash.Server, Incarnation: decided.crash.Incarnation,
+		AttemptId: decided.crash.AttemptID, Isolated: decided.crash.Isolated, Quarantined: decided.state == lrquarantine.Quarantined,
+	})
+	return err
+}
--- a/internal/lrstub/engine.go
+++ b/internal/lrstub/engine.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -63,6 +64,8 @@
 	laggedLoad  lrengine.Load
 	laggedAt    time.Time
 	ran         []string
+	// crashes counts the crashes by prompts.
+	crashes atomic.Int64
 }
 
 // NewEngine returns a stand-in for an engine. The text it generates depends on the prompt alone.
@@ -73,6 +76,9 @@
 	router.Handle("/control/faults", &e.faults).Methods(http.MethodPut)
 	router.HandleFunc("/control/crash", func(http.ResponseWriter, *http.Request) { e.restart() }).Methods(http.MethodPost)
 	router.HandleFunc("/control/ran", e.serveRan).Methods(http.MethodGet)
+	router.HandleFunc("/control/crashes", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, e.crashes.Load())
+	}).Methods(http.MethodGet)
 	api := router.PathPrefix("/").Subrouter()
 	api.Use(e.faults.wrap)
 	api.HandleFunc("/v1/generate", e.generate).Methods(http.MethodPost)
@@ -112,6 +118,7 @@
 	}
 	faults := e.faults.get()
 	if faults.CrashOn != "" && strings.Contains(request.Prompt, faults.CrashOn) {
+		e.crashes.Add(1)
 		e.restart()
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -79,7 +79,8 @@
 	QueueTokens int
 	// QueueTimeout is the longest that a request waits for its turn.
 	QueueTimeout time.Duration
-	// EngineTokens is the most prompt tokens that are in flight to one engine from this instance.
+	// EngineTokens is the most prompt tokens that are in flight to one engine from all instances together. Each
+	// instance takes an equal share of the sum over all engines.
 	EngineTokens int
 	BeliefBytes  int
 }
@@ -139,7 +140,7 @@
 		},
 		Routing: Routing{
 			LoadInterval: 500 * time.Millisecond, EventTimeout: 5 * time.Second, MaxAttempts: 4,
-			QueueTokens: 4_000_000, QueueTimeout: 20 * time.Second, EngineTokens: 200_000, BeliefBytes: 32 << 20,
+			QueueTokens: 4_000_000, QueueTimeout: 20 * time.Second, EngineTokens: 64_000, BeliefBytes: 32 << 20,
 		},
 		Limits: Limits{GrantValidity: 5 * time.Second, LeaseValidity: 15 * time.Second, MaxWait: time.Second},
 		Paid:   Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
