--- a/pkg/lrqueue/fair.go
+++ b/pkg/lrqueue/fair.go
@@ -26,7 +26,7 @@
 	mutex     sync.Mutex
 	scheduler *Scheduler[*turn]
 	capacity  int
-	admitted  int
+	admitted  *InFlight
 	rate      throughput
 }
 
@@ -38,7 +38,7 @@
 
 // NewFair returns an empty queue of the given capacity in tokens.
 func NewFair(options Options, capacity int) *Fair {
-	return &Fair{options: options, scheduler: NewScheduler[*turn](options.Quantum), capacity: capacity}
+	return &Fair{options: options, scheduler: NewScheduler[*turn](options.Quantum), capacity: capacity, admitted: NewInFlight()}
 }
 
 // SetCapacity changes the most tokens that may be admitted at once.
@@ -98,9 +98,10 @@
 func (f *Fair) join(ctx context.Context, now time.Time, entry Entry) (*Ticket[*turn], error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.rate.advance(now, f.admitted > 0)
-	if f.scheduler.Waiting() == 0 && f.hasRoom() {
-		f.admitted += entry.Tokens
+	f.rate.advance(now, f.admitted.Total() > 0)
+	next, waits := f.scheduler.NextPriority()
+	if (!waits || next < entry.Priority) && f.admitted.HasRoom(entry.Priority, f.capacity) {
+		f.admitted.Add(entry)
 		return nil, nil
 	}
 	wait := f.rate.timeFor(f.scheduler.Ahead(entry))
@@ -137,28 +138,26 @@
 func (f *Fair) release(now time.Time, entry Entry) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.rate.advance(now, f.admitted > 0)
+	f.rate.advance(now, f.admitted.Total() > 0)
 	f.rate.served(entry.Tokens)
-	f.admitted -= entry.Tokens
+	f.admitted.Remove(entry)
 	f.dispatch(now)
 }
 
 // dispatch admits waiting entries while there is room.
 func (f *Fair) dispatch(now time.Time) {
-	f.rate.advance(now, f.admitted > 0)
-	for f.hasRoom() {
-		ticket, ok := f.scheduler.Pop()
-		if !ok {
+	f.rate.advance(now, f.admitted.Total() > 0)
+	for {
+		priority, ok := f.scheduler.NextPriority()
+		if !ok || !f.admitted.HasRoom(priority, f.capacity) {
 			return
 		}
-		f.admitted += ticket.Entry.Tokens
+		ticket, _ := f.scheduler.Pop()
+		f.admitted.Add(ticket.Entry)
 		close(ticket.Value.admitted)
 	}
 }
 
-// hasRoom lets one entry exceed the capacity, so that none is too large to be admitted.
-func (f *Fair) hasRoom() bool { return f.admitted == 0 || f.admitted < f.capacity }
-
 func overloaded(wait time.Duration) error {
 	return lrerror.New(lrerror.KindOverloaded, lrerror.NotRun,
 		"the engines cannot serve the request in time; retry after the time in Retry-After").WithRetryAfter(max(wait, minRetryAfter))
--- /dev/null
+++ b/pkg/lrqueue/in_flight.go
@@ -0,0 +1,42 @@
+package lrqueue
+
+// An InFlight counts the tokens that have been admitted, by priority. Engines serve the higher priority first, so that
+// an entry has to wait only for admitted tokens of its own priority and above.
+type InFlight struct {
+	tokens map[int]int
+}
+
+// NewInFlight returns an InFlight without tokens.
+func NewInFlight() *InFlight { return &InFlight{tokens: map[int]int{}} }
+
+// Add counts the entry as admitted.
+func (f *InFlight) Add(entry Entry) { f.tokens[entry.Priority] += entry.Tokens }
+
+// Remove takes the entry back.
+func (f *InFlight) Remove(entry Entry) {
+	f.tokens[entry.Priority] -= entry.Tokens
+	if f.tokens[entry.Priority] <= 0 {
+		delete(f.tokens, entry.Priority)
+	}
+}
+
+// Total returns all tokens.
+func (f *InFlight) Total() int {
+	total := 0
+	for _, tokens := range f.tokens {
+		total += tokens
+	}
+	return total
+}
+
+// HasRoom reports whether an entry of the priority may be admitted. One entry may exceed the capacity, so that none is
+// too large.
+func (f *InFlight) HasRoom(priority, capacity int) bool {
+	ahead := 0
+	for p, tokens := range f.tokens {
+		if p >= priority {
+			ahead += tokens
+		}
+	}
+	return ahead == 0 || ahead < capacity
+}
--- a/pkg/lrqueue/scheduler.go
+++ b/pkg/lrqueue/scheduler.go
@@ -46,6 +46,14 @@
 // Waiting returns the tokens of all waiting entries.
 func (s *Scheduler[T]) Waiting() int { return s.waiting }
 
+// NextPriority returns the priority of the next ticket. It reports false when none waits.
+func (s *Scheduler[T]) NextPriority() (int, bool) {
+	if len(s.classes) == 0 {
+		return 0, false
+	}
+	return s.classes[0].priority, true
+}
+
 // Push adds an entry behind the others of its client account.
 func (s *Scheduler[T]) Push(entry Entry, value T) *Ticket[T] {
 	l := s.lane(entry)
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -28,6 +28,8 @@
 func areas() []area {
 	return []area{
 		{name: "route", measure: measureRoute},
+		{name: "stream", measure: measureStream},
+		{name: "gateway", measure: measureGateway},
 	}
 }
 
