--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -30,6 +30,8 @@
 		{name: "route", measure: measureRoute},
 		{name: "limit", measure: measureLimit},
 		{name: "state", measure: measureState},
+		{name: "stream", measure: measureStream},
+		{name: "gateway", measure: measureGateway},
 	}
 }
 
