--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -142,7 +142,7 @@
 			LoadInterval: 500 * time.Millisecond, EventTimeout: 5 * time.Second, MaxAttempts: 4,
 			QueueTokens: 4_000_000, QueueTimeout: 20 * time.Second, EngineTokens: 64_000, BeliefBytes: 32 << 20,
 		},
-		Limits: Limits{GrantValidity: time.Second, LeaseValidity: 15 * time.Second, MaxWait: time.Second},
+		Limits: Limits{GrantValidity: time.Second, LeaseValidity: 15 * time.Second, MaxWait: 2 * time.Second},
 		Paid:   Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
 		Log:    Log{Format: "json", Level: "info"},
 	}
