Wait out the lease when a name has moved to another address

Cause: a process that follows another of its name counted as proof that the earlier one has ended. That holds when it has taken over the address, which the earlier one would still hold; at another address the earlier one may be paused or cut off.

Change: at another address the earlier process is unproved, so its lease is waited out.

--- a/pkg/lrlimit/tenure_test.go
+++ b/pkg/lrlimit/tenure_test.go
@@ -55,22 +55,25 @@
 
 func TestTakingOverWaitsForEveryMember(t *testing.T) {
 	gone, _ := viewOf("abcde").WithoutGone(members("e"), true)
+	restarted := lrlimit.Member{Name: "c", Incarnation: 2}
+	moved := lrlimit.Member{Name: "c", Incarnation: 2, Address: "elsewhere"}
 	cases := []struct {
 		name  string
 		view  lrlimit.View
-		votes string
 		quiet time.Duration
 	}{
-		{"a member joined", viewOf("abc"), "bc", lrlimit.WithMargin(testValidity)},
-		{"a member left", viewOf("abc").WithoutLeaver(members("c")[0]), "b", lrlimit.WithMargin(testValidity)},
-		{"a member is gone", gone, "bcd", lrlimit.WithMargin(testValidity) + lrlimit.WithMargin(testLease)},
+		{"a member joined", viewOf("abc"), lrlimit.WithMargin(testValidity)},
+		{"a member left", viewOf("abc").WithoutLeaver(members("c")[0]), lrlimit.WithMargin(testValidity)},
+		{"a member has restarted", viewOf("abc").WithMember(restarted), lrlimit.WithMargin(testValidity)},
+		{"a member has restarted elsewhere", viewOf("abc").WithMember(moved), lrlimit.WithMargin(testValidity) + lrlimit.WithMargin(testLease)},
+		{"a member is gone", gone, lrlimit.WithMargin(testValidity) + lrlimit.WithMargin(testLease)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			tenure := lrlimit.NewTenure(members("a")[0], testLease, testValidity)
 			tenure.Adopt(start(), c.view)
 			now := start()
-			for _, m := range members(c.votes) {
+			for _, m := range c.view.Members[1:] {
 				checkSettled(t, tenure, now.Add(time.Hour), false)
 				now = now.Add(time.Second)
 				tenure.ConfirmByMember(now, now, m, c.view.Number)
--- a/pkg/lrlimit/view.go
+++ b/pkg/lrlimit/view.go
@@ -52,10 +52,15 @@
 	return best, best.Name != ""
 }
 
-// WithMember returns the next view with the process in it, in the place of an earlier process of the same name. The
-// earlier process has ended, since a name and its address belong to one process at a time.
+// WithMember returns the next view with the process in it, in the place of an earlier process of the same name. At the
+// same address the earlier process has ended, since it would still hold the address. At another one that is unproved.
 func (v View) WithMember(m Member) View {
 	next := v.next()
+	for _, o := range v.Members {
+		if o.Name == m.Name && o.Address != m.Address {
+			next.Unproved = append(next.Unproved, o.ID())
+		}
+	}
 	next.Members = slices.DeleteFunc(next.Members, func(o Member) bool { return o.Name == m.Name })
 	next.Members = append(next.Members, m)
 	slices.SortFunc(next.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
