--- a/scripts/demo/steps.go
+++ b/scripts/demo/steps.go
@@ -40,6 +40,7 @@
 		{"engine killed in mid stream", showEngineCrash},
 		{"graceful stop under load", showGracefulStop},
 		{"restart with the platform down", showRestart},
+		{"key withdrawn while an instance is paused", showPause},
 	}
 }
 
