--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -20,7 +20,9 @@
 
 // Instance says who the instance is and where it listens.
 type Instance struct {
+	// Name is the name of the instance, which no other has.
 	Name string
+	// Zone is the availability zone of the instance.
 	Zone string
 	// Address is where callers are served, as IP:port.
 	Address string
@@ -32,6 +34,7 @@
 
 // Platform says how the platform's object API is reached.
 type Platform struct {
+	// URL is where the platform's object API is served.
 	URL string
 	// CallTimeout bounds each call other than a watch.
 	CallTimeout time.Duration
@@ -53,12 +56,18 @@
 
 // Server bounds what callers may send and how long they may take.
 type Server struct {
-	MaxBodyBytes   int64
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes int
-	HeaderTimeout  time.Duration
-	BodyTimeout    time.Duration
-	IdleTimeout    time.Duration
-	StreamTimeout  time.Duration
+	// HeaderTimeout bounds how long the header of a request may take to arrive.
+	HeaderTimeout time.Duration
+	// BodyTimeout bounds how long the body of a request may take to arrive.
+	BodyTimeout time.Duration
+	// IdleTimeout bounds how long a connection may be kept without a request.
+	IdleTimeout time.Duration
+	// StreamTimeout bounds a whole request with its answer.
+	StreamTimeout time.Duration
 	// WriteTimeout is the longest that a caller may take for one event of a stream or for a whole answer.
 	WriteTimeout time.Duration
 	// DrainDelay is the time between the end of readiness and the end of listening at a planned stop.
@@ -71,10 +80,12 @@
 
 // Routing says how requests are placed on engines.
 type Routing struct {
+	// LoadInterval is the time between two questions for the load of an engine.
 	LoadInterval time.Duration
 	// EventTimeout is the longest silence within a stream before the engine counts as frozen.
 	EventTimeout time.Duration
-	MaxAttempts  int
+	// MaxAttempts is the most engines that one request is sent to.
+	MaxAttempts int
 	// QueueTokens is the most prompt tokens that may wait in this instance.
 	QueueTokens int
 	// QueueTimeout is the longest that a request waits for its turn.
@@ -82,12 +93,15 @@
 	// EngineTokens is the most prompt tokens that are in flight to one engine from all instances together. Each
 	// instance takes an equal share of the sum over all engines.
 	EngineTokens int
-	BeliefBytes  int
+	// BeliefBytes is the size of the table of what engines have cached.
+	BeliefBytes int
 }
 
 // Limits says how tokens are granted.
 type Limits struct {
+	// GrantValidity is how long a grant of tokens can be used.
 	GrantValidity time.Duration
+	// LeaseValidity is how long an instance grants tokens after its place has been confirmed.
 	LeaseValidity time.Duration
 	// MaxWait is the longest that a request waits for tokens before it is refused.
 	MaxWait time.Duration
@@ -102,19 +116,28 @@
 
 // Paid says how paid actions are kept.
 type Paid struct {
-	Retention   time.Duration
+	// Retention is how long the records of settled paid actions are kept.
+	Retention time.Duration
+	// CallTimeout bounds the call of a paid action to its service.
 	CallTimeout time.Duration
 }
 
 // TLS names certificate files. Empty names mean plain TCP.
 type TLS struct {
-	CertFile     string
-	KeyFile      string
-	CAFile       string
+	// CertFile is the certificate that callers see.
+	CertFile string
+	// KeyFile is the private key of CertFile.
+	KeyFile string
+	// CAFile holds the authorities whose certificates callers must show.
+	CAFile string
+	// PeerCertFile is the certificate that other instances see.
 	PeerCertFile string
-	PeerKeyFile  string
-	PeerCAFile   string
-	PlatformCA   string
+	// PeerKeyFile is the private key of PeerCertFile.
+	PeerKeyFile string
+	// PeerCAFile holds the authorities of the other instances' certificates.
+	PeerCAFile string
+	// PlatformCA holds the authorities of the platform's certificate.
+	PlatformCA string
 }
 
 // Log says how logs are written.
