Believe shares of the load sooner and learn what the engine of the hash holds

Cause: with many routers each sees few requests, and shares counted fully only after four requests for each engine: hot prefixes got too few engines and spilled.

Change: shares count after 20 requests and 0.2 for each engine, without a deduction for chance, and answers correct how much of an unknown prompt the engine of the hash holds.

--- a/pkg/lrroute/engine_state.go
+++ b/pkg/lrroute/engine_state.go
@@ -26,7 +26,9 @@
 	assumed int
 	// wanted is the number of pieces to be imported.
 	wanted int
-	first  bool
+	// unknown is the number of pieces of which nothing was known, when the engine was the one that hashing chose.
+	unknown int
+	first   bool
 }
 
 // engineState is what is known of one engine beyond its description.
--- a/pkg/lrroute/level.go
+++ b/pkg/lrroute/level.go
@@ -8,8 +8,10 @@
 
 const (
 	maxLevels = 8
-	// evidencePerEngine is the number of requests for each engine that must be seen before shares of the load count.
-	evidencePerEngine = 4
+	// evidenceRequests and, for each engine, evidencePerEngine are the numbers of requests that must be seen before
+	// shares of the load count fully.
+	evidenceRequests  = 20
+	evidencePerEngine = 0.2
 	// sizeSlack is how far the wanted size must leave the present one before it changes.
 	sizeSlack = 0.35
 )
@@ -62,9 +64,8 @@
 func (n *Nested) resize(m *modelState, p *piece, tokens int) {
 	perRequest := float64(tokens) / n.options.window.Seconds()
 	seen := float64(p.rate) / perRequest
-	sure := max(0, seen-n.options.doubt*math.Sqrt(seen))
 	engines := float64(len(m.indexes))
-	wanted := sure / (m.rate/perRequest + evidencePerEngine*engines) * engines * n.options.spread
+	wanted := seen / (m.rate/perRequest + evidenceRequests + evidencePerEngine*engines) * engines * n.options.spread
 	if p.size == 0 || math.Abs(wanted-float64(p.size)) > 0.5+sizeSlack {
 		p.size = uint16(min(max(1, math.Round(wanted)), engines))
 	}
--- a/pkg/lrroute/nested.go
+++ b/pkg/lrroute/nested.go
@@ -23,9 +23,11 @@
 	flights  map[flightKey]flight
 	perToken time.Duration
 	// trust is the part of the pieces assumed to be held that answers showed to be held.
-	trust   float64
-	scratch scratch
-	store   keptStore
+	trust float64
+	// homeTrust is the part of the unknown pieces that answers showed to be held by the engine that hashing chose.
+	homeTrust float64
+	scratch   scratch
+	store     keptStore
 
 	outgoing    []outgoingNote
 	foreign     [foreignSendRoom]foreignSend
@@ -61,7 +63,7 @@
 	return &Nested{
 		options: o, random: rand.New(rand.NewPCG(o.seed, o.seed)), models: map[string]*modelState{},
 		byName: map[string]uint16{}, pieces: newPieceTable(o.beliefBytes, o.window),
-		flights: map[flightKey]flight{}, perToken: o.prefillPerToken, trust: firstTrust,
+		flights: map[flightKey]flight{}, perToken: o.prefillPerToken, trust: firstTrust, homeTrust: o.homeShare,
 	}
 }
 
@@ -191,6 +193,10 @@
 		n.engines[index].judge(f, cached)
 	}
 	n.engines[index].stored += uint32(max(0, f.held-cached))
+	if f.unknown > 0 && f.wanted == 0 {
+		kept := float64(cached-max(f.held, f.assumed)) / float64(f.unknown)
+		n.homeTrust = max(n.options.homeShare, n.homeTrust+trustStep*(min(1, max(0, kept))-n.homeTrust))
+	}
 	if f.assumed > f.held && f.wanted == 0 {
 		kept := float64(cached-f.held) / float64(f.assumed-f.held)
 		n.trust += trustStep * (min(1, max(0, kept)) - n.trust)
--- a/pkg/lrroute/nested_options.go
+++ b/pkg/lrroute/nested_options.go
@@ -17,7 +17,6 @@
 	notes           bool
 	importCost      float64
 	violated        func(invariant string)
-	doubt           float64
 	workWeight      float64
 	homeShare       float64
 }
@@ -70,11 +69,6 @@
 	return func(o *nestedOptions) { o.importCost = part }
 }
 
-// WithDoubt sets how many standard deviations are taken off a share of the load before it counts.
-func WithDoubt(deviations float64) NestedOption {
-	return func(o *nestedOptions) { o.doubt = deviations }
-}
-
 // WithWorkWeight sets how much the work that a placement causes counts beside the time that its caller waits.
 func WithWorkWeight(weight float64) NestedOption {
 	return func(o *nestedOptions) { o.workWeight = weight }
@@ -88,7 +82,6 @@
 const (
 	defaultHomeShare       = 0.3
 	defaultImportCost      = 0.2
-	defaultDoubt           = 1.0
 	defaultWorkWeight      = 0.25
 	defaultBeliefBytes     = 32 << 20
 	defaultPrefillPerToken = 100 * time.Microsecond
@@ -102,6 +95,6 @@
 	return nestedOptions{
 		seed: 1, beliefBytes: defaultBeliefBytes, prefillPerToken: defaultPrefillPerToken,
 		window: defaultWindow, spread: defaultSpread, memory: defaultMemory, room: defaultRoom,
-		doubt: defaultDoubt, workWeight: defaultWorkWeight, importCost: defaultImportCost, violated: func(string) {}, homeShare: defaultHomeShare,
+		workWeight: defaultWorkWeight, importCost: defaultImportCost, violated: func(string) {}, homeShare: defaultHomeShare,
 	}
 }
--- a/pkg/lrroute/place.go
+++ b/pkg/lrroute/place.go
@@ -65,7 +65,7 @@
 	missing := float64(request.Tokens) - pieces*lrprefix.PieceTokens
 	if c.home {
 		unknown := len(request.Chain) - max(c.held, c.assumed)
-		missing -= n.options.homeShare * float64(unknown) * lrprefix.PieceTokens
+		missing -= n.homeTrust * float64(unknown) * lrprefix.PieceTokens
 	}
 	cost := n.engines[c.engine].queueWait(now) - max(0, n.importSaving(now, c)) + time.Duration(max(0, missing)*(1+n.options.workWeight)*float64(n.perToken))
 	if n.options.zone != "" && n.engines[c.engine].Zone != n.options.zone {
@@ -94,9 +94,13 @@
 	if saved > 0 {
 		wanted = n.importable(c)
 	}
+	unknown := 0
+	if c.home {
+		unknown = len(request.Chain) - max(c.held, c.assumed)
+	}
 	n.flights[flightKey{request.ID, n.engines[c.engine].Name}] = flight{
 		engine: c.engine, tokens: tokens, ahead: ahead, sentAt: now, remembered: c.remembered, age: c.age,
-		held: c.held, assumed: c.assumed, wanted: wanted,
+		held: c.held, assumed: c.assumed, wanted: wanted, unknown: unknown,
 	}
 	n.engines[c.engine].stored += uint32(tokens / lrprefix.PieceTokens)
 	h := n.holder(now, c.engine)
