Keep suspects of two instances from running on one engine

A suspect ran apart from the other suspects of its own instance alone, so the poison of one instance and an innocent suspect of another met on one engine, and its crash was laid to both. Ruled out: a timeout of the test; fixed lanes of engines per instance (an instance with one lane that has just crashed could not go on). Change: before a suspect runs, its instance asks the others for the engine.

--- a/internal/lrquarantine/service.go
+++ b/internal/lrquarantine/service.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -54,6 +55,41 @@
 	}
 }
 
+// Begin reports whether the request runs isolated on the server, and whether it may run there now. No two connected
+// instances run suspects on one server at the same time.
+func (s *Service) Begin(now time.Time, digest, server string) (isolated, ok bool) {
+	isolated, ok = s.Ledger.Begin(now, digest, server)
+	if !isolated || !ok {
+		return isolated, ok
+	}
+	if !s.askPeers(digest, server) {
+		s.End(digest, server, false)
+		return false, false
+	}
+	s.Hold(digest, server)
+	return true, true
+}
+
+// Isolate answers another instance that wants to run a suspect on a server.
+func (s *Service) Isolate(_ context.Context, request *lrpeerpb.IsolateRequest) (*lrpeerpb.IsolateReply, error) {
+	goesFirst := request.GetDaemon() < s.options.Roster.Self().Name
+	return &lrpeerpb.IsolateReply{Granted: s.Grant(s.options.Clock(), request.GetServer(), goesFirst)}, nil
+}
+
+// askPeers reports whether no instance that answers in time runs a suspect on the server.
+func (s *Service) askPeers(digest, server string) bool {
+	var denied atomic.Bool
+	request := &lrpeerpb.IsolateRequest{Server: server, Digest: digest, Daemon: s.options.Roster.Self().Name}
+	_ = s.callPeers(context.Background(), func(ctx context.Context, peer lrpeerpb.QuarantineClient) error {
+		reply, err := peer.Isolate(ctx, request)
+		if err == nil && !reply.GetGranted() {
+			denied.Store(true)
+		}
+		return err
+	})
+	return !denied.Load()
+}
+
 // Crashed takes in a crash that this instance has seen. When it returns that the request is quarantined, every instance
 // that could be reached in time knows so too.
 func (s *Service) Crashed(ctx context.Context, now time.Time, crash lrquarantine.Crash) lrquarantine.State {
@@ -100,29 +136,36 @@
 }
 
 func (s *Service) tellPeers(ctx context.Context, decided decision) {
-	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
-	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(maxParallelCalls)
-	for _, m := range s.options.Roster.Members() {
-		if m.Name != s.options.Roster.Self().Name {
-			group.Go(func() error { return s.tell(ctx, m.PeerAddress, decided) })
-		}
+	report := &lrpeerpb.CrashReport{
+		Digest: decided.crash.Digest, Server: decided.crash.Server, Incarnation: decided.crash.Incarnation,
+		AttemptId: decided.crash.AttemptID, Isolated: decided.crash.Isolated, Quarantined: decided.state == lrquarantine.Quarantined,
 	}
-	err := group.Wait()
+	err := s.callPeers(ctx, func(ctx context.Context, peer lrpeerpb.QuarantineClient) error {
+		_, err := peer.Report(ctx, report)
+		return err
+	})
 	if err != nil {
 		s.options.Log.Warn().Err(err).Str("digest", decided.crash.Digest).Msg("quarantine: not every instance heard of the crash")
 	}
 }
 
-func (s *Service) tell(ctx context.Context, address string, decided decision) error {
-	connection, err := s.options.Pool.Connection(address)
-	if err != nil {
-		return err
+// callPeers calls every other instance, for a bounded time, and returns the first error.
+func (s *Service) callPeers(ctx context.Context, call func(ctx context.Context, peer lrpeerpb.QuarantineClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(maxParallelCalls)
+	for _, m := range s.options.Roster.Members() {
+		if m.Name == s.options.Roster.Self().Name {
+			continue
+		}
+		group.Go(func() error {
+			connection, err := s.options.Pool.Connection(m.PeerAddress)
+			if err != nil {
+				return err
+			}
+			return call(ctx, lrpeerpb.NewQuarantineClient(connection))
+		})
 	}
-	_, err = lrpeerpb.NewQuarantineClient(connection).Report(ctx, &lrpeerpb.CrashReport{
-		Digest: decided.crash.Digest, Server: decided.crash.Server, Incarnation: decided.crash.Incarnation,
-		AttemptId: decided.crash.AttemptID, Isolated: decided.crash.Isolated, Quarantined: decided.state == lrquarantine.Quarantined,
-	})
-	return err
+	return group.Wait()
 }
--- a/internal/lrstream/assert_test.go
+++ b/internal/lrstream/assert_test.go
@@ -14,7 +14,7 @@
 func (trustAll) State(time.Time, string) lrquarantine.State          { return lrquarantine.Trusted }
 func (trustAll) Begin(time.Time, string, string) (isolated, ok bool) { return false, true }
 func (trustAll) End(string, string, bool)                            {}
-func (trustAll) Occupied() []string                                  { return nil }
+func (trustAll) Occupied(time.Time) []string                         { return nil }
 
 func (trustAll) Crashed(context.Context, time.Time, lrquarantine.Crash) lrquarantine.State {
 	return lrquarantine.Trusted
--- a/internal/lrstream/attempt.go
+++ b/internal/lrstream/attempt.go
@@ -118,7 +118,7 @@
 	if g.runner.options.Suspects.State(now, g.digest) == lrquarantine.Trusted {
 		return nil
 	}
-	return g.runner.options.Suspects.Occupied()
+	return g.runner.options.Suspects.Occupied(now)
 }
 
 // tryPlace avoids ejected engines and those that have failed the request. When no other is left it takes one of them,
--- a/internal/lrstream/runner.go
+++ b/internal/lrstream/runner.go
@@ -39,8 +39,8 @@
 	Begin(now time.Time, digest, engine string) (isolated, ok bool)
 	// End notes that an isolated request has ended.
 	End(digest, engine string, completed bool)
-	// Occupied returns the engines on which a suspect runs.
-	Occupied() []string
+	// Occupied returns the engines on which a suspect runs or may be about to.
+	Occupied(now time.Time) []string
 	// Crashed reports a crash to the fleet and returns what is thought of the request now.
 	Crashed(ctx context.Context, now time.Time, crash lrquarantine.Crash) lrquarantine.State
 }
--- a/pkg/lrquarantine/ledger.go
+++ b/pkg/lrquarantine/ledger.go
@@ -55,7 +55,16 @@
 	options  Options
 	mutex    sync.Mutex
 	entries  map[string]entry
-	isolated map[string]string
+	isolated map[string]lane
+	// granted holds, by server, until when a suspect of another instance may be about to run there.
+	granted map[string]time.Time
+}
+
+// lane is a server on which a suspect of this instance runs or is about to run.
+type lane struct {
+	digest string
+	// held tells that the other instances have granted the server.
+	held bool
 }
 
 type entry struct {
@@ -67,7 +76,7 @@
 
 // NewLedger returns a Ledger that trusts every request.
 func NewLedger(options Options) *Ledger {
-	return &Ledger{options: options, entries: map[string]entry{}, isolated: map[string]string{}}
+	return &Ledger{options: options, entries: map[string]entry{}, isolated: map[string]lane{}, granted: map[string]time.Time{}}
 }
 
 // Digest returns the identity of a request: the same prompt of the same client account for the same model.
@@ -96,18 +105,45 @@
 		return false, true
 	}
 	_, occupied := l.isolated[server]
-	if occupied {
+	if occupied || now.Before(l.granted[server]) {
 		return false, false
 	}
-	l.isolated[server] = digest
+	l.isolated[server] = lane{digest: digest}
 	return true, true
 }
 
+// Hold notes that the other instances have granted the server to the request that began there.
+func (l *Ledger) Hold(digest, server string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.isolated[server].digest == digest {
+		l.isolated[server] = lane{digest: digest, held: true}
+	}
+}
+
+// Grant reports whether another instance may run a suspect on the server. Of two instances that ask for it at the same
+// time the one that goes first gets it.
+func (l *Ledger) Grant(now time.Time, server string, goesFirst bool) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	own, occupied := l.isolated[server]
+	if occupied && (own.held || !goesFirst) {
+		return false
+	}
+	for s, until := range l.granted {
+		if !now.Before(until) {
+			delete(l.granted, s)
+		}
+	}
+	l.granted[server] = now.Add(l.options.CrashWindow)
+	return true
+}
+
 // End notes that an isolated request has ended on the server. One that was completed is trusted again.
 func (l *Ledger) End(digest, server string, completed bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.isolated[server] == digest {
+	if l.isolated[server].digest == digest {
 		delete(l.isolated, server)
 	}
 	if completed {
@@ -115,14 +151,19 @@
 	}
 }
 
-// Occupied returns the servers on which a suspect runs, ordered by name.
-func (l *Ledger) Occupied() []string {
+// Occupied returns the servers on which a suspect runs or may be about to, ordered by name.
+func (l *Ledger) Occupied(now time.Time) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	servers := make([]string, 0, len(l.isolated))
+	servers := make([]string, 0, len(l.isolated)+len(l.granted))
 	for s := range l.isolated {
 		servers = append(servers, s)
 	}
+	for s, until := range l.granted {
+		if now.Before(until) {
+			servers = append(servers, s)
+		}
+	}
 	slices.Sort(servers)
 	return servers
 }
