Ask the members in time of their own when the platform hangs

Cause: reading the platform and asking the members of the view shared one deadline. A platform that takes calls and doesn't answer used it up, no member was asked, and every home lost its tenure after one lease, though the platform's outages must not stop homes. Ruled out: the lease itself, since refused calls left time for the members.

Change: the deadline holds for the platform alone; each call to a member has its own.

--- a/internal/lrgrant/keeper.go
+++ b/internal/lrgrant/keeper.go
@@ -149,10 +149,11 @@
 	return k.options.LeaseValidity / votesPerLease
 }
 
+// refresh reads the platform and asks the members. A platform that hangs takes no time from the members.
 func (k *Keeper) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, k.options.LeaseValidity/votesPerLease)
+	reading, cancel := context.WithTimeout(ctx, k.options.LeaseValidity/votesPerLease)
 	defer cancel()
-	err := k.readPlatform(ctx)
+	err := k.readPlatform(reading)
 	if err != nil {
 		k.Log.Debug().Err(err).Msg("limits: platform not read, going on with the views of the peers")
 	}
--- a/internal/lrgrant/limiter_test.go
+++ b/internal/lrgrant/limiter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,7 +20,10 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
 
-const waitLimit = 20 * time.Second
+const (
+	waitLimit = 20 * time.Second
+	testLease = time.Second
+)
 
 // instance is one daemon's part of the limiter, with a gRPC server of its own.
 type instance struct {
@@ -28,8 +32,14 @@
 	server *grpc.Server
 }
 
+// testPlatform is a platform whose list can be set.
+type testPlatform interface {
+	lrplatform.Platform
+	SetInstances(instances []lrplatform.Instance)
+}
+
 // startInstances starts the instances of three zones on one platform and waits until the pools have begun to fill.
-func startInstances(t *testing.T, platform *lrplatform.Memory, perZone int) []*instance {
+func startInstances(t *testing.T, platform testPlatform, perZone int) []*instance {
 	t.Helper()
 	listed := make([]lrplatform.Instance, 0, 3*perZone)
 	listeners := make([]net.Listener, 0, 3*perZone)
@@ -60,11 +70,11 @@
 	return instances
 }
 
-func startInstance(t *testing.T, platform *lrplatform.Memory, listed lrplatform.Instance, listener net.Listener) *instance {
+func startInstance(t *testing.T, platform testPlatform, listed lrplatform.Instance, listener net.Listener) *instance {
 	t.Helper()
 	options := Options{
 		Self: lrlimit.Member{Name: listed.Name, Incarnation: uint64(time.Now().UnixNano()), Address: listed.PeerAddress},
-		Zone: listed.Zone, LeaseValidity: time.Second, GrantValidity: 200 * time.Millisecond, MaxWait: 50 * time.Millisecond,
+		Zone: listed.Zone, LeaseValidity: testLease, GrantValidity: 200 * time.Millisecond, MaxWait: 50 * time.Millisecond,
 	}
 	pool := lrpeer.NewPool(insecure.NewCredentials())
 	keeper := NewKeeper(options, Parts{
@@ -165,6 +175,34 @@
 	})
 }
 
+// hangingPlatform takes calls and never answers them while it hangs.
+type hangingPlatform struct {
+	*lrplatform.Memory
+	hangs atomic.Bool
+}
+
+func (p *hangingPlatform) Get(ctx context.Context, kind, name string) (lrplatform.Object, error) {
+	if p.hangs.Load() {
+		<-ctx.Done()
+		return lrplatform.Object{}, lrplatform.ErrUnavailable.Wrap(ctx.Err())
+	}
+	return p.Memory.Get(ctx, kind, name)
+}
+
+func TestHomesGoOnWhilePlatformHangs(t *testing.T) {
+	platform := &hangingPlatform{Memory: lrplatform.NewMemory()}
+	instances := startInstances(t, platform, 2)
+	platform.hangs.Store(true)
+	time.Sleep(2 * testLease)
+	for _, i := range instances {
+		eventually(t, "the home is confirmed by the other members", func() bool {
+			i.keeper.mutex.Lock()
+			defer i.keeper.mutex.Unlock()
+			return i.keeper.homes.Holds(time.Now())
+		})
+	}
+}
+
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(waitLimit)
