Bound how often the views are read from the platform

Cause: a call to a home that failed, and a process that was not in its view yet, began a reading of the platform at once or each 100 ms. With 420 instances restarting together that is 8400 calls a second by reckoning, above the platform's 2000 reads. Found by reading the code.

Change: readings follow a schedule: each three seconds in the view, at most four a second when a view is known to be old, with back-off and jitter outside the view. Members are still asked each 100 ms while a view settles.

--- a/internal/lrgrant/keeper.go
+++ b/internal/lrgrant/keeper.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -56,6 +57,8 @@
 	Parts
 	options Options
 	kick    chan struct{}
+	// readError is the result of the last reading of the platform. It belongs to the goroutine of Run.
+	readError error
 
 	mutex       sync.Mutex
 	homes       *lrlimit.Homes
@@ -64,6 +67,7 @@
 	stale       map[string]bool
 	missing     map[lrlimit.Member]time.Time
 	readAt      time.Time
+	schedule    readSchedule
 }
 
 // NewKeeper returns a Keeper that knows no view.
@@ -72,6 +76,7 @@
 		Parts: parts, options: options, kick: make(chan struct{}, 1),
 		homes:  lrlimit.NewHomes(options.Self, options.LeaseValidity, options.GrantValidity),
 		others: map[string]lrlimit.View{}, stale: map[string]bool{}, missing: map[lrlimit.Member]time.Time{},
+		schedule: readSchedule{period: options.LeaseValidity / votesPerLease},
 	}
 }
 
@@ -84,6 +89,7 @@
 		case <-timer.C:
 		case <-k.kick:
 			timer.Stop()
+			sleep(ctx, settlePeriod)
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
@@ -143,7 +149,7 @@
 func (k *Keeper) pause() time.Duration {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if !k.homes.View().Contains(k.options.Self) || len(k.homes.Waiting()) > 0 {
+	if !k.homes.View().Contains(k.options.Self) || len(k.homes.Waiting()) > 0 || len(k.stale) > 0 {
 		return settlePeriod
 	}
 	return k.options.LeaseValidity / votesPerLease
@@ -151,18 +157,32 @@
 
 // refresh reads the platform and asks the members. A platform that hangs takes no time from the members.
 func (k *Keeper) refresh(ctx context.Context) {
-	reading, cancel := context.WithTimeout(ctx, k.options.LeaseValidity/votesPerLease)
-	defer cancel()
-	err := k.readPlatform(reading)
-	if err != nil {
-		k.Log.Debug().Err(err).Msg("limits: platform not read, going on with the views of the peers")
+	if k.isReadDue() {
+		reading, cancel := context.WithTimeout(ctx, k.options.LeaseValidity/votesPerLease)
+		k.readError = k.readPlatform(reading)
+		cancel()
 	}
-	k.askMembers(ctx, err != nil)
+	if k.readError != nil {
+		k.Log.Debug().Err(k.readError).Msg("limits: platform not read, going on with the views of the peers")
+	}
+	k.askMembers(ctx, k.readError != nil)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.homes.Sweep(k.Clock())
 }
 
+// isReadDue reports whether the platform is to be read now, and notes that it is.
+func (k *Keeper) isReadDue() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now, joined := k.Clock(), k.homes.View().Contains(k.options.Self)
+	due := k.schedule.isDue(now, joined, len(k.stale) > 0, rand.Float64())
+	if due {
+		k.schedule.read(now, joined)
+	}
+	return due
+}
+
 // adopt takes the view in if it is newer than the known one.
 func (k *Keeper) adopt(view lrlimit.View) {
 	k.mutex.Lock()
