--- a/internal/lrgrant/keeper.go
+++ b/internal/lrgrant/keeper.go
@@ -175,10 +175,11 @@
 func (k *Keeper) isReadDue() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now, joined := k.Clock(), k.homes.View().Contains(k.options.Self)
-	due := k.schedule.isDue(now, joined, len(k.stale) > 0, rand.Float64())
+	now := k.Clock()
+	lacking := len(k.stale) > 0 || !k.homes.View().Contains(k.options.Self)
+	due := k.schedule.isDue(now, lacking, rand.Float64())
 	if due {
-		k.schedule.read(now, joined)
+		k.schedule.read(now, lacking)
 	}
 	return due
 }
