Read the shards once for the whole fleet when all instances start together

Cause: the first member of each zone read every shard from the platform at once, and a lone instance first contacted others at its second heartbeat, so that it read the list again meanwhile. Change: only the first member of all reads at once; the first of each zone asks it for 200 ms, the others ask a few for longer; an instance that knows of nobody tries the list as soon as it has one. Ruled out: everybody asking the first member, which at 420 instances would send 4 MB each.

--- a/internal/lrdaemon/wire_configuration.go
+++ b/internal/lrdaemon/wire_configuration.go
@@ -17,6 +17,8 @@
 	pauseBound = time.Second
 	// pauseTick is the time between two looks at the clock.
 	pauseTick = 200 * time.Millisecond
+	// turnDelay is the time by which each next member of a zone waits longer before it reads from the platform.
+	turnDelay = 200 * time.Millisecond
 )
 
 // wireConfiguration makes the follower of the shared configuration and the relay that feeds it.
@@ -29,7 +31,7 @@
 	})
 	d.relay = lrstate.NewRelay(d.follower, d.platform, lrstate.NewPeers(d.pool), d.roster, lrstate.RelayOptions{
 		WatchersPerZone: s.Peers.WatchersPerZone, Fanout: s.Peers.Fanout, WatchInterval: s.Peers.HeartbeatInterval,
-		Candidates: d.candidates, OnPlatform: func() { d.freshness.Contacted(d.clock()) }, Log: d.log, Random: newRandom(),
+		TurnDelay: turnDelay, Candidates: d.candidates, OnPlatform: func() { d.freshness.Contacted(d.clock()) }, Log: d.log, Random: newRandom(),
 	})
 	d.follower.OnChange(func(snapshot *lrconfig.Snapshot) { d.membership.SetConfigVersion(snapshot.Version()) })
 	d.membership.OnPeer(func(now time.Time, peer lrpeer.Member) {
--- a/internal/lrpeer/membership.go
+++ b/internal/lrpeer/membership.go
@@ -178,10 +178,16 @@
 	if ok {
 		partners = append(partners, probe)
 	}
-	for _, address := range strangers {
-		partners = append(partners, Member{PeerAddress: address})
+	m.exchangeAll(ctx, append(partners, unknown(strangers)...))
+}
+
+// unknown returns members of which only the addresses are known.
+func unknown(addresses []string) []Member {
+	members := make([]Member, 0, len(addresses))
+	for _, a := range addresses {
+		members = append(members, Member{PeerAddress: a})
 	}
-	m.exchangeAll(ctx, partners)
+	return members
 }
 
 // awaitMoreNews waits a moment, so that news that arrive together are told together.
@@ -197,7 +203,11 @@
 // spread tells news to a few members.
 func (m *Membership) spread(ctx context.Context) {
 	m.mutex.Lock()
-	partners := m.partners(m.table.Members())
+	members := m.table.Members()
+	partners := m.partners(members)
+	if len(members) == 1 {
+		partners = unknown(m.strangers(members))
+	}
 	m.noticeRounds = max(0, m.noticeRounds-1)
 	again := m.noticeRounds > 0
 	m.mutex.Unlock()
--- a/internal/lrstate/confirm.go
+++ b/internal/lrstate/confirm.go
@@ -17,10 +17,7 @@
 	// confirmPeers is the number of peers whose version is compared with that of the platform.
 	confirmPeers   = 4
 	confirmTimeout = time.Second
-	// turnDelay is the time by which each next member of a zone waits longer for its peers before it reads shards
-	// from the platform.
-	turnDelay    = 200 * time.Millisecond
-	maxTurnDelay = 2 * time.Second
+	maxTurnDelay   = 2 * time.Second
 )
 
 // answer is the head of one source that has answered.
@@ -61,10 +58,8 @@
 	if highest.head.Version == 0 && r.follower.Snapshot().Version() == 0 {
 		return slices.ContainsFunc(answers, func(a answer) bool { return a.platform })
 	}
-	self := r.roster.Self()
-	wait := min(turnDelay*time.Duration(lrmember.Rank(candidates, self)), maxTurnDelay)
 	err := r.follower.Accept(ctx, highest.head, func(ctx context.Context, digests []string) (map[string][]byte, error) {
-		return r.gather(ctx, digests, candidates, wait)
+		return r.gather(ctx, digests, candidates)
 	})
 	if err != nil {
 		r.options.Log.Warn().Err(err).Msg("state: configuration not read, trying again")
@@ -102,9 +97,33 @@
 	return slices.DeleteFunc(answers, func(a answer) bool { return a.source == nil })
 }
 
-// gather reads shards from peers, and from the platform what no peer has had within the wait.
-func (r *Relay) gather(ctx context.Context, digests []string, candidates []lrpeer.Member, wait time.Duration) (map[string][]byte, error) {
-	patient, cancel := context.WithTimeout(ctx, wait)
+// turn returns how long the instance waits for its peers before it reads shards from the platform. The first of all
+// does not wait, then come the first ones of each zone.
+func (r *Relay) turn(candidates []lrpeer.Member) time.Duration {
+	self := r.roster.Self()
+	if lrmember.First(candidates).Name == self.Name {
+		return 0
+	}
+	return min(r.options.TurnDelay*time.Duration(1+lrmember.Rank(candidates, self)), maxTurnDelay)
+}
+
+// holders returns the candidates that are asked for shards: the first of all by the first ones of each zone, and a few
+// others by everybody, so that no instance has to serve the whole fleet.
+func (r *Relay) holders(candidates []lrpeer.Member) []lrpeer.Member {
+	self := r.roster.Self()
+	r.mutex.Lock()
+	chosen := lrmember.NewSchedule(r.options.Random).Spread(self, candidates, confirmPeers)
+	r.mutex.Unlock()
+	first := lrmember.First(candidates)
+	if lrmember.Rank(candidates, self) > 0 || first.Name == self.Name {
+		return chosen
+	}
+	return append([]lrpeer.Member{first}, chosen...)
+}
+
+// gather reads shards from peers, and from the platform what no peer has had when it is the turn of the instance.
+func (r *Relay) gather(ctx context.Context, digests []string, candidates []lrpeer.Member) (map[string][]byte, error) {
+	patient, cancel := context.WithTimeout(ctx, r.turn(candidates))
 	defer cancel()
 	values := map[string][]byte{}
 	for {
@@ -126,9 +145,7 @@
 func (r *Relay) gatherFromPeers(ctx context.Context, digests []string, candidates []lrpeer.Member, values map[string][]byte) []string {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	r.mutex.Lock()
-	chosen := lrmember.NewSchedule(r.options.Random).Spread(r.roster.Self(), candidates, confirmPeers)
-	r.mutex.Unlock()
+	chosen := r.holders(candidates)
 	for _, c := range chosen {
 		got, err := r.peers.Source(c.PeerAddress).Shards(ctx, digests)
 		if err != nil {
--- a/internal/lrstate/relay.go
+++ b/internal/lrstate/relay.go
@@ -36,6 +36,9 @@
 	Fanout          int
 	// WatchInterval is the time after which an instance that does not watch asks again whether it should.
 	WatchInterval time.Duration
+	// TurnDelay is the time by which each next member of a zone waits longer for its peers before it reads shards from
+	// the platform.
+	TurnDelay time.Duration
 	// Candidates returns the instances that may be asked at the start. It may wait a moment for them.
 	Candidates func(ctx context.Context) []lrpeer.Member
 	// OnPlatform is called when the platform has answered.
--- a/pkg/lrmember/watchers.go
+++ b/pkg/lrmember/watchers.go
@@ -21,6 +21,17 @@
 	}))
 }
 
+// First returns the first of the members that are not leaving, over all zones, in the order that Rank uses.
+func First(members []Member) Member {
+	live := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Leaving })
+	if len(live) == 0 {
+		return Member{}
+	}
+	return slices.MinFunc(live, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weight(a.Name), weight(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+}
+
 func weight(name string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(name))
