--- a/internal/lrdaemon/key_leak_test.go
+++ b/internal/lrdaemon/key_leak_test.go
@@ -228,4 +228,5 @@
 		requireEqual(t, response.Header.Get(name), "", name)
 	}
 	requireEqual(t, response.Header.Get("X-Kept"), "1", "X-Kept")
+	requireEqual(t, response.Trailer.Get("X-Sum"), "1", "trailer X-Sum")
 }
--- /dev/null
+++ b/internal/lrengine/client_test.go
@@ -0,0 +1,145 @@
+package lrengine
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+)
+
+// countingServer counts the connections and requests that it gets.
+type countingServer struct {
+	*httptest.Server
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func startCountingServer(t *testing.T, handle http.HandlerFunc) *countingServer {
+	t.Helper()
+	s := &countingServer{}
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		handle(w, r)
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.connections.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// readAll takes every event and returns the error that ended the stream.
+func readAll(t *testing.T, engine Engine) error {
+	t.Helper()
+	events, err := engine.Generate(context.Background(), Request{RequestID: "r"})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = events.Close() }()
+	for {
+		event, err := events.Next()
+		if err != nil || event.Done {
+			return err
+		}
+	}
+}
+
+func TestConnectionIsReusedAfterWholeAnswersAlone(t *testing.T) {
+	write := func(w http.ResponseWriter, text string) {
+		_, _ = fmt.Fprint(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+	cases := []struct {
+		name        string
+		handle      http.HandlerFunc
+		connections int64
+	}{
+		{"whole", func(w http.ResponseWriter, _ *http.Request) { write(w, "{}\n{\"done\":true}\n") }, 1},
+		{"malformed and going on", func(w http.ResponseWriter, r *http.Request) {
+			write(w, "{}\n{\n")
+			<-r.Context().Done()
+		}, 3},
+		{"last event and going on", func(w http.ResponseWriter, r *http.Request) {
+			write(w, "{\"done\":true}\n")
+			<-r.Context().Done()
+		}, 3},
+		{"cut", func(w http.ResponseWriter, _ *http.Request) {
+			write(w, "{}\n")
+			panic(http.ErrAbortHandler)
+		}, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := startCountingServer(t, c.handle)
+			engine := NewDialer(&http.Client{Transport: &http.Transport{}}).Dial(server.Listener.Addr().String())
+			for range 3 {
+				_ = readAll(t, engine)
+			}
+			requireEqual(t, server.connections.Load(), c.connections, "connections")
+		})
+	}
+}
+
+func TestErrorsSayWhetherTheRequestLeft(t *testing.T) {
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	answer := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+	}
+	cases := []struct {
+		name   string
+		handle http.HandlerFunc
+		has    func(error) bool
+	}{
+		{"cut", cut, ErrBroken.Has},
+		{"refused", answer(http.StatusServiceUnavailable), ErrRefused.Has},
+		{"failed", answer(http.StatusInternalServerError), ErrFailed.Has},
+		{"redirected", answer(http.StatusTemporaryRedirect), ErrFailed.Has},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := startCountingServer(t, c.handle)
+			engine := NewDialer(server.Client()).Dial(server.Listener.Addr().String())
+			err := readAll(t, engine)
+			if !c.has(err) {
+				t.Fatalf("error %v", err)
+			}
+			requireEqual(t, server.requests.Load(), 1, "requests")
+		})
+	}
+	t.Run("not sent", func(t *testing.T) {
+		server := startCountingServer(t, cut)
+		server.Close()
+		err := readAll(t, NewDialer(server.Client()).Dial(server.Listener.Addr().String()))
+		requireEqual(t, ErrNotSent.Has(err), true, "not sent")
+	})
+}
+
+// TestRequestIsSentOnce closes a connection that the client holds idle, so that the next request on it fails.
+func TestRequestIsSentOnce(t *testing.T) {
+	var requests atomic.Int64
+	server := startCountingServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1)%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprint(w, "{\"done\":true}\n")
+	})
+	engine := NewDialer(&http.Client{Transport: &http.Transport{}}).Dial(server.Listener.Addr().String())
+	for n := range int64(6) {
+		err := readAll(t, engine)
+		requireEqual(t, ErrBroken.Has(err), n%2 == 1, "broken")
+		requireEqual(t, server.requests.Load(), n+1, "requests")
+	}
+}
+
+func requireEqual[T comparable](t *testing.T, got, want T, what string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
--- a/internal/lrgateway/credentials.go
+++ b/internal/lrgateway/credentials.go
@@ -32,7 +32,7 @@
 	}
 	for name, values := range forwarded {
 		if lrkey.Holds([]byte(name)) || lrkey.Holds([]byte(strings.Join(values, "\n"))) {
-			forwarded.Del(name)
+			delete(forwarded, name)
 		}
 	}
 	return forwarded
--- a/internal/lrgateway/forward.go
+++ b/internal/lrgateway/forward.go
@@ -161,7 +161,14 @@
 		}
 	}
 	header.Del("Set-Cookie")
-	if call.Request.Method != http.MethodHead && allowsBody(response.Status) {
+	trailer := forwardHeader(response.Trailer)
+	hasBody := call.Request.Method != http.MethodHead && allowsBody(response.Status)
+	switch {
+	case hasBody && len(trailer) > 0:
+		for name, values := range trailer {
+			header[http.TrailerPrefix+name] = values
+		}
+	case hasBody:
 		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
 	call.writer.WriteHeader(response.Status)
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -40,6 +40,8 @@
 	Status int         `json:"status"`
 	Header http.Header `json:"header"`
 	Body   []byte      `json:"body"`
+	// Trailer holds the headers that came after the body.
+	Trailer http.Header `json:"trailer,omitempty"`
 }
 
 // A Client sends each request once. Neither it nor its transport ever repeats one.
@@ -82,7 +84,7 @@
 	if int64(len(body)) > c.maxBytes {
 		return Response{}, ErrUnknown.New("answer is above %d bytes", c.maxBytes)
 	}
-	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer}, nil
 }
 
 // singleUseBody hides the type of the reader, so that net/http cannot rewind and resend it.
