Close connections to instances that are gone

Once a minute the connections to addresses that are neither alive, listed nor seeds are closed, and the buffers of the rest are 4 kB instead of 32 kB. The harness of the daemon tests now says why an instance ended before it was ready: TestPaidActionRunsOnce failed once of ten runs under the race detector on a busy machine with 'never ready', without a cause; not seen again in nine.

--- a/internal/lrdaemon/harness_test.go
+++ b/internal/lrdaemon/harness_test.go
@@ -143,7 +143,14 @@
 func (h *harness) startDaemon(name string, adjust func(*lrsettings.Settings)) *runningDaemon {
 	h.t.Helper()
 	d := h.launchDaemon(name, adjust)
-	eventually(h.t, "the instance is ready", func() bool { return len(d.missing()) == 0 })
+	eventually(h.t, "the instance is ready", func() bool {
+		select {
+		case err := <-d.result:
+			h.t.Fatalf("%s ended before it was ready: %v", name, err)
+		default:
+		}
+		return len(d.missing()) == 0
+	})
 	return d
 }
 
--- a/internal/lrdaemon/wire_peers.go
+++ b/internal/lrdaemon/wire_peers.go
@@ -16,7 +16,7 @@
 // wirePeers makes the server for the other instances, the connections to them, the roster and the list of instances.
 func (d *Daemon) wirePeers() {
 	s := d.settings
-	d.peers = grpc.NewServer(grpc.Creds(d.transports.peerServer))
+	d.peers = grpc.NewServer(lrpeer.ServerOptions(d.transports.peerServer)...)
 	d.pool = lrpeer.NewPool(d.transports.peerClient)
 	self := lrpeer.Member{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, PeerAddress: s.Instance.PeerAddress,
@@ -39,6 +39,7 @@
 	lrpeerpb.RegisterMembershipServer(d.peers, lrpeer.NewMembershipService(d.membership, d.listing))
 	d.supervisor.Add("exchangeHeartbeats", d.membership.Run)
 	d.supervisor.Add("refreshListing", lrsupervise.Every(s.Platform.ListInterval/listReadsPerInterval, d.listing.Refresh))
+	d.supervisor.Add("retainConnections", lrsupervise.Every(retainInterval, d.retainConnections))
 	d.supervisor.Add("pullListing", d.listing.Pull)
 	d.beforeExit = append(d.beforeExit, d.membership.Leave)
 }
@@ -51,8 +52,26 @@
 	// listingWait is how long the start waits for a list of the instances that can be asked.
 	listingWait = 300 * time.Millisecond
 	listingPoll = 10 * time.Millisecond
+	// retainInterval is the time between two closings of connections to instances that are gone.
+	retainInterval = time.Minute
 )
 
+// retainConnections closes the connections to instances that are neither alive nor listed nor seeds.
+func (d *Daemon) retainConnections(ctx context.Context, _ time.Time) {
+	known := map[string]bool{}
+	for _, seed := range d.settings.Peers.Seeds {
+		known[seed] = true
+	}
+	for _, m := range d.roster.Members() {
+		known[m.PeerAddress] = true
+	}
+	instances, _ := d.listing.Instances(ctx)
+	for _, i := range instances {
+		known[i.PeerAddress] = true
+	}
+	d.pool.Retain(known)
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // candidates returns the instances that can be asked: the live members, those on the list, and the seeds.
--- a/internal/lrpeer/pool.go
+++ b/internal/lrpeer/pool.go
@@ -8,6 +8,16 @@
 	"google.golang.org/grpc/credentials"
 )
 
+// bufferBytes is the size of each buffer of a connection. Messages between instances are small.
+const bufferBytes = 4 << 10
+
+// ServerOptions returns the options of a server for other instances.
+func ServerOptions(transport credentials.TransportCredentials) []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.Creds(transport), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+	}
+}
+
 // A Pool keeps one connection to each peer address.
 type Pool struct {
 	credentials credentials.TransportCredentials
@@ -28,7 +38,8 @@
 	if ok {
 		return connection, nil
 	}
-	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(p.credentials))
+	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(p.credentials),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
 	}
@@ -36,6 +47,25 @@
 	return connection, nil
 }
 
+// Retain closes the connections to all other addresses than the given ones.
+func (p *Pool) Retain(addresses map[string]bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, connection := range p.connections {
+		if !addresses[address] {
+			_ = connection.Close()
+			delete(p.connections, address)
+		}
+	}
+}
+
+// Len returns the number of connections.
+func (p *Pool) Len() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.connections)
+}
+
 // Close closes every connection.
 func (p *Pool) Close() {
 	p.mutex.Lock()
