--- a/internal/lrpeer/listing.go
+++ b/internal/lrpeer/listing.go
@@ -86,12 +86,14 @@
 	if reader && l.readPlatform(ctx, now) == nil {
 		return
 	}
-	if now.Sub(l.lastRead()) < l.options.Patience || l.readPeers(ctx, now) == nil && now.Sub(l.lastRead()) < l.options.Patience {
+	if l.isRecent(now) {
 		return
 	}
-	if !reader {
-		_ = l.readPlatform(ctx, now)
+	_ = l.readPeers(ctx, now)
+	if reader || l.isRecent(now) {
+		return
 	}
+	_ = l.readPlatform(ctx, now)
 }
 
 // Pull reads the list from peers that have offered a later one. It is a duty of the supervisor.
@@ -139,10 +141,10 @@
 	l.offers.Push(address)
 }
 
-func (l *Listing) lastRead() time.Time {
+func (l *Listing) isRecent(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.readAt
+	return now.Sub(l.readAt) < l.options.Patience
 }
 
 func (l *Listing) readPlatform(ctx context.Context, now time.Time) error {
