Rely on hashing less while other instances are heard and send notes each 25 ms

Cause: cold prompts waited up to 0.3 of their computation for the engine of the hash; notes came up to 0.1 s late; before 900 engines the cache events would have taken 430 kB/s by their size.

Change: an unknown piece counts for 0.05 while at least as many placements of others are heard as made, else for 0.3. Notes go each 25 ms within the same budget. No cache events are read before more than 64 engines.

--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -17,6 +17,7 @@
 const (
 	idleEngineConnections = 256
 	engineDialTimeout     = time.Second
+	noticeInterval        = 100 * time.Millisecond
 )
 
 // wireRouting makes the parts that choose engines, order requests and run streams.
@@ -39,9 +40,9 @@
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
 	d.wireStreams()
 	d.supervisor.Add("refreshInstances", lrsupervise.Every(d.settings.Platform.ListInterval, d.registry.RefreshList))
-	d.supervisor.Add("publishNotices", lrsupervise.Every(lrplacement.Interval, d.registry.PublishChanges))
+	d.supervisor.Add("publishNotices", lrsupervise.Every(noticeInterval, d.registry.PublishChanges))
 	d.supervisor.Add("sharePlacements", lrsupervise.Every(lrplacement.Interval, sharer.Send))
-	d.supervisor.Add("refreshHoldings", lrsupervise.Every(lrplacement.Interval, d.registry.RefreshHoldings))
+	d.supervisor.Add("refreshHoldings", lrsupervise.Every(noticeInterval, d.registry.RefreshHoldings))
 	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
 }
 
--- a/internal/lrmodel/run.go
+++ b/internal/lrmodel/run.go
@@ -12,7 +12,7 @@
 
 const (
 	reportInterval = 500 * time.Millisecond
-	noteInterval   = 100 * time.Millisecond
+	noteInterval   = 25 * time.Millisecond
 	noteLimit      = 64
 	eventLag       = 200 * time.Millisecond
 	decodeTime     = 3 * time.Second
--- a/internal/lrplacement/sharer.go
+++ b/internal/lrplacement/sharer.go
@@ -17,7 +17,7 @@
 
 const (
 	// Interval is the time between two sendings.
-	Interval = 100 * time.Millisecond
+	Interval = 25 * time.Millisecond
 	// bytesPerSecond bounds what an instance sends to all others together.
 	bytesPerSecond = 6000
 	// messageBytes is what the frames around one message take.
--- a/internal/lrregistry/cache_events.go
+++ b/internal/lrregistry/cache_events.go
@@ -15,8 +15,11 @@
 const (
 	// startEngines bounds the engines whose caches an instance reads when it starts.
 	startEngines = 24
+	// maxEventEngines is the number of engines above which no cache events are read: before so many, an instance could
+	// neither hear them nor tell them to the others.
+	maxEventEngines = 64
 	// maxEvents is the number of events at one reading above which an engine's events are left unread for a while.
-	maxEvents  = 4096
+	maxEvents  = 512
 	eventPause = time.Hour
 	// maxPieces bounds the pieces of one engine that are told to others at once.
 	maxPieces     = 256
@@ -73,7 +76,7 @@
 func (r *Registry) holdingsDue(now time.Time) (first, due bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.engines) == 0 || now.Before(r.holdingsDueAt) {
+	if len(r.engines) == 0 || len(r.engines) > maxEventEngines || now.Before(r.holdingsDueAt) {
 		return false, false
 	}
 	first = r.holdingsDueAt.IsZero()
--- a/internal/lrregistry/registry_test.go
+++ b/internal/lrregistry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -52,12 +53,23 @@
 	return batch, nil
 }
 
-type fakeTaker struct{ taken []lrroute.Holding }
+type fakeTaker struct {
+	mutex sync.Mutex
+	taken []lrroute.Holding
+}
 
 func (f *fakeTaker) ApplyHolding(_ time.Time, holding lrroute.Holding) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.taken = append(f.taken, holding)
 }
 
+func (f *fakeTaker) count() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.taken)
+}
+
 // fakePlacer keeps the last list of engines.
 type fakePlacer struct {
 	lrroute.Placer
@@ -205,3 +217,13 @@
 	requireEqual(t, len(taker.taken[2].Stored), 1, "pieces stored by the new incarnation")
 	requireEqual(t, len(r.TakeHoldings()), 1, "holdings for the other instances")
 }
+
+func TestCacheEventsOfManyEnginesAreNotRead(t *testing.T) {
+	for _, engines := range []int{maxEventEngines, maxEventEngines + 1} {
+		taker := &fakeTaker{}
+		r := New("zone-0", nil, &fakeEngines{incarnation: "1"}, &fakePlacer{}, zerolog.Nop(), WithHoldings(taker))
+		r.SetInstances(testStart(), testInstances(engines))
+		r.RefreshHoldings(context.Background(), testStart())
+		requireEqual(t, taker.count() > 0, engines <= maxEventEngines, "events were read")
+	}
+}
--- a/pkg/lrroute/nested.go
+++ b/pkg/lrroute/nested.go
@@ -26,6 +26,7 @@
 	trust float64
 	// homeTrust is the part of the unknown pieces that answers showed to be held by the engine that hashing chose.
 	homeTrust float64
+	hearing   hearing
 	scratch   scratch
 	store     keptStore
 
@@ -63,7 +64,7 @@
 	return &Nested{
 		options: o, random: rand.New(rand.NewPCG(o.seed, o.seed)), models: map[string]*modelState{},
 		byName: map[string]uint16{}, pieces: newPieceTable(o.beliefBytes, o.window),
-		flights: map[flightKey]flight{}, perToken: o.prefillPerToken, trust: firstTrust, homeTrust: o.homeShare,
+		flights: map[flightKey]flight{}, perToken: o.prefillPerToken, trust: firstTrust,
 	}
 }
 
@@ -195,7 +196,7 @@
 	n.engines[index].stored += uint32(max(0, f.held-cached))
 	if f.unknown > 0 && f.wanted == 0 {
 		kept := float64(cached-max(f.held, f.assumed)) / float64(f.unknown)
-		n.homeTrust = max(n.options.homeShare, n.homeTrust+trustStep*(min(1, max(0, kept))-n.homeTrust))
+		n.homeTrust += trustStep * (min(1, max(0, kept)) - n.homeTrust)
 	}
 	if f.assumed > f.held && f.wanted == 0 {
 		kept := float64(cached-f.held) / float64(f.assumed-f.held)
--- a/pkg/lrroute/nested_options.go
+++ b/pkg/lrroute/nested_options.go
@@ -80,7 +80,7 @@
 }
 
 const (
-	defaultHomeShare       = 0.3
+	defaultHomeShare       = 0.05
 	defaultImportCost      = 0.2
 	defaultWorkWeight      = 0.25
 	defaultBeliefBytes     = 32 << 20
--- a/pkg/lrroute/note.go
+++ b/pkg/lrroute/note.go
@@ -70,6 +70,7 @@
 	defer n.mutex.Unlock()
 	n.start(now)
 	for _, note := range notes {
+		n.hearing.heard++
 		n.apply(now, note)
 	}
 	n.recount()
--- a/pkg/lrroute/place.go
+++ b/pkg/lrroute/place.go
@@ -65,7 +65,7 @@
 	missing := float64(request.Tokens) - pieces*lrprefix.PieceTokens
 	if c.home {
 		unknown := len(request.Chain) - max(c.held, c.assumed)
-		missing -= n.homeTrust * float64(unknown) * lrprefix.PieceTokens
+		missing -= n.homeShare() * float64(unknown) * lrprefix.PieceTokens
 	}
 	cost := n.engines[c.engine].queueWait(now) - max(0, n.importSaving(now, c)) + time.Duration(max(0, missing)*(1+n.options.workWeight)*float64(n.perToken))
 	if n.options.zone != "" && n.engines[c.engine].Zone != n.options.zone {
@@ -107,5 +107,6 @@
 	for _, p := range n.scratch.chain {
 		p.hold(h)
 	}
+	n.hearing.placed()
 	n.note(now, request, c.engine, tokens)
 }
