Ask only the backend servers that may have got an action for its outcome

Cause: a resent action whose first attempt was in doubt asked any backend server of the service. A server with a ledger of its own that had not got the action said truthfully that it never will run there, and the record was settled as not run although another server had run it. Change: the dispatching write names the servers that the attempt may send to (at most four); all of these are asked, one that has run it decides, and 'not run' needs every one of them.

--- a/internal/lrcluster/cluster.go
+++ b/internal/lrcluster/cluster.go
@@ -31,6 +31,8 @@
 	platform  string
 	processes map[string]*process
 	instances []lrplatform.Instance
+	// extraSettings is added to the settings of every instance.
+	extraSettings string
 }
 
 // Zones returns the availability zones of every cluster.
@@ -210,7 +212,7 @@
 eventTimeout = 2s
 `, i.Name, i.Zone, i.Address, i.AdminAddress, i.PeerAddress, c.platform, strings.Join(seeds, ","))
 	path := filepath.Join(c.directory, i.Name+".ini")
-	err := os.WriteFile(path, []byte(settings), 0o600)
+	err := os.WriteFile(path, []byte(settings+c.extraSettings), 0o600)
 	if err != nil {
 		return err
 	}
--- a/internal/lrledger/action.go
+++ b/internal/lrledger/action.go
@@ -34,6 +34,8 @@
 	stage   atomic.Int32
 	// dispatchBegan is when the first dispatching write began.
 	dispatchBegan time.Time
+	// servers are those that the action may be sent to, the preferred one first.
+	servers []lrpaid.Server
 	// heldByAnother tells that the last record read was in the hands of another attempt.
 	heldByAnother bool
 	// mayLand tells that a write of this attempt may still take effect.
--- a/internal/lrledger/book_test.go
+++ b/internal/lrledger/book_test.go
@@ -73,7 +73,7 @@
 	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
 	attempt := lrpaid.Attempt{Account: testAccount, IdempotencyKey: testKey, Nonce: "n"}
 	claimed := lrpaid.NewRecord(now, attempt)
-	dispatched := claimed.WithDispatch(now, lrpaid.Policy{})
+	dispatched := claimed.WithDispatch(now, lrpaid.Policy{}, nil)
 	done := dispatched.WithAnswer(now, lrpaid.NewAnswer(http.StatusOK, nil, nil))
 	cases := []struct {
 		name    string
--- a/internal/lrledger/faults_test.go
+++ b/internal/lrledger/faults_test.go
@@ -151,7 +151,7 @@
 	node *node
 }
 
-func (c *faultyClient) Call(_ context.Context, _ string, request lrservice.Request) (lrservice.Response, error) {
+func (c *faultyClient) Call(_ context.Context, address string, request lrservice.Request) (lrservice.Response, error) {
 	punctual := func() error {
 		if !request.SendBefore.IsZero() && !time.Now().Before(request.SendBefore) {
 			return lrservice.ErrNotSent.New("late")
@@ -159,45 +159,45 @@
 		return nil
 	}
 	return meet(c.node, lrservice.ErrNotSent.New, lrservice.ErrUnknown.New, punctual, func() (lrservice.Response, error) {
-		return c.node.world.service.serve(request), nil
+		return c.node.world.service.serve(address, request), nil
 	})
 }
 
 // effect is one line of the service's own ledger.
 type effect struct {
-	key, requestID, body, answer string
+	server, key, requestID, body, answer string
 }
 
-// service carries out whatever it gets, however often. When it can tell outcomes, it refuses for good what it has told
-// not to have run.
+// service is an application on two backend servers, each with a ledger of its own. It carries out whatever it gets,
+// however often. A server refuses for good what it has told not to have run.
 type service struct {
 	mutex   sync.Mutex
 	effects []effect
 	closed  map[string]bool
 }
 
-func (s *service) serve(request lrservice.Request) lrservice.Response {
+func (s *service) serve(server string, request lrservice.Request) lrservice.Response {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	key, id := request.Header.Get("Idempotency-Key"), request.Header.Get("X-Request-Id")
 	if request.Method == http.MethodGet {
-		return s.tell(key, id)
+		return s.tell(server, key, id)
 	}
-	if s.closed[key+id] {
+	if s.closed[server+key+id] {
 		return lrservice.Response{Status: http.StatusGone}
 	}
 	answer := fmt.Sprintf("effect %d of %s by %s", len(s.effects)+1, key, id)
-	s.effects = append(s.effects, effect{key, id, string(request.Body), answer})
+	s.effects = append(s.effects, effect{server, key, id, string(request.Body), answer})
 	return lrservice.Response{Status: http.StatusOK, Body: []byte(answer)}
 }
 
-func (s *service) tell(key, id string) lrservice.Response {
+func (s *service) tell(server, key, id string) lrservice.Response {
 	for _, e := range s.effects {
-		if e.key == key && e.requestID == id {
+		if e.server == server && e.key == key && e.requestID == id {
 			return lrservice.Response{Status: http.StatusOK, Body: []byte(e.answer)}
 		}
 	}
-	s.closed[key+id] = true
+	s.closed[server+key+id] = true
 	return lrservice.Response{Status: http.StatusGone}
 }
 
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -10,6 +10,9 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
 )
 
+// maxServers bounds the backend servers that one attempt tries to reach.
+const maxServers = 4
+
 // send makes the one call of an attempt that has won the right to it, and records the answer.
 func (a *action) send(ctx context.Context, right stored) {
 	if !a.stage.CompareAndSwap(stageOpen, stageCommitted) {
@@ -33,10 +36,21 @@
 	}
 }
 
+// candidates returns the backend servers that the action may be sent to, the preferred one first.
+func (a *action) candidates() []lrpaid.Server {
+	var candidates []lrpaid.Server
+	for _, s := range a.Servers.Services(a.request.Route.Service) {
+		if len(candidates) < maxServers {
+			candidates = append(candidates, lrpaid.Server{Name: s.Name, Address: s.Address})
+		}
+	}
+	return candidates
+}
+
 // call sends the action to the first backend server that can be reached. One that can't be reached has got nothing.
 func (a *action) call(ctx context.Context) (lrservice.Response, error) {
 	notSent := lrservice.ErrNotSent.New("there is no backend server")
-	for _, s := range a.Servers.Services(a.request.Route.Service) {
+	for _, s := range a.servers {
 		response, err := a.callOne(ctx, s.Address)
 		if err == nil || !lrservice.ErrNotSent.Has(err) {
 			return response, err
@@ -61,26 +75,39 @@
 	a.converge(ctx, right, lrpaid.Release(a.attempt), func() {})
 }
 
-// query asks the service for the outcome of an earlier attempt. The service answers 200 with the answer of the action,
-// 410 when the action has not run and will be refused from now on, and anything else when it can't tell.
+// query asks every backend server that may have got an earlier attempt for its outcome. A server answers 200 with the
+// answer of the action, 410 when it has not run the action and will refuse it from now on, and anything else when it
+// can't tell.
 func (a *action) query(ctx context.Context, seen sight) (stored, lrpaid.Step) {
-	observed := seen.record
-	for _, s := range a.Servers.Services(a.request.Route.Service) {
+	change, ok := a.findOut(ctx, seen.record)
+	if !ok {
+		return seen.stored, lrpaid.StepReportUnknown
+	}
+	settled, err := a.apply(ctx, seen.stored, change)
+	if err != nil || !settled.record.State.Settled() {
+		return seen.stored, lrpaid.StepReportUnknown
+	}
+	return settled, lrpaid.Decide(a.Clock(), a.attempt, lrpaid.View{Exists: true, Record: settled.record}, a.policy)
+}
+
+func (a *action) findOut(ctx context.Context, observed lrpaid.Record) (lrpaid.Change, bool) {
+	refusing := 0
+	for _, s := range observed.Servers {
 		response, err := a.ask(ctx, s.Address, observed)
 		if err != nil {
 			continue
 		}
-		change, ok := adoption(a, observed, response)
-		if !ok {
-			continue
-		}
-		settled, err := a.apply(ctx, seen.stored, change)
-		if err != nil || !settled.record.State.Settled() {
-			break
+		switch response.Status {
+		case http.StatusOK:
+			answer := lrpaid.NewAnswer(response.Status, response.Header, response.Body)
+			return lrpaid.Adopt(a.Clock(), observed, answer), true
+		case http.StatusGone:
+			refusing++
 		}
-		return settled, lrpaid.Decide(a.Clock(), a.attempt, lrpaid.View{Exists: true, Record: settled.record}, a.policy)
 	}
-	return seen.stored, lrpaid.StepReportUnknown
+	return lrpaid.Resolve(observed, lrpaid.Resolution{
+		Outcome: lrpaid.ResolvedNotRun, Reason: "every backend server was asked", Who: "the service", When: a.Clock(),
+	}), refusing > 0 && refusing == len(observed.Servers)
 }
 
 func (a *action) ask(ctx context.Context, address string, observed lrpaid.Record) (lrservice.Response, error) {
@@ -91,17 +118,3 @@
 	header.Set(lrgateway.HeaderRequestID, observed.RequestID)
 	return a.Services.Call(ctx, address, lrservice.Request{Method: http.MethodGet, Path: a.request.Route.Query, Header: header})
 }
-
-func adoption(a *action, observed lrpaid.Record, response lrservice.Response) (lrpaid.Change, bool) {
-	now := a.Clock()
-	switch response.Status {
-	case http.StatusOK:
-		return lrpaid.Adopt(now, observed, lrpaid.NewAnswer(response.Status, response.Header, response.Body)), true
-	case http.StatusGone:
-		return lrpaid.Resolve(observed, lrpaid.Resolution{
-			Outcome: lrpaid.ResolvedNotRun, Reason: "the service was asked", Who: "the service", When: now,
-		}), true
-	default:
-		return nil, false
-	}
-}
--- a/internal/lrledger/settle.go
+++ b/internal/lrledger/settle.go
@@ -97,9 +97,9 @@
 		record = seen.record.WithClaim(now, a.attempt)
 	default:
 		if a.dispatchBegan.IsZero() {
-			a.dispatchBegan = now
+			a.dispatchBegan, a.servers = now, a.candidates()
 		}
-		record = seen.record.WithDispatch(now, a.policy)
+		record = seen.record.WithDispatch(now, a.policy, a.servers)
 	}
 	a.mayLand = true
 	object, err := a.put(ctx, seen, record)
--- a/internal/lrledger/world_test.go
+++ b/internal/lrledger/world_test.go
@@ -73,7 +73,7 @@
 
 func newLedger(n *node) paidRunner {
 	return New(Parts{
-		Store: &faultyStore{n.world.memory, n}, Services: &faultyClient{n}, Servers: oneServer{}, Log: zerolog.Nop(),
+		Store: &faultyStore{n.world.memory, n}, Services: &faultyClient{n}, Servers: servers{n.name}, Log: zerolog.Nop(),
 		Clock: time.Now, Violated: n.world.violated,
 	}, DefaultOptions(n.name, 30*time.Second))
 }
@@ -85,10 +85,15 @@
 	return n
 }
 
-type oneServer struct{}
+// servers lists both backend servers of the service. Every second instance prefers the other one.
+type servers struct{ node string }
 
-func (oneServer) Services(string) []lrplatform.Instance {
-	return []lrplatform.Instance{{Name: "service-a", Address: "10.0.0.1:80"}}
+func (s servers) Services(string) []lrplatform.Instance {
+	both := []lrplatform.Instance{{Name: "service-a", Address: "10.0.0.1:80"}, {Name: "service-b", Address: "10.0.0.2:80"}}
+	if s.node == "router-1" {
+		slices.Reverse(both)
+	}
+	return both
 }
 
 // nextFault returns the fault for the next call of the node. Calls are counted for the node and for the whole world.
--- a/pkg/lrpaid/record.go
+++ b/pkg/lrpaid/record.go
@@ -15,7 +15,9 @@
 	// Nonce identifies the last attempt. It tells a lost reply from a lost write.
 	Nonce string `json:"nonce"`
 	// RequestID is the request identifier that the service gets from the last attempt.
-	RequestID string    `json:"requestId"`
+	RequestID string `json:"requestId"`
+	// Servers are the backend servers that the last attempt may have sent the action to.
+	Servers   []Server  `json:"servers,omitempty"`
 	ClaimedAt time.Time `json:"claimedAt"`
 	// DispatchedAt is zero until an attempt has won the right to send the action.
 	DispatchedAt time.Time `json:"dispatchedAt,omitzero"`
@@ -26,6 +28,13 @@
 	Resolution *Resolution `json:"resolution,omitempty"`
 }
 
+// A Server is one backend server of a plain service.
+type Server struct {
+	Name string `json:"name"`
+	// Address is the HTTP address, as IP:port.
+	Address string `json:"address"`
+}
+
 // A Resolution says who settled an action whose answer was lost, and how.
 type Resolution struct {
 	Outcome ResolvedOutcome `json:"outcome"`
@@ -59,9 +68,9 @@
 	return r
 }
 
-// WithDispatch returns the record with the right to send given to the attempt that has claimed it.
-func (r Record) WithDispatch(now time.Time, policy Policy) Record {
-	r.State, r.DispatchedAt = StateDispatched, now.UTC()
+// WithDispatch returns the record with the right to send to the servers given to the attempt that has claimed it.
+func (r Record) WithDispatch(now time.Time, policy Policy, servers []Server) Record {
+	r.State, r.DispatchedAt, r.Servers = StateDispatched, now.UTC(), servers
 	r.Deadline = now.Add(policy.SendWindow + policy.CallTimeout).UTC()
 	return r
 }
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -28,6 +28,7 @@
 func areas() []area {
 	return []area{
 		{name: "route", measure: measureRoute},
+		{name: "paid", measure: measurePaid},
 	}
 }
 
