Give engines orders under leases and send requests at the version they serve

Cause: a changed weights version in the catalog made every engine refuse, since nothing told the engines and every request asked for the wanted version at once. Ruled out: sending at the wanted version from the first engine on (all load would meet one engine); one shard per zone with two loads at a time (two shards with one load each need no count of loads under way). Engines that ignore the number get orders only with more lease left than call and validity take, and only after those of the holder before have ended. Load notes carry the versions when they change. Leases are handed back at a planned stop.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrorders"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrregistry"
@@ -58,6 +59,7 @@
 	runner     *lrstream.Runner
 	limiter    lrlimit.Limiter
 	paid       lrgateway.PaidRunner
+	orders     *lrorders.Duty
 	services   lrservice.Client
 	gateway    *lrgateway.Gateway
 	metrics    *lrmetric.Metrics
@@ -91,7 +93,7 @@
 	s := d.settings.Server
 	parts := lrgateway.Parts{
 		Config: d.follower, Freshness: d.freshness, Limiter: d.limiter, Queue: d.queue, Runner: d.runner,
-		Servers: d.registry, Services: d.services, Paid: d.paid, Recorder: d.recorder,
+		Servers: d.registry, Versions: d.registry, Services: d.services, Paid: d.paid, Recorder: d.recorder,
 		Metrics: d.metrics, Log: d.log, Clock: d.clock,
 	}
 	d.gateway = lrgateway.New(parts, lrgateway.Options{
--- a/internal/lrdaemon/wire_orders.go
+++ b/internal/lrdaemon/wire_orders.go
@@ -1,4 +1,29 @@
 package lrdaemon
 
+import (
+	"github.com/lavenderrouter/lavenderrouter/internal/lrorders"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrorder"
+)
+
 // wireOrders makes the part that gives orders to engines.
-func (d *Daemon) wireOrders() {}
+func (d *Daemon) wireOrders() {
+	s := d.settings.Orders
+	d.orders = lrorders.NewDuty(lrorders.Parts{
+		Store: d.platform, Engines: d.registry, Wanted: d.wantedModels, Clock: d.clock, Log: d.log,
+	}, lrorders.Options{
+		Instance: d.settings.Instance.Name, Zone: d.settings.Instance.Zone, LeaseValidity: s.LeaseValidity,
+		Times: lrorder.Times{CallTimeout: s.CallTimeout, ValidFor: s.ValidFor}, Settle: s.Settle,
+	}, d.roster)
+	d.supervisor.Add("giveOrders", lrsupervise.Every(s.Interval, d.orders.Step))
+	d.beforeExit = append(d.beforeExit, d.orders.Stop)
+}
+
+func (d *Daemon) wantedModels() []lrorder.Model {
+	catalog := d.follower.Snapshot().Catalog()
+	models := make([]lrorder.Model, 0, len(catalog.Models))
+	for _, m := range catalog.Models {
+		models = append(models, lrorder.Model{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+	}
+	return models
+}
--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -29,7 +29,7 @@
 	d.placer = nested
 	d.queue = lrqueue.NewUnbounded()
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
-		lrregistry.WithRoster(d.roster))
+		lrregistry.WithRoster(d.roster), lrregistry.WithWanted(d.wantedVersion))
 	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
@@ -42,6 +42,12 @@
 	d.supervisor.Add("refreshLoads", lrsupervise.Every(d.settings.Routing.LoadInterval, d.registry.RefreshLoads))
 }
 
+// wantedVersion returns the weights version that the configuration wants of the model.
+func (d *Daemon) wantedVersion(model string) string {
+	wanted, _ := d.follower.Snapshot().Catalog().Model(model)
+	return wanted.Version
+}
+
 func engineHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: engineDialTimeout}
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext}}
--- a/internal/lrgateway/gateway.go
+++ b/internal/lrgateway/gateway.go
@@ -31,6 +31,11 @@
 	Services(service string) []lrplatform.Instance
 }
 
+// A VersionSource tells at which weights version requests for a model are sent.
+type VersionSource interface {
+	ServedVersion(model string) string
+}
+
 // Parts are what a Gateway works with.
 type Parts struct {
 	Config ConfigSource
@@ -40,7 +45,9 @@
 	Queue     lrqueue.Queue
 	Runner    *lrstream.Runner
 	Servers   ServerSource
-	Services  lrservice.Client
+	// Versions chooses the weights version of each model. Without it, the configuration does.
+	Versions VersionSource
+	Services lrservice.Client
 	// Paid runs non-idempotent requests. Paid routes are refused while it is nil.
 	Paid     PaidRunner
 	Recorder *lrexplain.Recorder
--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if g.Versions != nil {
+		model.Version = g.Versions.ServedVersion(model.Name)
+	}
 	job := newJob(call, request, model)
 	call.explanation.Model = model.Name
 	call.explanation.PromptTokens = job.Route.Tokens
--- a/internal/lrledger/cleaner.go
+++ b/internal/lrledger/cleaner.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
 
 const (
@@ -45,22 +45,16 @@
 	}
 }
 
-// isMine reports whether this instance has the highest hash for the shard. Two instances that disagree do no harm.
+// isMine reports whether this instance is responsible for the shard. Two instances that disagree do no harm.
 func (c *Cleaner) isMine(prefix string) bool {
-	self := c.roster.Self().Name
-	own := weight(self, prefix)
+	var names []string
 	for _, m := range c.roster.Members() {
-		if m.Name != self && !m.Leaving && weight(m.Name, prefix) > own {
-			return false
+		if !m.Leaving {
+			names = append(names, m.Name)
 		}
 	}
-	return true
-}
-
-func weight(name, prefix string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(prefix + "/" + name))
-	return hash.Sum64()
+	owner := lrroute.Owner(prefix, names)
+	return owner >= 0 && names[owner] == c.roster.Self().Name
 }
 
 func (c *Cleaner) cleanShard(ctx context.Context, now time.Time, prefix string) {
--- /dev/null
+++ b/internal/lrorders/give.go
@@ -0,0 +1,56 @@
+package lrorders
+
+import (
+	"context"
+	"maps"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrlease"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrorder"
+)
+
+// give gives the order if the lease allows it at the present time.
+func (h *Holder) give(ctx context.Context, order lrorder.Order) {
+	engine, ok := h.Engines.Engine(order.Engine)
+	if !ok {
+		return
+	}
+	grant, held := h.keeper.Held(h.Clock())
+	if !held || !h.options.Times.MaySend(holding(grant), h.checksFencing(order.Engine)) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.options.Times.CallTimeout)
+	defer cancel()
+	err := engine.Order(ctx, wireOrder(order, grant.Fence, h.options.Times))
+	event := h.Log.Info()
+	if err != nil {
+		event = h.Log.Warn().Err(err)
+	}
+	event.Str("engine", order.Engine).Str("model", order.Model).Str("version", order.Version).
+		Str("adapter", order.Adapter).Uint64("fence", grant.Fence).Msg("orders: order given")
+}
+
+func (h *Holder) checksFencing(engine string) bool {
+	for _, s := range h.Engines.EngineStates(h.Clock()) {
+		if s.Instance.Name == engine {
+			return s.Instance.ChecksFencing
+		}
+	}
+	return false
+}
+
+func holding(grant lrlease.Grant) lrorder.Holding {
+	return lrorder.Holding{Left: grant.Left, HeldFor: grant.HeldFor, HandedBack: grant.HandedBack}
+}
+
+func wireOrder(order lrorder.Order, fence uint64, times lrorder.Times) lrengine.Order {
+	kind := lrengine.OrderLoad
+	if order.Kind == lrorder.KindAdapter {
+		kind = lrengine.OrderAdapter
+	}
+	return lrengine.Order{
+		Kind: kind, Model: order.Model, Version: order.Version, Adapter: order.Adapter, Fence: fence, ValidFor: times.ValidFor,
+	}
+}
+
+func sameVersions(a, b map[string]string) bool { return maps.Equal(a, b) }
--- a/internal/lrplacement/message.go
+++ b/internal/lrplacement/message.go
@@ -20,7 +20,7 @@
 	for _, n := range notices {
 		request.Loads = append(request.Loads, &lrpeerpb.LoadNote{
 			Name: n.Name, Incarnation: n.Incarnation, QueuedTokens: uint32(n.QueuedTokens), Running: uint32(n.Running),
-			Leaving: n.Leaving, Unreachable: n.Unreachable, AgeMillis: uint32(n.Age.Milliseconds()),
+			Leaving: n.Leaving, Unreachable: n.Unreachable, AgeMillis: uint32(n.Age.Milliseconds()), Versions: n.Versions,
 		})
 	}
 	return request
@@ -43,7 +43,7 @@
 		notices = append(notices, lrregistry.Notice{
 			Name: l.GetName(), Incarnation: l.GetIncarnation(), QueuedTokens: int(l.GetQueuedTokens()),
 			Running: int(l.GetRunning()), Leaving: l.GetLeaving(), Unreachable: l.GetUnreachable(),
-			Age: time.Duration(l.GetAgeMillis()) * time.Millisecond,
+			Age: time.Duration(l.GetAgeMillis()) * time.Millisecond, Versions: l.GetVersions(),
 		})
 	}
 	return notices
--- a/internal/lrregistry/notice.go
+++ b/internal/lrregistry/notice.go
@@ -25,6 +25,8 @@
 	Running     int
 	Leaving     bool
 	Unreachable bool
+	// Versions maps each loaded model to its version. It is nil while the receivers know it.
+	Versions map[string]string
 	// Age is the time since it was seen.
 	Age time.Duration
 }
@@ -43,6 +45,7 @@
 		notices = append(notices, Notice{
 			Name: name, Incarnation: report.incarnation, QueuedTokens: report.queuedTokens, Running: report.running,
 			Leaving: r.isLeaving(r.instances[name]), Unreachable: report.unreachable, Age: age,
+			Versions: r.versionsToTell(name),
 		})
 	}
 	r.unsent = r.unsent[:0]
@@ -89,8 +92,9 @@
 	if instance.Role != lrplatform.RoleEngine || at.Before(r.reports[notice.Name].at) {
 		return
 	}
-	r.reports[notice.Name] = report{
+	last := report{
 		incarnation: notice.Incarnation, queuedTokens: notice.QueuedTokens, running: notice.Running,
 		unreachable: notice.Unreachable, at: at,
 	}
+	r.reports[notice.Name] = last.withVersions(now, r.reports[notice.Name], notice.Versions)
 }
--- a/internal/lrregistry/refresh_loads.go
+++ b/internal/lrregistry/refresh_loads.go
@@ -78,6 +78,6 @@
 	if err == nil {
 		last.incarnation, last.queuedTokens, last.running = load.Incarnation, load.QueuedTokens, load.Running
 	}
-	r.reports[name] = last
+	r.reports[name] = last.withVersions(now, r.reports[name], load.Versions)
 	r.tell(name)
 }
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -35,6 +35,10 @@
 	unsent []string
 	// changed tells that the placer does not know the latest notices yet.
 	changed bool
+	// wanted returns the version that the configuration wants of a model.
+	wanted func(model string) string
+	// served maps each model to the version at which requests are sent.
+	served map[string]string
 }
 
 // report is what an engine told, or that it could not be reached.
@@ -44,6 +48,12 @@
 	running      int
 	unreachable  bool
 	at           time.Time
+	// versions maps each loaded model to its version. It is nil while it is not known.
+	versions map[string]string
+	// versionsSince is when the engine was first seen with these versions.
+	versionsSince time.Time
+	// versionsTold counts the notices since the versions were last told.
+	versionsTold int
 }
 
 // An Option changes a setting of a Registry.
@@ -61,7 +71,7 @@
 	r := &Registry{
 		zone: zone, directory: directory, dialer: dialer, placer: placer, log: log,
 		instances: map[string]lrplatform.Instance{}, engines: map[string]lrengine.Engine{},
-		reports: map[string]report{}, leaving: map[string]string{},
+		reports: map[string]report{}, leaving: map[string]string{}, served: map[string]string{},
 	}
 	for _, option := range options {
 		option(r)
@@ -171,7 +181,8 @@
 
 // publish gives the placer the engines of each model that take new work.
 func (r *Registry) publish(now time.Time) {
-	r.mutex.RLock()
+	r.mutex.Lock()
+	r.chooseVersions(now)
 	engines := map[string][]lrroute.Engine{}
 	for name, i := range r.instances {
 		if i.Role != lrplatform.RoleEngine {
@@ -179,13 +190,13 @@
 		}
 		for _, m := range i.Models {
 			list := engines[m]
-			if !r.isLeaving(i) {
+			if !r.isLeaving(i) && r.servesVersion(name, m) {
 				list = append(list, describe(now, i, r.reports[name]))
 			}
 			engines[m] = list
 		}
 	}
-	r.mutex.RUnlock()
+	r.mutex.Unlock()
 	for model, list := range engines {
 		slices.SortFunc(list, func(a, b lrroute.Engine) int {
 			if a.Name < b.Name {
--- /dev/null
+++ b/pkg/lrorder/plan.go
@@ -0,0 +1,156 @@
+package lrorder
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// A Kind says what an order wants.
+type Kind string
+
+const (
+	// KindLoad wants a model loaded at a version.
+	KindLoad Kind = "load"
+	// KindAdapter wants an adapter loaded.
+	KindAdapter Kind = "adapter"
+)
+
+// replacingShare is the part of a model's engines that may change their version at the same time.
+const replacingShare = 4
+
+// A Model is a model at the version that the configuration wants, with its adapters.
+type Model struct {
+	Name     string
+	Version  string
+	Adapters []string
+}
+
+// An Engine is what is known of one engine.
+type Engine struct {
+	Name string
+	// Models names the models that the engine shall serve.
+	Models []string
+	// Versions maps each loaded model to its version.
+	Versions map[string]string
+	Adapters []string
+	// Mine tells that orders to the engine fall to this holder.
+	Mine bool
+	// Reachable engines have answered lately and are not leaving.
+	Reachable bool
+	// ChangedAt is when the engine was first seen with its present versions.
+	ChangedAt time.Time
+}
+
+// An Order is a statement of what one engine shall be like.
+type Order struct {
+	Engine  string
+	Kind    Kind
+	Model   string
+	Version string
+	Adapter string
+}
+
+// Next returns the order that this holder gives next, and reports whether there is one. A holder gives one order at a
+// time. An engine that serves another version is replaced only when others serve the model meanwhile, and only when
+// the last change has had the settle time to become known to every instance.
+func Next(now time.Time, wanted []Model, engines []Engine, settle time.Duration) (Order, bool) {
+	for _, m := range wanted {
+		order, ok := nextForModel(now, m, engines, settle)
+		if ok {
+			return order, true
+		}
+	}
+	return Order{}, false
+}
+
+func nextForModel(now time.Time, model Model, engines []Engine, settle time.Duration) (Order, bool) {
+	serving := servingEngines(model, engines)
+	for _, e := range serving {
+		if !e.Mine {
+			continue
+		}
+		_, loaded := e.Versions[model.Name]
+		if !loaded {
+			return Order{Engine: e.Name, Kind: KindLoad, Model: model.Name, Version: model.Version}, true
+		}
+		adapter, missing := missingAdapter(model, e)
+		if missing {
+			return Order{Engine: e.Name, Kind: KindAdapter, Model: model.Name, Adapter: adapter}, true
+		}
+	}
+	return nextReplacement(now, model, serving, settle)
+}
+
+// nextReplacement chooses among the engines that serve another version. All holders put these in the same order and
+// only the first ones may be replaced, so that holders with equal knowledge never replace too many at once.
+func nextReplacement(now time.Time, model Model, serving []Engine, settle time.Duration) (Order, bool) {
+	outdated := slices.DeleteFunc(slices.Clone(serving), func(e Engine) bool {
+		version, loaded := e.Versions[model.Name]
+		return !loaded || version == model.Version
+	})
+	slices.SortFunc(outdated, func(a, b Engine) int { return compareHashes(hash(model, a), hash(model, b)) })
+	allowed := max(1, len(serving)/replacingShare) - countUnsettled(now, model, serving, settle)
+	for _, e := range outdated[:max(0, min(allowed, len(outdated)))] {
+		if e.Mine && maySwitch(model, e, serving) {
+			return Order{Engine: e.Name, Kind: KindLoad, Model: model.Name, Version: model.Version}, true
+		}
+	}
+	return Order{}, false
+}
+
+// countUnsettled returns the number of engines that have come to the wanted version so lately that not every instance
+// may know of it.
+func countUnsettled(now time.Time, model Model, serving []Engine, settle time.Duration) int {
+	count := 0
+	for _, e := range serving {
+		if e.Versions[model.Name] == model.Version && now.Sub(e.ChangedAt) < settle {
+			count++
+		}
+	}
+	return count
+}
+
+// maySwitch reports whether the model stays served while the engine changes its version.
+func maySwitch(model Model, engine Engine, serving []Engine) bool {
+	others := 0
+	for _, e := range serving {
+		version, loaded := e.Versions[model.Name]
+		if e.Name != engine.Name && loaded && (version == model.Version || version == engine.Versions[model.Name]) {
+			others++
+		}
+	}
+	return others > 0 || len(serving) == 1
+}
+
+func servingEngines(model Model, engines []Engine) []Engine {
+	var serving []Engine
+	for _, e := range engines {
+		if e.Reachable && slices.Contains(e.Models, model.Name) {
+			serving = append(serving, e)
+		}
+	}
+	return serving
+}
+
+func missingAdapter(model Model, engine Engine) (string, bool) {
+	for _, a := range model.Adapters {
+		if a != "" && !slices.Contains(engine.Adapters, a) {
+			return a, true
+		}
+	}
+	return "", false
+}
+
+func hash(model Model, engine Engine) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(model.Name + "\x00" + model.Version + "\x00" + engine.Name))
+	return sum.Sum64()
+}
+
+func compareHashes(a, b uint64) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -14,6 +14,7 @@
 	Limits   Limits
 	Keys     Keys
 	Paid     Paid
+	Orders   Orders
 	TLS      TLS
 	Log      Log
 }
@@ -105,6 +106,20 @@
 	CallTimeout time.Duration
 }
 
+// Orders says how engines are given orders.
+type Orders struct {
+	// Interval is the time between two looks at the engines.
+	Interval time.Duration
+	// LeaseValidity is how long an instance may give orders after each confirmation by the platform.
+	LeaseValidity time.Duration
+	// CallTimeout bounds each order.
+	CallTimeout time.Duration
+	// ValidFor is how long after its receipt an engine may still carry out an order.
+	ValidFor time.Duration
+	// Settle is the time after which a changed version is known to every instance.
+	Settle time.Duration
+}
+
 // TLS names certificate files. Empty names mean plain TCP.
 type TLS struct {
 	CertFile     string
@@ -142,7 +157,11 @@
 			QueueTokens: 4_000_000, QueueTimeout: 20 * time.Second, EngineTokens: 200_000, BeliefBytes: 32 << 20,
 		},
 		Limits: Limits{GrantValidity: 5 * time.Second, LeaseValidity: 15 * time.Second, MaxWait: time.Second},
-		Paid:   Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
-		Log:    Log{Format: "json", Level: "info"},
+		Orders: Orders{
+			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
+			ValidFor: 2 * time.Second, Settle: 3 * time.Second,
+		},
+		Paid: Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
+		Log:  Log{Format: "json", Level: "info"},
 	}
 }
