--- a/internal/lrdaemon/wire_orders.go
+++ b/internal/lrdaemon/wire_orders.go
@@ -23,7 +23,9 @@
 	catalog := d.follower.Snapshot().Catalog()
 	models := make([]lrorder.Model, 0, len(catalog.Models))
 	for _, m := range catalog.Models {
-		models = append(models, lrorder.Model{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+		models = append(models, lrorder.Model{
+			Name: m.Name, Version: m.Version, Served: d.registry.ServedVersion(m.Name), Adapters: m.Adapters,
+		})
 	}
 	return models
 }
--- a/internal/lrorders/give.go
+++ b/internal/lrorders/give.go
@@ -16,6 +16,9 @@
 		return
 	}
 	grant, held := h.keeper.Held(h.Clock())
+	if h.Clock().Before(h.notBefore) {
+		return
+	}
 	if !held || !h.options.Times.MaySend(holding(grant), h.checksFencing(order.Engine)) {
 		return
 	}
@@ -26,6 +29,9 @@
 	if err != nil {
 		event = h.Log.Warn().Err(err)
 	}
+	if lrengine.ErrBroken.Has(err) {
+		h.notBefore = h.Clock().Add(h.options.Times.CallTimeout + h.options.Times.ValidFor)
+	}
 	event.Str("engine", order.Engine).Str("model", order.Model).Str("version", order.Version).
 		Str("adapter", order.Adapter).Uint64("fence", grant.Fence).Msg("orders: order given")
 }
--- a/internal/lrorders/holder.go
+++ b/internal/lrorders/holder.go
@@ -32,7 +32,7 @@
 type Parts struct {
 	Store   lrplatform.Store
 	Engines EngineBook
-	// Wanted returns the models that the configuration wants.
+	// Wanted returns the models that the configuration wants, with the version at which requests are sent.
 	Wanted func() []lrorder.Model
 	Clock  func() time.Time
 	Log    zerolog.Logger
@@ -59,8 +59,14 @@
 	keeper  *lrlease.Keeper
 	// states is what this holder was last told by each engine of the shard.
 	states map[string]engineState
+	// wantedSince is when each model's version was first seen to be wanted.
+	wantedSince map[modelVersion]time.Time
+	// notBefore is when an order whose outcome is unknown has surely ended.
+	notBefore time.Time
 }
 
+type modelVersion struct{ model, version string }
+
 type engineState struct {
 	load      lrengine.Load
 	reachable bool
@@ -72,7 +78,8 @@
 	name := fmt.Sprintf("orders-%s-%d", options.Zone, shard)
 	return &Holder{
 		Parts: parts, options: options, shard: shard, states: map[string]engineState{},
-		keeper: lrlease.NewKeeper(parts.Store, name, options.Instance, options.LeaseValidity, parts.Clock),
+		wantedSince: map[modelVersion]time.Time{},
+		keeper:      lrlease.NewKeeper(parts.Store, name, options.Instance, options.LeaseValidity, parts.Clock),
 	}
 }
 
@@ -87,12 +94,29 @@
 		return
 	}
 	engines := h.look(ctx)
-	order, ok := lrorder.Next(h.Clock(), h.Wanted(), engines, h.options.Settle)
+	order, ok := lrorder.Next(h.Clock(), h.wishes(), engines, h.options.Settle)
 	if ok {
 		h.give(ctx, order)
 	}
 }
 
+// wishes returns the wanted models with the time since when each is wanted.
+func (h *Holder) wishes() []lrorder.Model {
+	wanted := h.Wanted()
+	since := make(map[modelVersion]time.Time, len(wanted))
+	for n, m := range wanted {
+		id := modelVersion{m.Name, m.Version}
+		first, ok := h.wantedSince[id]
+		if !ok {
+			first = h.Clock()
+		}
+		since[id] = first
+		wanted[n].Since = first
+	}
+	h.wantedSince = since
+	return wanted
+}
+
 // Held reports whether this instance holds the shard at the present time.
 func (h *Holder) Held() bool {
 	_, held := h.keeper.Held(h.Clock())
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -39,6 +39,7 @@
 	wanted func(model string) string
 	// served maps each model to the version at which requests are sent.
 	served map[string]string
+	wishes map[string]wish
 }
 
 // report is what an engine told, or that it could not be reached.
@@ -71,7 +72,7 @@
 	r := &Registry{
 		zone: zone, directory: directory, dialer: dialer, placer: placer, log: log,
 		instances: map[string]lrplatform.Instance{}, engines: map[string]lrengine.Engine{},
-		reports: map[string]report{}, leaving: map[string]string{}, served: map[string]string{},
+		reports: map[string]report{}, leaving: map[string]string{}, served: map[string]string{}, wishes: map[string]wish{},
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/lrregistry/versions.go
+++ b/internal/lrregistry/versions.go
@@ -11,6 +11,15 @@
 // versionsEvery is the number of notices of an engine of which one tells its versions although they have not changed.
 const versionsEvery = 10
 
+// servingSettle is the time after which the engines' versions count as settled.
+const servingSettle = 2 * time.Second
+
+// A wish is the version that the configuration wants of a model.
+type wish struct {
+	version string
+	since   time.Time
+}
+
 // WithWanted makes the registry choose among the versions of a model. Without it, engines are used at any version.
 func WithWanted(wanted func(model string) string) Option {
 	return func(r *Registry) { r.wanted = wanted }
@@ -87,13 +96,16 @@
 	if r.wanted == nil {
 		return
 	}
-	counts := map[string]map[string]int{}
+	counts, changedAt := map[string]map[string]int{}, map[string]time.Time{}
 	for name, i := range r.instances {
 		last := r.reports[name]
 		for _, m := range i.Models {
 			if counts[m] == nil {
 				counts[m] = map[string]int{}
 			}
+			if last.versionsSince.After(changedAt[m]) {
+				changedAt[m] = last.versionsSince
+			}
 			version, loaded := last.versions[m]
 			if loaded && !last.isUnreachable(now) && !r.isLeaving(i) {
 				counts[m][version]++
@@ -102,9 +114,14 @@
 	}
 	for model, versions := range counts {
 		wanted := r.wanted(model)
-		if wanted != "" {
-			r.served[model] = lrorder.Serving(wanted, r.served[model], versions)
+		if wanted == "" {
+			continue
+		}
+		if r.wishes[model].version != wanted {
+			r.wishes[model] = wish{version: wanted, since: now}
 		}
+		settled := now.Sub(r.wishes[model].since) >= servingSettle && now.Sub(changedAt[model]) >= servingSettle
+		r.served[model] = lrorder.Serving(wanted, r.served[model], versions, settled)
 	}
 }
 
--- a/pkg/lrorder/admission.go
+++ b/pkg/lrorder/admission.go
@@ -20,18 +20,16 @@
 	HandedBack bool
 }
 
-// MaySend reports whether the holder may give an order now. An engine that checks fencing numbers refuses what comes
-// too late by itself. For one that ignores them, the order must have ended before the lease does, and what the holder
-// before has sent must have ended.
+// MaySend reports whether the holder may give an order now. What the holder before has sent must have ended, so that
+// no more weights are loaded at once than there are holders. An engine that checks fencing numbers refuses what comes too
+// late by itself; for one that ignores them, the order must end before the lease does.
 func (t Times) MaySend(holding Holding, checksFencing bool) bool {
-	if holding.Left <= t.CallTimeout {
+	under := t.CallTimeout + t.ValidFor
+	if !holding.HandedBack && holding.HeldFor < under {
 		return false
 	}
 	if checksFencing {
-		return true
+		return holding.Left > t.CallTimeout
 	}
-	if holding.Left <= t.CallTimeout+t.ValidFor {
-		return false
-	}
-	return holding.HandedBack || holding.HeldFor >= t.CallTimeout+t.ValidFor
+	return holding.Left > under
 }
--- a/pkg/lrorder/plan.go
+++ b/pkg/lrorder/plan.go
@@ -1,6 +1,7 @@
 package lrorder
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -21,8 +22,12 @@
 
 // A Model is a model at the version that the configuration wants, with its adapters.
 type Model struct {
-	Name     string
-	Version  string
+	Name    string
+	Version string
+	// Since is when the version was first seen to be wanted.
+	Since time.Time
+	// Served is the version at which requests are sent at present.
+	Served   string
 	Adapters []string
 }
 
@@ -85,20 +90,61 @@
 // nextReplacement chooses among the engines that serve another version. All holders put these in the same order and
 // only the first ones may be replaced, so that holders with equal knowledge never replace too many at once.
 func nextReplacement(now time.Time, model Model, serving []Engine, settle time.Duration) (Order, bool) {
-	outdated := slices.DeleteFunc(slices.Clone(serving), func(e Engine) bool {
-		version, loaded := e.Versions[model.Name]
-		return !loaded || version == model.Version
-	})
-	slices.SortFunc(outdated, func(a, b Engine) int { return compareHashes(hash(model, a), hash(model, b)) })
+	if !isAgreed(now, model, serving, settle) {
+		return Order{}, false
+	}
+	outdated := replaceable(model, serving)
 	allowed := max(1, len(serving)/replacingShare) - countUnsettled(now, model, serving, settle)
 	for _, e := range outdated[:max(0, min(allowed, len(outdated)))] {
-		if e.Mine && maySwitch(model, e, serving) {
+		if e.Mine {
 			return Order{Engine: e.Name, Kind: KindLoad, Model: model.Name, Version: model.Version}, true
 		}
 	}
 	return Order{}, false
 }
 
+// isAgreed reports whether all instances surely send requests at the same version. That takes a while when the engines
+// are at several versions of which none is wanted.
+func isAgreed(now time.Time, model Model, serving []Engine, settle time.Duration) bool {
+	var versions []string
+	changedAt := model.Since
+	for _, e := range serving {
+		version, loaded := e.Versions[model.Name]
+		if loaded && version != model.Version && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+		if e.ChangedAt.After(changedAt) {
+			changedAt = e.ChangedAt
+		}
+	}
+	return len(versions) < 2 || now.Sub(changedAt) >= settle
+}
+
+// replaceable returns the engines that may come to the wanted version, in order: those at which no requests are sent
+// come first. While requests are sent at another version, the last engine in the order keeps it.
+func replaceable(model Model, serving []Engine) []Engine {
+	outdated := slices.DeleteFunc(slices.Clone(serving), func(e Engine) bool {
+		version, loaded := e.Versions[model.Name]
+		return !loaded || version == model.Version
+	})
+	slices.SortFunc(outdated, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(isServed(model, a), isServed(model, b)), cmp.Compare(hash(model, a), hash(model, b)))
+	})
+	last := len(outdated) - 1
+	if last >= 0 && len(serving) > 1 && isServed(model, outdated[last]) == 1 {
+		outdated = outdated[:last]
+	}
+	return outdated
+}
+
+// isServed returns 1 when requests are sent at the engine's version, otherwise 0.
+func isServed(model Model, engine Engine) int {
+	if engine.Versions[model.Name] == model.Served {
+		return 1
+	}
+	return 0
+}
+
 // countUnsettled returns the number of engines that have come to the wanted version so lately that not every instance
 // may know of it.
 func countUnsettled(now time.Time, model Model, serving []Engine, settle time.Duration) int {
@@ -111,18 +157,6 @@
 	return count
 }
 
-// maySwitch reports whether the model stays served while the engine changes its version.
-func maySwitch(model Model, engine Engine, serving []Engine) bool {
-	others := 0
-	for _, e := range serving {
-		version, loaded := e.Versions[model.Name]
-		if e.Name != engine.Name && loaded && (version == model.Version || version == engine.Versions[model.Name]) {
-			others++
-		}
-	}
-	return others > 0 || len(serving) == 1
-}
-
 func servingEngines(model Model, engines []Engine) []Engine {
 	var serving []Engine
 	for _, e := range engines {
@@ -147,10 +181,3 @@
 	_, _ = sum.Write([]byte(model.Name + "\x00" + model.Version + "\x00" + engine.Name))
 	return sum.Sum64()
 }
-
-func compareHashes(a, b uint64) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
--- a/pkg/lrorder/serving.go
+++ b/pkg/lrorder/serving.go
@@ -4,8 +4,9 @@
 
 // Serving returns the weights version that requests for a model shall be sent at, given how many engines serve each
 // version. The wanted version takes over when it is on half of the engines, and is not given up again while any engine
-// serves it.
-func Serving(wanted, present string, engines map[string]int) string {
+// serves it. Before that it is the most common of the others, so that instances with equal knowledge agree. While the
+// versions are not settled, the present one stays as long as any engine serves it.
+func Serving(wanted, present string, engines map[string]int, settled bool) string {
 	total := 0
 	for _, n := range engines {
 		total += n
@@ -16,19 +17,23 @@
 		return wanted
 	case total == 0:
 		return present
-	case atWanted > 0 && (present == wanted || 2*atWanted >= total):
+	case atWanted == total || (atWanted > 0 && (present == wanted || 2*atWanted >= total)):
 		return wanted
-	case present != wanted && engines[present] > 0:
+	case !settled && present != wanted && engines[present] > 0:
 		return present
 	default:
 		return mostCommon(wanted, engines)
 	}
 }
 
-func mostCommon(wanted string, engines map[string]int) string {
-	best := wanted
+// mostCommon returns the version that most engines serve, other than the excluded one. The lower one wins a tie.
+func mostCommon(excluded string, engines map[string]int) string {
+	best := ""
 	for version, n := range engines {
-		if n > engines[best] || (n == engines[best] && best != wanted && version < best) {
+		if version == excluded || n == 0 {
+			continue
+		}
+		if best == "" || n > engines[best] || (n == engines[best] && version < best) {
 			best = version
 		}
 	}
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -159,7 +159,7 @@
 		Limits: Limits{GrantValidity: 5 * time.Second, LeaseValidity: 15 * time.Second, MaxWait: time.Second},
 		Orders: Orders{
 			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
-			ValidFor: 2 * time.Second, Settle: 3 * time.Second,
+			ValidFor: 2 * time.Second, Settle: 5 * time.Second,
 		},
 		Paid: Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
 		Log:  Log{Format: "json", Level: "info"},
