--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgrant"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrorders"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrregistry"
@@ -64,6 +65,7 @@
 	limiter    lrlimit.Limiter
 	keeper     *lrgrant.Keeper
 	paid       lrgateway.PaidRunner
+	orders     *lrorders.Duty
 	services   lrservice.Client
 	gateway    *lrgateway.Gateway
 	metrics    *lrmetric.Metrics
@@ -102,7 +104,7 @@
 	s := d.settings.Server
 	parts := lrgateway.Parts{
 		Config: d.follower, Freshness: d.freshness, Limiter: d.limiter, Queue: d.queue, Runner: d.runner,
-		Servers: d.registry, Services: d.services, Paid: d.paid, Recorder: d.recorder,
+		Servers: d.registry, Versions: d.registry, Services: d.services, Paid: d.paid, Recorder: d.recorder,
 		Metrics: d.metrics, Log: d.log, Clock: d.clock, Budget: d.budget, Ejector: d.ejector,
 	}
 	d.gateway = lrgateway.New(parts, lrgateway.Options{
--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -34,7 +34,8 @@
 		}
 	})
 	d.registry = lrregistry.New(d.settings.Instance.Zone, d.listing, lrengine.NewDialer(engineHTTPClient()), d.placer, d.log,
-		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested), lrregistry.WithStores(nested))
+		lrregistry.WithRoster(d.roster), lrregistry.WithHoldings(nested), lrregistry.WithStores(nested),
+		lrregistry.WithWanted(d.wantedVersion))
 	d.membership.SetBoard(lrregistry.NewBoard(d.registry))
 	sharer := lrplacement.NewSharer(d.roster, d.pool, nested, d.registry, d.clock, d.log)
 	lrpeerpb.RegisterPlacementServer(d.peers, sharer)
@@ -51,6 +52,12 @@
 	d.log.Error().Str("invariant", invariant).Msg("placement: invariant violated")
 }
 
+// wantedVersion returns the weights version that the configuration wants of the model.
+func (d *Daemon) wantedVersion(model string) string {
+	wanted, _ := d.follower.Snapshot().Catalog().Model(model)
+	return wanted.Version
+}
+
 func engineHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: engineDialTimeout}
 	return &http.Client{
--- a/internal/lrplacement/sharer_test.go
+++ b/internal/lrplacement/sharer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"reflect"
 	"testing"
 	"time"
 
@@ -101,7 +102,7 @@
 	requireEqual(t, got.Engine, placement.Engine, "engine")
 	requireEqual(t, got.ExpectedCachedTokens, 5*lrprefix.PieceTokens, "expected cached tokens")
 	requireEqual(t, len(otherLoads.told), 1, "notices")
-	requireEqual(t, otherLoads.told[0], ownLoads.notices[0], "notice")
+	requireEqual(t, reflect.DeepEqual(otherLoads.told[0], ownLoads.notices[0]), true, "equal notices")
 	held := lrroute.Request{ID: "3", Scope: testRequest("", 0).Scope, Chain: []lrprefix.ID{{9}}, Tokens: lrprefix.PieceTokens}
 	got, _ = other.Place(clock().Add(time.Second), held)
 	requireEqual(t, got.Engine, "engine-5", "engine that an event named")
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -32,6 +32,7 @@
 		{name: "state", measure: measureState},
 		{name: "stream", measure: measureStream},
 		{name: "gateway", measure: measureGateway},
+		{name: "paid", measure: measurePaid},
 	}
 }
 
