--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -88,6 +88,16 @@
 	g.Metrics.AccountTails.Observe(call.Account.Name, firstToken)
 	g.Metrics.PromptTokens.WithLabelValues("true").Add(float64(result.CachedTokens))
 	g.Metrics.PromptTokens.WithLabelValues("false").Add(float64(job.Route.Tokens - result.CachedTokens))
+	g.Metrics.WastedTokens.Add(float64(wastedTokens(result)))
+}
+
+// wastedTokens returns the prompt tokens that the first engine computed although some engine was known to have done so.
+func wastedTokens(result lrstream.Result) int {
+	if len(result.Attempts) == 0 {
+		return 0
+	}
+	first := result.Attempts[0]
+	return max(first.Placement.KnownTokens-first.CachedTokens, 0)
 }
 
 // allowedModel returns the model if the plan allows it and its adapter.
--- a/internal/lrlease/keeper_test.go
+++ b/internal/lrlease/keeper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,11 +182,13 @@
 
 // naiveKeeper takes a lease that it sees unchanged for the validity and counts its own from the reply.
 type naiveKeeper struct {
-	store      lrplatform.Store
-	holder     string
-	object     lrplatform.Object
+	store  lrplatform.Store
+	holder string
+	object lrplatform.Object
+	seenAt time.Time
+
+	mutex      sync.Mutex
 	lease      Lease
-	seenAt     time.Time
 	validUntil time.Time
 }
 
@@ -194,6 +197,8 @@
 }
 
 func (k *naiveKeeper) Held(now time.Time) (Grant, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
 	return Grant{Fence: k.lease.Fence}, now.Before(k.validUntil)
 }
 
@@ -221,6 +226,8 @@
 		_, err = k.store.Update(ctx, object.WithValue(value))
 	}
 	if err == nil {
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
 		k.lease, k.validUntil = lease, time.Now().Add(validity)
 	}
 	return err
--- a/pkg/lrroute/place.go
+++ b/pkg/lrroute/place.go
@@ -38,7 +38,7 @@
 	return Placement{
 		Engine: n.engines[best.engine].Name, Reason: best.reason, Candidates: len(n.scratch.candidates),
 		ExpectedCachedTokens: best.held * lrprefix.PieceTokens, ExpectedWait: n.wait(now, request, best),
-		ImportFrom: n.importFrom(now),
+		ImportFrom: n.importFrom(now), KnownTokens: n.scratch.known * lrprefix.PieceTokens,
 	}, true
 }
 
--- a/pkg/lrroute/placer.go
+++ b/pkg/lrroute/placer.go
@@ -47,6 +47,8 @@
 	// ImportFrom is the address of the kept-KV store from which the engine shall import missing pieces. It is empty when
 	// computing them is cheaper.
 	ImportFrom string
+	// KnownTokens is the part of the prompt that some engine has lately computed or read, as far as is known.
+	KnownTokens int
 	// Candidates is the number of engines that were compared.
 	Candidates int
 }
