Choose the weights version after the waits

The version was read before the request waited for tokens (up to 2 s) and for its turn (up to 20 s); meanwhile the engines had changed, and all of them refused it. Ruled out: a longer retry, which would ask the same engines for the same version. Change: the version is read, and the prompt hashed, when the request's turn has come.

--- /dev/null
+++ b/internal/lrdaemon/version_choice_test.go
@@ -0,0 +1,38 @@
+package lrdaemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+)
+
+// changingVersion serves a version that no engine has until tokens have been reserved.
+type changingVersion struct {
+	lrlimit.Limiter
+	reserved atomic.Bool
+}
+
+func (c *changingVersion) Reserve(ctx context.Context, now time.Time, request lrlimit.Request) (lrlimit.Reservation, error) {
+	defer c.reserved.Store(true)
+	return c.Limiter.Reserve(ctx, now, request)
+}
+
+func (c *changingVersion) ServedVersion(string) string {
+	if c.reserved.Load() {
+		return "1"
+	}
+	return "0"
+}
+
+func TestVersionIsChosenAfterTheWaits(t *testing.T) {
+	h := newHarness(t, 1)
+	d := h.startDaemon("router-1", nil)
+	versions := &changingVersion{Limiter: lrlimit.NewLocal(1)}
+	d.gateway.Limiter, d.gateway.Versions = versions, versions
+	status, _ := complete(t, d, h.key, "prompt", 5)
+	requireEqual(t, status, http.StatusOK, "status after a change of version during the waits")
+}
--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -36,29 +36,27 @@
 	if err != nil {
 		return err
 	}
-	if g.Versions != nil {
-		model.Version = g.Versions.ServedVersion(model.Name)
-	}
-	job := newJob(call, request, model)
+	tokens := lrprefix.Tokens(request.PromptText)
 	call.explanation.Model = model.Name
-	call.explanation.PromptTokens = job.Route.Tokens
+	call.explanation.PromptTokens = tokens
 	reservation, err := g.Limiter.Reserve(ctx, g.Clock(), lrlimit.Request{
 		Account: call.Account.Name, Rate: call.Plan.Rate, Burst: call.Plan.Burst,
-		Tokens: float64(job.Route.Tokens + job.Route.MaxOutput),
+		Tokens: float64(tokens + request.MaxTokens),
 	})
 	if err != nil {
 		return err
 	}
 	var result lrstream.Result
-	defer func() { reservation.Settle(g.Clock(), usedTokens(job, result)) }()
-	result, err = g.runJob(ctx, call, request, job)
+	defer func() { reservation.Settle(g.Clock(), usedTokens(tokens, result)) }()
+	result, err = g.runInTurn(ctx, call, request, model)
 	return err
 }
 
-func (g *Gateway) runJob(ctx context.Context, call *Call, request completionRequest, job lrstream.Job) (lrstream.Result, error) {
+// runInTurn waits for the request's turn and runs it at the version that engines serve then.
+func (g *Gateway) runInTurn(ctx context.Context, call *Call, request completionRequest, model lrconfig.Model) (lrstream.Result, error) {
 	queuedAt := g.Clock()
 	release, err := g.Queue.Enter(ctx, queuedAt, lrqueue.Entry{
-		Account: call.Account.Name, Priority: call.priority(), Tokens: job.Route.Tokens,
+		Account: call.Account.Name, Priority: call.priority(), Tokens: call.explanation.PromptTokens,
 	})
 	if err != nil {
 		return lrstream.Result{}, err
@@ -68,6 +66,10 @@
 	call.explanation.Queued = g.Clock().Sub(queuedAt)
 	sink := g.newCompletionSink(call, request)
 	sink.onFirst = leave
+	if g.Versions != nil {
+		model.Version = g.Versions.ServedVersion(model.Name)
+	}
+	job := newJob(call, request, model)
 	result, err := g.Runner.Run(ctx, job, sink)
 	call.recordResult(result)
 	g.observe(call, job, result)
@@ -130,10 +132,10 @@
 	}
 }
 
-// usedTokens returns what a generation has cost its account. A request that ran on no engine costs nothing.
-func usedTokens(job lrstream.Job, result lrstream.Result) float64 {
+// usedTokens returns what a generation has cost its account, in tokens. A request that ran on no engine costs nothing.
+func usedTokens(promptTokens int, result lrstream.Result) float64 {
 	if result.Outcome == lrerror.NotRun || len(result.Attempts) == 0 {
 		return 0
 	}
-	return float64(job.Route.Tokens + result.OutputTokens)
+	return float64(promptTokens + result.OutputTokens)
 }
