--- a/internal/lrcluster/process.go
+++ b/internal/lrcluster/process.go
@@ -91,7 +91,7 @@
 func waitFor(url string) error {
 	deadline := time.Now().Add(startTimeout)
 	for time.Now().Before(deadline) {
-		response, err := http.Get(url) //nolint:gosec // The URL is one of the demo's own.
+		response, err := http.Get(url)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
--- a/internal/lrgrant/keeper.go
+++ b/internal/lrgrant/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
 
@@ -89,7 +90,7 @@
 		case <-timer.C:
 		case <-k.kick:
 			timer.Stop()
-			sleep(ctx, settlePeriod)
+			lrsupervise.Sleep(ctx, settlePeriod)
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
--- a/internal/lrgrant/limiter.go
+++ b/internal/lrgrant/limiter.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrring"
 )
@@ -78,7 +79,7 @@
 			return reserved, nil
 		}
 		wait := l.retryAfter(a, request)
-		if l.clock().Add(wait).After(deadline) || !sleep(ctx, min(max(wait, minRetryDelay), maxRetryDelay)) {
+		if l.clock().Add(wait).After(deadline) || !lrsupervise.Sleep(ctx, min(max(wait, minRetryDelay), maxRetryDelay)) {
 			l.giveUp(a)
 			return nil, lrlimit.RateLimited(request.Account, wait)
 		}
@@ -193,14 +194,3 @@
 		r.account.state.Return(now, r.parts, max(r.tokens-used, 0))
 	})
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lrgrant/limiter_test.go
+++ b/internal/lrgrant/limiter_test.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
@@ -93,7 +94,7 @@
 	group.Go(func() {
 		for ctx.Err() == nil {
 			i.Report(ctx, time.Now())
-			sleep(ctx, i.ReportPeriod())
+			lrsupervise.Sleep(ctx, i.ReportPeriod())
 		}
 	})
 	t.Cleanup(func() {
--- a/internal/lrledger/converge.go
+++ b/internal/lrledger/converge.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
 )
 
@@ -21,7 +22,7 @@
 			return
 		}
 		a.Log.Warn().Err(err).Str("requestId", a.request.RequestID).Msg("paid: outcome not recorded yet, trying again")
-		pause(ctx, backoff)
+		lrsupervise.Sleep(ctx, backoff)
 		backoff = min(2*backoff, a.options.MaxBackoff)
 		start = stored{}
 	}
--- a/internal/lrledger/settle.go
+++ b/internal/lrledger/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
 )
 
@@ -33,7 +34,7 @@
 		if !seen.known {
 			seen = a.look(ctx, seen)
 			if !seen.known {
-				pause(ctx, backoff)
+				lrsupervise.Sleep(ctx, backoff)
 				backoff = min(2*backoff, a.options.MaxBackoff)
 			}
 			continue
@@ -43,7 +44,7 @@
 		case lrpaid.StepCreate, lrpaid.StepTakeOver, lrpaid.StepDispatch:
 			seen = a.write(ctx, seen, step)
 		case lrpaid.StepWait:
-			pause(ctx, a.options.PollInterval)
+			lrsupervise.Sleep(ctx, a.options.PollInterval)
 			seen = a.look(ctx, seen)
 		case lrpaid.StepQuery:
 			return a.query(ctx, seen)
@@ -130,12 +131,3 @@
 	}
 	return record, nil
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lrload/trace.go
+++ b/internal/lrload/trace.go
@@ -38,7 +38,7 @@
 
 // Trace returns the requests of a load. The same seed gives the same requests.
 func Trace(shape Shape, accounts int, rate float64, duration time.Duration, seed uint64) []Request {
-	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // A load needs repeatable numbers, not secret ones.
+	random := rand.New(rand.NewPCG(seed, seed))
 	var requests []Request
 	at := time.Duration(0)
 	for {
--- a/internal/lrpeer/listing.go
+++ b/internal/lrpeer/listing.go
@@ -101,7 +101,7 @@
 	for {
 		address, err := l.offers.Pop(ctx)
 		if err != nil {
-			return nil //nolint:nilerr // The context has ended.
+			return nil
 		}
 		l.pull(ctx, address)
 	}
--- a/internal/lrstate/confirm.go
+++ b/internal/lrstate/confirm.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmember"
 )
@@ -40,7 +41,7 @@
 			<-ctx.Done()
 			return nil
 		}
-		sleep(ctx, r.jitter(retry))
+		lrsupervise.Sleep(ctx, r.jitter(retry))
 		retry = min(2*retry, maxRetryDelay)
 	}
 	return nil
@@ -131,7 +132,7 @@
 		if len(digests) == 0 || patient.Err() != nil {
 			break
 		}
-		sleep(patient, r.jitter(firstRetryDelay))
+		lrsupervise.Sleep(patient, r.jitter(firstRetryDelay))
 	}
 	if len(digests) == 0 {
 		return values, nil
--- a/internal/lrstate/relay.go
+++ b/internal/lrstate/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmember"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrring"
@@ -91,7 +92,7 @@
 	for {
 		address, err := r.offers.Pop(ctx)
 		if err != nil {
-			return nil //nolint:nilerr // The context has ended.
+			return nil
 		}
 		r.update(ctx, address)
 	}
@@ -140,7 +141,7 @@
 	for ctx.Err() == nil {
 		if !r.watches() {
 			after = 0
-			sleep(ctx, r.options.WatchInterval)
+			lrsupervise.Sleep(ctx, r.options.WatchInterval)
 			continue
 		}
 		changes, err := r.store.Watch(ctx, lrplatform.KindHead, after)
@@ -150,7 +151,7 @@
 		if err != nil {
 			r.options.Log.Warn().Err(err).Msg("state: platform not watched, trying again")
 			after = 0
-			sleep(ctx, r.jitter(retry))
+			lrsupervise.Sleep(ctx, r.jitter(retry))
 			retry = min(2*retry, maxRetryDelay)
 			continue
 		}
@@ -171,7 +172,7 @@
 		if ctx.Err() != nil || len(r.roster.Members()) > 1 {
 			return
 		}
-		sleep(ctx, r.options.WatchInterval)
+		lrsupervise.Sleep(ctx, r.options.WatchInterval)
 	}
 }
 
@@ -201,7 +202,7 @@
 // are cut from the platform hears of changes too. It is a duty of the supervisor.
 func (r *Relay) Check(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, r.jitter(checkInterval*time.Duration(r.zoneMembers())))
+		lrsupervise.Sleep(ctx, r.jitter(checkInterval*time.Duration(r.zoneMembers())))
 		if ctx.Err() != nil || r.watches() {
 			continue
 		}
@@ -229,12 +230,3 @@
 	defer r.mutex.Unlock()
 	return delay/2 + time.Duration(r.options.Random.Int64N(int64(delay)))
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lrstream/attempt.go
+++ b/internal/lrstream/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
@@ -103,7 +104,7 @@
 			return placement, false, lrerror.New(lrerror.KindUnavailable, g.result.Outcome,
 				"no engine serves model %q now; retry later", g.job.Route.Scope.Model)
 		}
-		if !sleep(ctx, isolationWait) {
+		if !lrsupervise.Sleep(ctx, isolationWait) {
 			return placement, false, lrerror.New(lrerror.KindTimeout, g.result.Outcome, "the request took too long or its caller left")
 		}
 		err := g.checkQuarantine()
--- a/internal/lrstream/runner.go
+++ b/internal/lrstream/runner.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
@@ -151,7 +152,7 @@
 		g.runner.log.Warn().Str("requestId", g.job.Engine.RequestID).Msg("stream: retry budget is spent")
 		return false
 	}
-	return sleep(ctx, options.Backoff.Delay(retry, options.Random()))
+	return lrsupervise.Sleep(ctx, options.Backoff.Delay(retry, options.Random()))
 }
 
 func (g *generation) checkQuarantine() error {
@@ -162,18 +163,3 @@
 	return lrerror.New(lrerror.KindQuarantined, g.result.Outcome,
 		"engines have crashed on this request twice; change the prompt, or report the request id to the operator")
 }
-
-// sleep reports whether the context was still alive at the end of the wait.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/lrsupervise/sleep.go
@@ -0,0 +1,21 @@
+package lrsupervise
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for the given time, or until the context ends. It reports whether the context was still alive at the end.
+func Sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/lrsupervise/supervisor.go
+++ b/internal/lrsupervise/supervisor.go
@@ -67,7 +67,7 @@
 			delay = firstRestartDelay
 		}
 		s.log.Error().Err(err).Str("duty", s.name+"/"+d.name).Dur("restartIn", delay).Msg("supervise: duty stopped, restarting")
-		sleep(ctx, delay)
+		Sleep(ctx, delay)
 		delay = min(2*delay, maxRestartDelay)
 	}
 }
@@ -81,12 +81,3 @@
 	}()
 	return duty(ctx)
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
