--- a/pkg/lrroute/placer.go
+++ b/pkg/lrroute/placer.go
@@ -37,20 +37,20 @@
 
 // A Placement is the decision for one request.
 type Placement struct {
-	Engine string
+	Engine string `json:"engine"`
 	// Reason says in a few words why the engine was chosen.
-	Reason string
+	Reason string `json:"reason"`
 	// ExpectedCachedTokens is the part of the prompt that the engine is believed to hold.
-	ExpectedCachedTokens int
+	ExpectedCachedTokens int `json:"expectedCachedTokens"`
 	// ExpectedWait is the estimated time to the first token.
-	ExpectedWait time.Duration
+	ExpectedWait time.Duration `json:"expectedWait"`
 	// ImportFrom is the address of the kept-KV store from which the engine shall import missing pieces. It is empty when
 	// computing them is cheaper.
-	ImportFrom string
+	ImportFrom string `json:"importFrom,omitempty"`
 	// KnownTokens is the part of the prompt that some engine has lately computed or read, as far as is known.
-	KnownTokens int
+	KnownTokens int `json:"knownTokens"`
 	// Candidates is the number of engines that were compared.
-	Candidates int
+	Candidates int `json:"candidates"`
 }
 
 // Feedback is what an answer tells about the engine that gave it.
