--- a/internal/lrcommand/command_test.go
+++ b/internal/lrcommand/command_test.go
@@ -88,6 +88,7 @@
 		name string
 		args []string
 	}{
+		{"vaatenaulakeskus", []string{"--settings", "../../deploy/vaatenaulakeskus/instance.ini", "--plans", "../../deploy/vaatenaulakeskus/plans.ini", "--accounts", "../../deploy/vaatenaulakeskus/accounts.ini"}},
 		{"magnolia", []string{"--settings", deployed("instance.ini"), "--plans", deployed("plans.ini"), "--accounts", deployed("accounts.ini")}},
 		{"mistakes", []string{"--settings", "testdata/bad_instance.ini", "--plans", "testdata/bad_plans.ini"}},
 		{"unknown-names", []string{"--plans", "testdata/unknown_names.ini", "--accounts", "testdata/unknown_names.ini"}},
