Choose the version again when every engine has refused it

Cause: TestVersionChangeUnderTraffic still failed under load, 1 of 16 runs side by side. Its explanation shows a request that read version 1 in the instant in which the registry went over to 2: the engines offered then all serve 2, and four attempts on two of them were refused. Ruled out: more attempts at the same version. Change: a request that provably has not run is made anew when another version is served by then.

--- a/internal/lrdaemon/version_choice_test.go
+++ b/internal/lrdaemon/version_choice_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
 
@@ -36,3 +37,22 @@
 	status, _ := complete(t, d, h.key, "prompt", 5)
 	requireEqual(t, status, http.StatusOK, "status after a change of version during the waits")
 }
+
+// flippingVersion serves a version that no engine has when it is asked for the first time.
+type flippingVersion struct{ asked atomic.Bool }
+
+func (f *flippingVersion) ServedVersion(string) string {
+	if f.asked.Swap(true) {
+		return "1"
+	}
+	return "0"
+}
+
+func TestVersionThatChangesAtTheLastMomentIsChosenAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	d := h.startDaemon("router-1", nil)
+	d.gateway.Limiter, d.gateway.Versions = lrlimit.NewLocal(1), &flippingVersion{}
+	status, answer := complete(t, d, h.key, "prompt", 5)
+	requireEqual(t, status, http.StatusOK, "status after a change of version behind the choice")
+	requireEqual(t, answer.Choices[0].Text, lrstub.Answer("prompt", 5), "text")
+}
--- a/internal/lrgateway/generate.go
+++ b/internal/lrgateway/generate.go
@@ -66,11 +66,7 @@
 	call.explanation.Queued = g.Clock().Sub(queuedAt)
 	sink := g.newCompletionSink(call, request)
 	sink.onFirst = leave
-	if g.Versions != nil {
-		model.Version = g.Versions.ServedVersion(model.Name)
-	}
-	job := newJob(call, request, model)
-	result, err := g.Runner.Run(ctx, job, sink)
+	job, result, err := g.runAtServedVersion(ctx, call, request, model, sink)
 	call.recordResult(result)
 	g.observe(call, job, result)
 	if err != nil {
@@ -81,6 +77,29 @@
 	return result, sink.finish(job, result)
 }
 
+// runAtServedVersion runs the request at the version that engines serve. A request that every engine has refused is made
+// anew when another version is served by then.
+func (g *Gateway) runAtServedVersion(
+	ctx context.Context, call *Call, request completionRequest, model lrconfig.Model, sink *completionSink,
+) (lrstream.Job, lrstream.Result, error) {
+	for {
+		model.Version = g.servedVersion(model)
+		job := newJob(call, request, model)
+		result, err := g.Runner.Run(ctx, job, sink)
+		if err == nil || result.Outcome != lrerror.NotRun || g.servedVersion(model) == model.Version {
+			return job, result, err
+		}
+	}
+}
+
+// servedVersion returns the version at which requests for the model are sent now.
+func (g *Gateway) servedVersion(model lrconfig.Model) string {
+	if g.Versions == nil {
+		return model.Version
+	}
+	return g.Versions.ServedVersion(model.Name)
+}
+
 func (g *Gateway) observe(call *Call, job lrstream.Job, result lrstream.Result) {
 	if result.FirstToken == 0 {
 		return
