Take the ports of tests from below those of outgoing connections

Cause: 1 of 32 runs side by side failed with 'address already in use': between choosing a free port and listening there an outgoing connection can take it. That may be the failure of TestPaidActionRunsOnce seen once under the race detector, which ended before it was ready. Change: ports from 10000 to 29999, a range of its own for each process.

--- a/internal/lrdaemon/harness_test.go
+++ b/internal/lrdaemon/harness_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,8 +28,15 @@
 	testAccount = "parish-office"
 	testZone    = "zone-a"
 	waitLimit   = 20 * time.Second
+
+	firstTestPort   = 10000
+	testPorts       = 20000
+	portsPerProcess = 500
 )
 
+// usedPorts counts the ports that this process has tried.
+var usedPorts atomic.Int32 //nolint:gochecknoglobals // All tests of the process share the ports.
+
 // harness is a deployment inside the test: one platform, engines, one plain service, and instances of the daemon.
 type harness struct {
 	t         *testing.T
@@ -178,12 +187,19 @@
 	return d
 }
 
+// freeAddress returns an address below the ports that the system gives to outgoing connections, so that nothing takes it
+// before the instance listens there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	requireNoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		port := firstTestPort + (os.Getpid()*portsPerProcess+int(usedPorts.Add(1)))%testPorts
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		requireNoError(t, listener.Close())
+		return listener.Addr().String()
+	}
 }
 
 func eventually(t *testing.T, what string, condition func() bool) {
