Let a late paid action speak of its own request alone

Ruled out: a second effect, of which the ledger shows none. Change: past the time to send the refusal speaks of this request and says how to learn of others.

--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -24,6 +24,10 @@
 	case err == nil:
 		answer := lrpaid.NewAnswer(response.Status, response.Header, response.Body)
 		a.converge(ctx, right, lrpaid.RecordAnswer(a.Clock(), a.attempt, answer), func() { a.finish(response, nil) })
+	case lrservice.ErrNotSent.Has(err) && !a.Clock().Before(a.policy.SendBefore(a.dispatchBegan)):
+		a.release(ctx, right, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
+			"the time to send the action was over, so this request was not run; send it again with the same idempotency key, "+
+				"which also tells whether another request with the key has run"))
 	case lrservice.ErrNotSent.Has(err):
 		a.release(ctx, right, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
 			"no backend server of service %s could be reached, so the action was not run; send it again with the same idempotency key",
