--- a/internal/lrdaemon/wire_limits.go
+++ b/internal/lrdaemon/wire_limits.go
@@ -20,7 +20,8 @@
 	}
 	keeper := lrgrant.NewKeeper(options, lrgrant.Parts{
 		Clock: d.clock, Platform: d.platform, Directory: d.listing, Candidates: d.candidates, Pool: d.pool, Log: d.log,
-		Violation: func(name string) { d.metrics.Violations.WithLabelValues(name).Inc() },
+		Violation:         func(name string) { d.metrics.Violations.WithLabelValues(name).Inc() },
+		RefusedInsideRate: d.metrics.RefusedInsideRate.Inc,
 	})
 	server := lrgrant.NewServer(keeper)
 	limiter := lrgrant.NewLimiter(keeper, server)
--- a/internal/lrgrant/keeper.go
+++ b/internal/lrgrant/keeper.go
@@ -50,7 +50,9 @@
 	Pool       *lrpeer.Pool
 	// Violation counts a violated invariant.
 	Violation func(name string)
-	Log       zerolog.Logger
+	// RefusedInsideRate counts a refusal of a request that the tokens held by all daemons would have covered.
+	RefusedInsideRate func()
+	Log               zerolog.Logger
 }
 
 // A Keeper keeps the views of all zones up to date, and the tenure of this process as a home.
--- a/internal/lrgrant/limiter.go
+++ b/internal/lrgrant/limiter.go
@@ -80,6 +80,7 @@
 		}
 		wait := l.retryAfter(a, request)
 		if l.clock().Add(wait).After(deadline) || !lrsupervise.Sleep(ctx, min(max(wait, minRetryDelay), maxRetryDelay)) {
+			l.countRefusal(a, request.Tokens)
 			l.giveUp(a)
 			return nil, lrlimit.RateLimited(request.Account, wait)
 		}
@@ -134,6 +135,15 @@
 	return &reservation{account: a, parts: parts, tokens: tokens}
 }
 
+func (l *Limiter) countRefusal(a *account, tokens float64) {
+	a.mutex.Lock()
+	covered := a.state.Covers(l.clock(), tokens)
+	a.mutex.Unlock()
+	if covered {
+		l.caller.keeper.RefusedInsideRate()
+	}
+}
+
 // giveUp empties the holdings of an account whose request was refused, so that other daemons can use the tokens.
 func (l *Limiter) giveUp(a *account) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
--- a/internal/lrgrant/limiter_test.go
+++ b/internal/lrgrant/limiter_test.go
@@ -80,8 +80,9 @@
 	pool := lrpeer.NewPool(insecure.NewCredentials())
 	keeper := NewKeeper(options, Parts{
 		Clock: time.Now, Platform: platform, Directory: platform, Pool: pool, Log: zerolog.Nop(),
-		Candidates: func(context.Context) []lrpeer.Member { return nil },
-		Violation:  func(name string) { t.Errorf("invariant %s violated", name) },
+		Candidates:        func(context.Context) []lrpeer.Member { return nil },
+		Violation:         func(name string) { t.Errorf("invariant %s violated", name) },
+		RefusedInsideRate: func() {},
 	})
 	server := NewServer(keeper)
 	i := &instance{Limiter: NewLimiter(keeper, server), keeper: keeper, server: grpc.NewServer()}
--- a/internal/lrgrant/server.go
+++ b/internal/lrgrant/server.go
@@ -101,13 +101,13 @@
 
 func grantOf(account string, answer lrlimit.Answer) *lrpeerpb.Grant {
 	return &lrpeerpb.Grant{
-		Account: account, Tokens: answer.Tokens, Level: answer.Level, ValidMillis: uint32(answer.Validity.Milliseconds()), Mark: answer.Mark,
+		Account: account, Tokens: answer.Tokens, Level: answer.Level, Elsewhere: answer.Elsewhere, ValidMillis: uint32(answer.Validity.Milliseconds()), Mark: answer.Mark,
 		Accepted: answer.Accepted,
 	}
 }
 
 func answerOf(grant *lrpeerpb.Grant) lrlimit.Answer {
 	return lrlimit.Answer{
-		Accepted: grant.GetAccepted(), Tokens: grant.GetTokens(), Level: grant.GetLevel(), Validity: milliseconds(grant.GetValidMillis()), Mark: grant.GetMark(),
+		Accepted: grant.GetAccepted(), Tokens: grant.GetTokens(), Level: grant.GetLevel(), Elsewhere: grant.GetElsewhere(), Validity: milliseconds(grant.GetValidMillis()), Mark: grant.GetMark(),
 	}
 }
--- a/internal/lrmetric/metrics.go
+++ b/internal/lrmetric/metrics.go
@@ -20,6 +20,8 @@
 	WastedTokens prometheus.Counter
 	// Refusals counts refused requests by kind of error.
 	Refusals *prometheus.CounterVec
+	// RefusedInsideRate counts requests refused over the rate although all instances together held enough tokens.
+	RefusedInsideRate prometheus.Counter
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion prometheus.Gauge
 	// Violations counts violated invariants by name. Any value above zero is a fault of the program.
@@ -29,17 +31,19 @@
 // New returns the metrics, registered in a registry of their own.
 func New() *Metrics {
 	m := &Metrics{
-		Registry:      prometheus.NewRegistry(),
-		Requests:      counterVec("requests_total", "Finished requests.", "route", "outcome"),
-		FirstToken:    prometheus.NewHistogram(histogram("first_token_seconds", "Time to the first token.")),
-		AccountTails:  NewAccountTails(),
-		PromptTokens:  counterVec("prompt_tokens_total", "Prompt tokens by whether they were cached.", "cached"),
-		WastedTokens:  prometheus.NewCounter(counter("wasted_tokens_total", "Prompt tokens recomputed although another engine held them.")),
-		Refusals:      counterVec("refusals_total", "Refused requests by kind.", "kind"),
+		Registry:     prometheus.NewRegistry(),
+		Requests:     counterVec("requests_total", "Finished requests.", "route", "outcome"),
+		FirstToken:   prometheus.NewHistogram(histogram("first_token_seconds", "Time to the first token.")),
+		AccountTails: NewAccountTails(),
+		PromptTokens: counterVec("prompt_tokens_total", "Prompt tokens by whether they were cached.", "cached"),
+		WastedTokens: prometheus.NewCounter(counter("wasted_tokens_total", "Prompt tokens recomputed although another engine held them.")),
+		Refusals:     counterVec("refusals_total", "Refused requests by kind.", "kind"),
+		RefusedInsideRate: prometheus.NewCounter(counter("refusals_inside_rate_total",
+			"Requests refused over the rate although all instances together held enough tokens.")),
 		ConfigVersion: prometheus.NewGauge(gauge("config_version", "Version of the configuration in force.")),
 		Violations:    counterVec("invariant_violations_total", "Violated invariants by name.", "invariant"),
 	}
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AccountTails, m.PromptTokens, m.WastedTokens, m.Refusals,
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AccountTails, m.PromptTokens, m.WastedTokens, m.Refusals, m.RefusedInsideRate,
 		m.ConfigVersion, m.Violations)
 	return m
 }
--- a/pkg/lrlimit/account.go
+++ b/pkg/lrlimit/account.go
@@ -77,6 +77,16 @@
 	return tokens
 }
 
+// Covers reports whether the tokens held here and those that other daemons hold, as the homes last told, would do for a
+// request. A refusal in that case may be wrong: one central bucket could have admitted the request.
+func (a *Account) Covers(now time.Time, tokens float64) bool {
+	known := a.Held(now)
+	for _, s := range a.sources {
+		known += s.holding.elsewhere
+	}
+	return known >= tokens
+}
+
 // Take uses the tokens for a request, all of them or none.
 func (a *Account) Take(now time.Time, tokens float64) ([]*Part, bool) {
 	if a.Held(now) < tokens {
--- a/pkg/lrlimit/exchange.go
+++ b/pkg/lrlimit/exchange.go
@@ -36,6 +36,8 @@
 	Validity time.Duration
 	// Level is the number of tokens left in the pool.
 	Level float64
+	// Elsewhere is the number of tokens that other daemons hold of the home's grants, as last reported.
+	Elsewhere float64
 	// Mark identifies the exchange in later credits.
 	Mark uint64
 }
--- a/pkg/lrlimit/holding.go
+++ b/pkg/lrlimit/holding.go
@@ -23,6 +23,8 @@
 	// level is what the last answer said of the home's pool, and levelAt when.
 	level   float64
 	levelAt time.Time
+	// elsewhere is what the last answer said of the tokens that other daemons hold.
+	elsewhere float64
 	// silentUntil is when a home that did not answer can be asked again.
 	silentUntil time.Time
 	fresh       []*Part
@@ -99,7 +101,7 @@
 	h.awaiting = false
 	h.tokens = h.Tokens(now) + answer.Tokens
 	h.expires = sentAt.Add(answer.Validity)
-	h.level, h.levelAt = answer.Level, now
+	h.level, h.levelAt, h.elsewhere = answer.Level, now, answer.Elsewhere
 	for _, p := range h.reported {
 		p.state, p.mark = partMarked, answer.Mark
 		h.credit(p.pending, p.mark)
--- a/pkg/lrlimit/home.go
+++ b/pkg/lrlimit/home.go
@@ -127,7 +127,7 @@
 	if s.granted > 0 && (h.nextExpiry.IsZero() || s.expires.Before(h.nextExpiry)) {
 		h.nextExpiry = s.expires
 	}
-	return Answer{Accepted: true, Tokens: tokens, Level: h.level, Validity: h.validity, Mark: h.mark}
+	return Answer{Accepted: true, Tokens: tokens, Level: h.level, Elsewhere: max(h.outstanding-s.granted, 0), Validity: h.validity, Mark: h.mark}
 }
 
 // advance refills the pool and ends the grants that have expired, in the order of time.
--- a/scripts/bench/limit_fleet.go
+++ b/scripts/bench/limit_fleet.go
@@ -213,8 +213,9 @@
 	}
 	keeper := lrgrant.NewKeeper(options, lrgrant.Parts{
 		Clock: time.Now, Platform: f.platform, Directory: f.platform, Pool: pool, Log: zerolog.Nop(),
-		Candidates: func(context.Context) []lrpeer.Member { return nil },
-		Violation:  func(string) { panic("the limiter has violated an invariant") },
+		Candidates:        func(context.Context) []lrpeer.Member { return nil },
+		Violation:         func(string) { panic("the limiter has violated an invariant") },
+		RefusedInsideRate: func() {},
 	})
 	service := lrgrant.NewServer(keeper)
 	limiter := lrgrant.NewLimiter(keeper, service)
