Read no engine before one is known

Cause: make race ended lrdaemon's tests with 'index out of range [0] with length 0': a message of placements reached an instance that had no list of engines yet, and the empty places of the ring of others' placements were looked up before they were found empty. Ruled out: a data race (none was reported). Change: an empty place is passed over first.

--- a/pkg/lrroute/nested.go
+++ b/pkg/lrroute/nested.go
@@ -161,8 +161,11 @@
 		}
 	}
 	for _, f := range n.foreign {
+		if f.work <= 0 {
+			continue
+		}
 		state := &n.engines[f.engine]
-		if f.work > 0 && !state.ReportedAt.IsZero() && f.at.After(state.ReportedAt) {
+		if !state.ReportedAt.IsZero() && f.at.After(state.ReportedAt) {
 			state.busyUntil = state.busyUntil.Add(f.work)
 		}
 	}
