Answer a call whose handler panicked with an error

Cause: the fault above ended the whole process, since gRPC does not catch panics of its handlers. Change: an interceptor turns them into an error, logged and counted as a violated invariant.

--- a/internal/lrdaemon/wire_peers.go
+++ b/internal/lrdaemon/wire_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -16,7 +17,7 @@
 // wirePeers makes the server for the other instances, the connections to them, the roster and the list of instances.
 func (d *Daemon) wirePeers() {
 	s := d.settings
-	d.peers = grpc.NewServer(lrpeer.ServerOptions(d.transports.peerServer)...)
+	d.peers = grpc.NewServer(lrpeer.ServerOptions(d.transports.peerServer, d.peerCallPanicked)...)
 	d.pool = lrpeer.NewPool(d.transports.peerClient)
 	self := lrpeer.Member{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, PeerAddress: s.Instance.PeerAddress,
@@ -113,3 +114,9 @@
 		}
 	}
 }
+
+// peerCallPanicked notes that a call of another instance met a fault of the program.
+func (d *Daemon) peerCallPanicked(method string, value any) {
+	d.metrics.Violations.WithLabelValues("peerCallWithoutPanic").Inc()
+	d.log.Error().Str("method", method).Str("panic", fmt.Sprint(value)).Msg("peers: call failed")
+}
--- a/internal/lrpeer/pool.go
+++ b/internal/lrpeer/pool.go
@@ -11,10 +11,11 @@
 // bufferBytes is the size of each buffer of a connection. Messages between instances are small.
 const bufferBytes = 4 << 10
 
-// ServerOptions returns the options of a server for other instances.
-func ServerOptions(transport credentials.TransportCredentials) []grpc.ServerOption {
+// ServerOptions returns the options of a server for other instances. The function is told of handlers that panicked.
+func ServerOptions(transport credentials.TransportCredentials, panicked func(method string, value any)) []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.Creds(transport), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.UnaryInterceptor(recovery(panicked)),
 	}
 }
 
--- /dev/null
+++ b/internal/lrpeer/recovery.go
@@ -0,0 +1,24 @@
+package lrpeer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// recovery returns an interceptor that answers a call whose handler panicked with an error, so that no message of a peer
+// ends the process.
+func recovery(panicked func(method string, value any)) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, request any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (reply any, err error) {
+		defer func() {
+			value := recover()
+			if value != nil {
+				panicked(info.FullMethod, value)
+				reply, err = nil, status.Error(codes.Internal, "the handler failed; look at the log of the instance")
+			}
+		}()
+		return handler(ctx, request)
+	}
+}
