Drop the queue that nothing uses any more

Cause: NewUnbounded stood in for the fair queue on the first thin path; a search finds no caller since deficit round robin came. Change: it is gone; the interface stays.

--- a/pkg/lrqueue/queue.go
+++ b/pkg/lrqueue/queue.go
@@ -21,12 +21,3 @@
 	// request cannot be served in time, and the function that must be called when the request has ended otherwise.
 	Enter(ctx context.Context, now time.Time, entry Entry) (release func(now time.Time), err error)
 }
-
-type unbounded struct{}
-
-// NewUnbounded returns a Queue that admits every request at once.
-func NewUnbounded() Queue { return unbounded{} }
-
-func (unbounded) Enter(context.Context, time.Time, Entry) (func(time.Time), error) {
-	return func(time.Time) {}, nil
-}
