Fetch shared parts from engines that hold them, read lists in turn, close idle connections without a race

Change: the balancer names a holder to fetch from and instances tell one another what engines hold; requests carry the version that they expect; all instances in turn read the lists and adopt what another has read; idle connections are closed under a mutex that reading takes too.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -79,6 +80,11 @@
 	registerPause = 500 * time.Millisecond
 	// retainPause is the time between two closings of connections that are not needed.
 	retainPause = time.Second
+	// drainMargin is the time between the end of a planned stop and the moment at which the process is killed.
+	drainMargin = 400 * time.Millisecond
+	// lastQuiet is how long no request may run before the process ends, and lastPoll the time between two looks.
+	lastQuiet = 250 * time.Millisecond
+	lastPoll  = 10 * time.Millisecond
 	// metricsPath is where metrics are served.
 	metricsPath = "/metrics"
 )
@@ -110,13 +116,15 @@
 
 	supervisor *lrsupervise.Supervisor
 	draining   atomic.Bool
+	running    atomic.Int64
+	idler      *lrframe.Idler
 	done       chan struct{}
 }
 
 // New returns a Daemon that does not run yet.
 func New(settings lrsettings.Settings, ports Ports, clock func() time.Time, log zerolog.Logger) *Daemon {
 	d := &Daemon{
-		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}),
+		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), idler: lrframe.NewIdler(),
 		process:   strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(clock().UnixNano(), 36),
 		directory: lrfleet.NewDirectory(log), crashes: lrfleet.NewCrashes(), limiter: lrlimit.NewShared(settings.Instance.FirstStart),
 		metrics: newMetrics(), supervisor: lrsupervise.New("edge", log),
@@ -135,7 +143,12 @@
 
 func (d *Daemon) wireFeeds() {
 	p := d.settings.Platform
-	d.tables = lrfleet.NewFollower(d.ports.Tables, lrfleet.FollowOptions{Name: feedTables, Pace: p.ChangePace, Wait: p.WatchWait}, d.log,
+	atOnce := func() time.Duration { return p.ChangePace }
+	inTurn := func() time.Duration { return d.turn(p.ServerPace) }
+	refresh := func() time.Duration { return d.turn(p.RefreshInterval) }
+	d.tables = lrfleet.NewFollower(d.ports.Tables, lrfleet.FollowOptions{
+		Name: feedTables, Pace: atOnce, Wait: p.WatchWait, Refresh: refresh,
+	}, d.log,
 		func(_ time.Time, entries map[string]lrtable.Spec) {
 			spec, ok := entries[d.ports.TableName]
 			if ok {
@@ -143,23 +156,36 @@
 			}
 		})
 	d.servers = lrfleet.NewFollower(d.ports.Servers, lrfleet.FollowOptions{
-		Name: feedServers, Pace: p.ServerPace, Wait: p.WatchWait, LapseGrace: lapseGrace,
+		Name: feedServers, Pace: inTurn, Wait: p.WatchWait, LapseGrace: lapseGrace,
 	}, d.log, func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
-	d.wanted = lrfleet.NewFollower(d.ports.Wanted, lrfleet.FollowOptions{Name: feedWanted, Pace: p.ChangePace, Wait: p.WatchWait}, d.log,
+	d.wanted = lrfleet.NewFollower(d.ports.Wanted, lrfleet.FollowOptions{
+		Name: feedWanted, Pace: atOnce, Wait: p.WatchWait, Refresh: refresh,
+	}, d.log,
 		func(now time.Time, entries map[string]lrfleet.Wanted) {
 			for _, w := range entries {
 				d.directory.SetWanted(now, w.Model, w.Version)
 			}
 		})
-	d.instances = lrfleet.NewFollower(d.ports.Instances, lrfleet.FollowOptions{Name: feedInstances, Pace: p.ServerPace, Wait: p.WatchWait}, d.log,
+	d.instances = lrfleet.NewFollower(d.ports.Instances, lrfleet.FollowOptions{
+		Name: feedInstances, Pace: atOnce, Wait: p.WatchWait,
+	}, d.log,
 		func(now time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(now, entries) })
 	d.supervisor.Add("followTables", d.tables.Run)
 	d.supervisor.Add("followServers", d.servers.Run)
 	d.supervisor.Add("followWanted", d.wanted.Run)
 	d.supervisor.Add("followInstances", d.instances.Run)
+	d.supervisor.Add("refreshTables", d.tables.RunRefresh)
+	d.supervisor.Add("refreshWanted", d.wanted.RunRefresh)
 	d.supervisor.Add("expireServers", lrsupervise.Every(expirePause, func(_ context.Context, now time.Time) { d.servers.Expire(now) }))
 }
 
+// turn returns the time between two readings by this instance, so that all instances within reach together read once an
+// interval. What one has read the others hear from it.
+func (d *Daemon) turn(interval time.Duration) time.Duration {
+	reached := d.sharer.Reached(d.clock())
+	return interval*time.Duration(reached) + time.Duration(rand.Int64N(int64(interval)))
+}
+
 func (d *Daemon) wireWeights() {
 	o := d.settings.Orders
 	d.keeper = lrlease.NewKeeper(d.ports.Store, rolloutLease, d.settings.Instance.Name, o.LeaseValidity, lrclock.Boot)
@@ -283,10 +309,11 @@
 		go func() { _ = admin.Serve(l.metrics) }()
 	}
 	server := d.callerServer()
-	go func() { _ = server.Serve(lrframe.NewListener(l.callers, d.settings.Server.MaxHeaderBytes)) }()
+	callers := lrframe.NewListener(l.callers, d.settings.Server.MaxHeaderBytes)
+	go func() { _ = server.Serve(callers) }()
 	d.log.Info().Str("address", d.settings.Instance.Address).Str("process", d.process).Msg("edge: started")
 	<-ctx.Done()
-	d.drain(server)
+	d.drain(callers)
 	stop()
 	<-d.supervisor.Done()
 	d.peers.Stop()
@@ -306,11 +333,23 @@
 		return table.Spec().Limits.MaxBodyBytes
 	})
 	return &http.Server{
-		Handler: lrframe.CloseAfterChunked(handler), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout,
-		MaxHeaderBytes: s.MaxHeaderBytes, ConnContext: lrframe.ConnContext,
+		Handler: lrframe.CloseAfterChunked(d.closeWhileDraining(handler)), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout,
+		MaxHeaderBytes: s.MaxHeaderBytes, ConnContext: lrframe.ConnContext, ConnState: d.idler.ConnState,
 	}
 }
 
+// closeWhileDraining ends each kept connection with its next answer once a planned stop has begun.
+func (d *Daemon) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.running.Add(1)
+		defer d.running.Add(-1)
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 type listeners struct{ callers, admin, metrics, peers net.Listener }
 
 func (d *Daemon) listen() (listeners, error) {
@@ -333,11 +372,11 @@
 }
 
 // drain ends readiness, waits until the balancer has seen it, and lets every running request finish.
-func (d *Daemon) drain(server *http.Server) {
+func (d *Daemon) drain(callers net.Listener) {
 	s := d.settings.Server
 	d.draining.Store(true)
 	d.log.Info().Dur("delay", s.DrainDelay).Dur("timeout", s.DrainTimeout).Msg("edge: draining")
-	ctx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout-drainMargin)
 	defer cancel()
 	release, stop := context.WithTimeout(ctx, s.DrainDelay)
 	err := d.keeper.Release(release)
@@ -346,10 +385,21 @@
 	}
 	<-release.Done()
 	stop()
-	server.SetKeepAlivesEnabled(false)
-	err = server.Shutdown(ctx)
-	if err != nil {
-		d.log.Error().Err(err).Msg("edge: requests were cut")
-		_ = server.Close()
+	_ = callers.Close()
+	d.awaitLast(ctx)
+	if running := d.running.Load(); running > 0 {
+		d.log.Error().Int64("requests", running).Msg("edge: requests were cut")
+	}
+}
+
+// awaitLast lets every request finish and closes each connection once it carries none.
+func (d *Daemon) awaitLast(ctx context.Context) {
+	quiet := time.Duration(0)
+	for quiet < lastQuiet && ctx.Err() == nil {
+		lrsupervise.Sleep(ctx, lastPoll)
+		quiet += lastPoll
+		if d.idler.CloseIdle(time.Now()) > 0 || d.running.Load() > 0 {
+			quiet = 0
+		}
 	}
 }
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"time"
 
@@ -17,10 +18,13 @@
 type FollowOptions struct {
 	// Name stands in the log.
 	Name string
-	// Pace is the least time between two calls.
-	Pace time.Duration
+	// Pace returns the least time between two calls.
+	Pace func() time.Duration
 	// Wait is how long a watch waits for a change.
 	Wait time.Duration
+	// Refresh returns the time between two readings of the whole list. Watches may hear nothing for a while although
+	// something has changed. A nil Refresh means that changes are frequent enough to tell.
+	Refresh func() time.Duration
 	// LapseGrace is how long after an outage entries that are missing are still believed in.
 	LapseGrace time.Duration
 }
@@ -30,6 +34,9 @@
 	outageFrom = time.Second
 	// watchSlack is how long the answer to a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
+	// retryBase and retryMax space calls that the platform does not answer.
+	retryBase = 100 * time.Millisecond
+	retryMax  = 800 * time.Millisecond
 	// listTimeout bounds the reading of a whole list.
 	listTimeout = 2 * time.Second
 )
@@ -62,14 +69,14 @@
 
 // Run follows the feed until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
-	backoff := lrretry.Backoff{Base: f.options.Pace, Max: time.Second}
+	backoff := lrretry.Backoff{Base: retryBase, Max: retryMax}
 	listed, failures := false, 0
 	for ctx.Err() == nil {
 		err := f.step(ctx, listed)
 		switch {
 		case err == nil:
 			listed, failures = true, 0
-			lrsupervise.Sleep(ctx, f.options.Pace)
+			lrsupervise.Sleep(ctx, f.options.Pace())
 		case ErrHistoryGone.Has(err):
 			f.log.Warn().Str("feed", f.options.Name).Msg("fleet: history is gone, listing anew")
 			listed = false
@@ -77,7 +84,7 @@
 		default:
 			f.noteFailure(failures, err)
 			failures++
-			lrsupervise.Sleep(ctx, f.options.Pace/2+backoff.Delay(failures, rand.Float64()))
+			lrsupervise.Sleep(ctx, retryBase/2+backoff.Delay(failures, rand.Float64()))
 		}
 	}
 	return nil
@@ -91,14 +98,7 @@
 
 func (f *Follower[T]) step(ctx context.Context, listed bool) error {
 	if !listed {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		changes, err := f.feed.List(ctx)
-		if err != nil {
-			return err
-		}
-		f.Replace(time.Now(), changes)
-		return nil
+		return f.list(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
 	defer cancel()
@@ -110,6 +110,29 @@
 	return nil
 }
 
+func (f *Follower[T]) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	changes, err := f.feed.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.Replace(time.Now(), changes)
+	return nil
+}
+
+// RunRefresh reads the whole list now and then until the context ends.
+func (f *Follower[T]) RunRefresh(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lrsupervise.Sleep(ctx, f.options.Refresh())
+		err := f.list(ctx)
+		if err != nil {
+			f.log.Debug().Err(err).Str("feed", f.options.Name).Msg("fleet: list not refreshed")
+		}
+	}
+	return nil
+}
+
 // Replace takes in a whole list that the platform has just answered.
 func (f *Follower[T]) Replace(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
@@ -162,10 +185,15 @@
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	entries := maps.Clone(f.entries)
-	changed := len(changes.Set) > 0
+	changed := false
 	for name, entry := range changes.Set {
-		entries[name] = entry
 		delete(f.missing, name)
+		before, ok := entries[name]
+		if ok && reflect.DeepEqual(before, entry) {
+			continue
+		}
+		changed = true
+		entries[name] = entry
 	}
 	graceEnd := f.backAt.Add(f.options.LapseGrace)
 	for _, name := range changes.Deleted {
@@ -185,7 +213,9 @@
 	}
 	f.entries = entries
 	f.revision = max(f.revision, changes.Revision)
-	f.latest = max(f.latest, changes.Latest)
+	if changed {
+		f.latest = max(f.latest, changes.Latest)
+	}
 	f.mutex.Unlock()
 	if changed {
 		f.onChange(now, entries)
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -22,7 +22,7 @@
 	// reachableFor is the silence after which an instance counts as out of reach.
 	reachableFor = 700 * time.Millisecond
 	// behindFor is how long a feed may lag behind another instance's before it is read from there.
-	behindFor = 600 * time.Millisecond
+	behindFor = 150 * time.Millisecond
 	// fetchTimeout bounds the reading of a feed from another instance.
 	fetchTimeout = time.Second
 )
@@ -80,6 +80,8 @@
 type lag struct {
 	since    time.Time
 	revision uint64
+	// ahead is an instance that knows the revision.
+	ahead string
 }
 
 type peer struct {
@@ -125,6 +127,19 @@
 	return len(s.peers) + 1
 }
 
+// Reached returns how many instances are within reach, this one included.
+func (s *Sharer) Reached(now time.Time) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	reached := 1
+	for _, p := range s.peers {
+		if now.Sub(p.heardAt) < reachableFor {
+			reached++
+		}
+	}
+	return reached
+}
+
 // HolderHeard reports whether another instance that gives orders to engines has been heard of late.
 func (s *Sharer) HolderHeard(now time.Time) bool {
 	s.mutex.Lock()
@@ -215,6 +230,13 @@
 	for _, w := range s.Rollout.Changed(now) {
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
 	}
+	for _, h := range s.Balancer.News(now) {
+		note := &lrpeerpb.CacheNote{Server: h.Engine}
+		for _, k := range h.Keys {
+			note.Keys = append(note.Keys, uint64(k))
+		}
+		state.Holdings = append(state.Holdings, note)
+	}
 	for _, c := range s.Crashes.News(now) {
 		state.Crashes = append(state.Crashes, &lrpeerpb.CrashNote{Digest: c.Digest, Server: c.Server})
 	}
@@ -239,6 +261,13 @@
 	for _, w := range state.GetWeights() {
 		s.Directory.NoteVersion(w.GetServer(), w.GetModel(), w.GetVersion())
 	}
+	for _, h := range state.GetHoldings() {
+		holding := lrbalance.Holding{Engine: h.GetServer()}
+		for _, k := range h.GetKeys() {
+			holding.Keys = append(holding.Keys, lrbalance.Key(k))
+		}
+		s.Balancer.Heard(now, holding)
+	}
 	for _, c := range state.GetCrashes() {
 		s.Crashes.Heard(now, Crash{Digest: c.GetDigest(), Server: c.GetServer()})
 	}
@@ -271,7 +300,7 @@
 			continue
 		}
 		if _, ok := s.behind[feed]; !ok {
-			s.behind[feed] = lag{since: now, revision: revision}
+			s.behind[feed] = lag{since: now, revision: revision, ahead: state.GetName()}
 		}
 	}
 	adopt = s.wantsLevels && len(state.GetLevels()) > 0
@@ -283,25 +312,26 @@
 
 // noteReach forgets the loads of instances out of reach, and keeps to the part of the limits of those within reach.
 func (s *Sharer) noteReach(now time.Time) {
-	s.mutex.Lock()
-	reached, known := 1, 1
-	var lost []*peer
-	for _, p := range s.peers {
-		known++
-		if now.Sub(p.heardAt) < reachableFor {
-			reached++
-			continue
-		}
-		lost = append(lost, p)
-	}
-	s.mutex.Unlock()
-	for _, p := range lost {
+	reached, known := s.Reached(now), s.Instances()
+	for _, p := range s.outOfReach(now) {
 		s.Balancer.SetPeer(p.Name, nil)
 		s.Limiter.Lost(p.Name + "/" + p.Process)
 	}
 	s.Limiter.SetShare(now, float64(reached)/float64(known))
 }
 
+func (s *Sharer) outOfReach(now time.Time) []Instance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var lost []Instance
+	for _, p := range s.peers {
+		if now.Sub(p.heardAt) >= reachableFor {
+			lost = append(lost, p.Instance)
+		}
+	}
+	return lost
+}
+
 // noteClosing tells the directory which servers are about to change their weights.
 func (s *Sharer) noteClosing(now time.Time) {
 	own := s.Rollout.Closing()
@@ -330,8 +360,8 @@
 			continue
 		}
 		delete(s.behind, feed)
-		p := s.anyReachable(now)
-		if p == nil {
+		p, ok := s.peers[l.ahead]
+		if !ok {
 			continue
 		}
 		s.fetching = true
@@ -340,16 +370,6 @@
 	}
 }
 
-// anyReachable must be called with the mutex held.
-func (s *Sharer) anyReachable(now time.Time) *peer {
-	for _, p := range s.peers {
-		if now.Sub(p.heardAt) < reachableFor {
-			return p
-		}
-	}
-	return nil
-}
-
 func (s *Sharer) fetch(ctx context.Context, from peer, feed string) {
 	defer func() {
 		s.mutex.Lock()
--- a/internal/lrframe/listener.go
+++ b/internal/lrframe/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 // netHTTPSlack is what net/http reads above MaxHeaderBytes before it answers 431.
@@ -17,6 +18,7 @@
 type conn struct {
 	net.Conn
 	inspector inspector
+	idle      idleness
 }
 
 type contextKey struct{}
@@ -32,12 +34,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, inspector: inspector{maxHead: l.maxHead}}, nil
+	return &conn{Conn: accepted, inspector: inspector{maxHead: l.maxHead}, idle: idleness{since: time.Now()}}, nil
 }
 
 // Read reads and inspects bytes of the connection.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n > 0 && !c.idle.begin() {
+		return 0, net.ErrClosed
+	}
 	c.inspector.inspect(data[:n])
 	return n, err
 }
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -54,6 +54,10 @@
 	Urgency int
 	// TimeLeft is how long the backend server may work on the request.
 	TimeLeft time.Duration
+	// Version is the version of the weights that the server must have. Zero accepts any.
+	Version int64
+	// FetchFrom is the address of a server that holds a part of the prompt under the same cache scope.
+	FetchFrom string
 	// ResumeAfter is the last event that the caller has got. Empty means that the stream begins.
 	ResumeAfter string
 }
@@ -68,6 +72,8 @@
 	RefusedBusy Refusal = "busy"
 	// RefusedElsewhere means that another server has the address now.
 	RefusedElsewhere Refusal = "otherServer"
+	// RefusedVersion means that the server has other weights than expected.
+	RefusedVersion Refusal = "otherVersion"
 	// RefusedOther is any other proof that the request did not run.
 	RefusedOther Refusal = "other"
 )
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -47,6 +47,8 @@
 	// begun tells that the caller has the head of the stream, and lastEvent is the last event that it got.
 	begun     bool
 	lastEvent string
+	// wasBounced tells that a server had other weights than expected.
+	wasBounced bool
 	// failure is the last failure that a backend server answered with.
 	failure     *Reply
 	failureBody []byte
@@ -138,6 +140,7 @@
 	reply, err := p.Backend.Send(ctx, Attempt{
 		Request: r.Request, Server: server, Connections: r.connections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
 		Urgency: r.route.PriorityOf(r.account), TimeLeft: r.deadline.Sub(began), ResumeAfter: r.lastEvent,
+		Version: server.Versions[r.Model], FetchFrom: r.source(choice),
 	})
 	if err != nil {
 		return r.broken(ctx, server, err)
@@ -147,7 +150,10 @@
 		p.Directory.NoteVersion(server.ID, r.Model, reply.Version)
 	}
 	if reply.Refusal != Accepted {
-		r.excluded[server.ID] = true
+		if reply.Refusal != RefusedVersion || r.wasBounced {
+			r.excluded[server.ID] = true
+		}
+		r.wasBounced = r.wasBounced || reply.Refusal == RefusedVersion
 		r.logAttempt(zerolog.InfoLevel, server, "refused").Str("refusal", string(reply.Refusal)).Int("status", reply.Status).Msg("request: sent")
 		p.Observer.Attempted("refused")
 		return mayRepeat
@@ -160,6 +166,18 @@
 	return r.relayAnswer(ctx, choice, server, reply)
 }
 
+// source returns the address of the server from which a part of the prompt can be fetched.
+func (r *run) source(choice lrbalance.Choice) string {
+	if choice.Source == "" {
+		return ""
+	}
+	s, ok := r.pipeline.Directory.Server(choice.Source)
+	if !ok || s.IsLeaving {
+		return ""
+	}
+	return s.Address
+}
+
 // broken deals with an attempt that brought no answer.
 func (r *run) broken(ctx context.Context, server lrfleet.Server, err error) verdict {
 	p := r.pipeline
@@ -190,7 +208,7 @@
 // relayAnswer passes a whole answer on. A failure is kept, since another server may do better.
 func (r *run) relayAnswer(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
 	p := r.pipeline
-	p.Balancer.FirstEvent(choice)
+	p.Balancer.FirstEvent(p.Clock(), choice)
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
 		r.runs--
@@ -222,12 +240,12 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if first {
-				p.Balancer.FirstEvent(choice)
+				p.Balancer.FirstEvent(p.Clock(), choice)
 			}
 			return r.completeStream(server, reply)
 		}
 		if first {
-			p.Balancer.FirstEvent(choice)
+			p.Balancer.FirstEvent(p.Clock(), choice)
 		}
 		if err != nil {
 			r.runs--
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -27,6 +27,8 @@
 	workWeight = 1.5
 	// homeShare is the part of the shared prompt that the home counts as holding, since other instances send there too.
 	homeShare = 0.7
+	// fetchPerToken is the time that an engine takes to fetch one token of a prompt from another engine.
+	fetchPerToken = 3 * time.Microsecond
 	// farZone is the cost of the bytes that cross the border of an availability zone.
 	farZone = 2 * time.Millisecond
 	// oldVersionGrace is how long an answer of older weights is as good as one of the newest.
@@ -66,9 +68,16 @@
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
+	runs := map[int64][]prefix{}
+	for _, e := range engines {
+		if _, ok := runs[e.Version]; !ok {
+			runs[e.Version] = prefixes(request, e.Version)
+		}
+	}
+	sources := b.sources(now, request, engines, runs)
 	best, bestCost := Choice{}, time.Duration(0)
 	for rank, e := range ranked(request, usable) {
-		c := b.estimate(now, request, e, rank)
+		c := b.estimate(now, request, e, rank, runs[e.Version], sources[e.Version])
 		cost := b.cost(request, c)
 		if best.Engine.ID == "" || cost < bestCost {
 			best, bestCost = c, cost
@@ -76,10 +85,31 @@
 	}
 	best.Candidates = len(usable)
 	b.count(best.Engine.ID, Load{Waiting: best.Missing, Running: 1})
-	b.beliefs.add(now, best.Engine.ID, request)
+	b.beliefs.begin(now, best.Engine.ID, best.runs)
 	return best, true
 }
 
+// source is the engine that holds the most of a prompt under one version of the weights.
+type source struct {
+	engine string
+	tokens int
+}
+
+// sources returns the best source for each version. Engines that failed the request are left out.
+func (b *Balancer) sources(now time.Time, request Request, engines []Engine, runs map[int64][]prefix) map[int64]source {
+	sources := map[int64]source{}
+	for _, e := range engines {
+		if request.Excluded[e.ID] {
+			continue
+		}
+		tokens := b.beliefs.fetchable(now, e.ID, runs[e.Version])
+		if tokens > sources[e.Version].tokens {
+			sources[e.Version] = source{engine: e.ID, tokens: tokens}
+		}
+	}
+	return sources
+}
+
 // usableEngines leaves out engines that failed the request, that are about to stop and that are too old.
 func usableEngines(request Request, engines []Engine) []Engine {
 	usable := make([]Engine, 0, len(engines))
@@ -135,15 +165,6 @@
 	return key.String()
 }
 
-func sharedTokens(request Request) int {
-	tokens := 0
-	prefixes(request, func(_ string, p Part) bool {
-		tokens += p.Tokens
-		return true
-	})
-	return tokens
-}
-
 func score(key, engine string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(engine))
@@ -158,18 +179,33 @@
 	return x ^ x>>33
 }
 
-func (b *Balancer) estimate(now time.Time, request Request, engine Engine, rank int) Choice {
-	load := b.load(engine.ID)
-	cached := b.beliefs.cached(now, engine.ID, request)
+func (b *Balancer) estimate(now time.Time, request Request, engine Engine, rank int, runs []prefix, from source) Choice {
+	c := Choice{Engine: engine, Rank: rank, runs: runs}
+	cached := b.beliefs.cached(now, engine.ID, runs)
+	c.Missing = request.Tokens - cached
+	if from.engine != engine.ID && from.tokens > cached {
+		c.Source, c.Fetched = from.engine, from.tokens-cached
+		c.Missing -= c.Fetched
+	}
 	if rank == 0 {
-		cached = max(cached, int(homeShare*float64(sharedTokens(request))))
+		// The home holds more than this instance knows, since other instances send there too.
+		c.Missing = min(c.Missing, request.Tokens-int(homeShare*float64(sharedTokens(runs))))
 	}
-	missing := request.Tokens - cached
-	wait := b.prefill(load.Waiting) + b.prefill(missing) + time.Duration(load.Running)*decodeSlowdown
+	load := b.load(engine.ID)
+	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + time.Duration(c.Fetched)*fetchPerToken +
+		time.Duration(load.Running)*decodeSlowdown
 	if engine.Slots > 0 && load.Running >= engine.Slots {
-		wait += time.Duration(load.Running-engine.Slots+1) * slotCost
+		c.Wait += time.Duration(load.Running-engine.Slots+1) * slotCost
+	}
+	return c
+}
+
+func sharedTokens(runs []prefix) int {
+	tokens := 0
+	for _, r := range runs {
+		tokens += r.tokens
 	}
-	return Choice{Engine: engine, Missing: missing, Wait: wait, Rank: rank}
+	return tokens
 }
 
 func (b *Balancer) cost(request Request, choice Choice) time.Duration {
@@ -206,9 +242,10 @@
 }
 
 // FirstEvent tells that the first event of a request has come, so that its prompt is computed.
-func (b *Balancer) FirstEvent(choice Choice) {
+func (b *Balancer) FirstEvent(now time.Time, choice Choice) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.beliefs.ready(now, choice.Engine.ID, choice.runs)
 	b.count(choice.Engine.ID, Load{Waiting: -choice.Missing})
 }
 
@@ -254,6 +291,20 @@
 	b.peers[name] = loads
 }
 
+// News returns what engines have come to hold of late through this instance.
+func (b *Balancer) News(now time.Time) []Holding {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.beliefs.takeNews(now)
+}
+
+// Heard takes in what engines hold through another instance.
+func (b *Balancer) Heard(now time.Time, holding Holding) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.beliefs.heard(now, holding)
+}
+
 // Forget drops what is believed of an engine's cache, since it restarted or changed its weights.
 func (b *Balancer) Forget(engine string) {
 	b.mutex.Lock()
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -128,12 +128,67 @@
 	engines := newTestEngines(3)
 	first, _ := b.Choose(now, newTestRequest("file", "x"), engines)
 	second, _ := b.Choose(now, newTestRequest("file", "y"), engines)
-	b.FirstEvent(first)
+	b.FirstEvent(now, first)
 	b.End(first, true)
 	b.End(second, false)
 	requireEqual(t, len(b.Own()), 0)
 }
 
+// TestPartIsFetchedFromItsHolder lets one instance compute a file, and sends another one's request to a second engine.
+func TestPartIsFetchedFromItsHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(3)
+	first, second := newTestBalancer(1), newTestBalancer(2)
+	choice, _ := first.Choose(now, newTestRequest("file", "x"), engines)
+	requireEqual(t, choice.Source, "")
+	requireEqual(t, len(first.News(now)), 0)
+	first.FirstEvent(now, choice)
+	for _, h := range first.News(now) {
+		second.Heard(now, h)
+	}
+	request := newTestRequest("file", "y")
+	request.Excluded = map[string]bool{}
+	second.SetPeer("first", map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
+	other, _ := second.Choose(now, request, engines)
+	requireEqual(t, other.Engine.ID == choice.Engine.ID, false)
+	requireEqual(t, other.Source, choice.Engine.ID)
+	requireEqual(t, other.Fetched, 5000)
+	requireEqual(t, other.Missing, 1000)
+}
+
+// TestNothingIsFetchedFromOtherWeights changes the weights of the engine that holds a file.
+func TestNothingIsFetchedFromOtherWeights(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(3)
+	b := newTestBalancer(1)
+	choice, _ := b.Choose(now, newTestRequest("file", "x"), engines)
+	b.FirstEvent(now, choice)
+	for n := range engines {
+		if engines[n].ID != choice.Engine.ID {
+			engines[n].Version = 2
+		}
+	}
+	request := newTestRequest("file", "y")
+	request.Wanted, request.WantedFor = 2, 10*time.Second
+	other, ok := b.Choose(now, request, engines)
+	requireEqual(t, ok, true)
+	requireEqual(t, other.Source, "")
+}
+
+// TestNothingIsFetchedAfterARestart forgets what an engine held before.
+func TestNothingIsFetchedAfterARestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(2)
+	b := newTestBalancer(1)
+	choice, _ := b.Choose(now, newTestRequest("file", "x"), engines)
+	b.FirstEvent(now, choice)
+	b.Forget(choice.Engine.ID)
+	b.SetPeer("other", map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
+	other, _ := b.Choose(now, newTestRequest("file", "y"), engines)
+	requireEqual(t, other.Source, "")
+	requireEqual(t, len(b.News(now)), 0)
+}
+
 func requireEqual[T comparable](t *testing.T, got, want T) {
 	t.Helper()
 	if got != want {
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -24,7 +24,8 @@
 
 // A Request is what a decision needs to know of a request.
 type Request struct {
-	// Scope separates caches from one another: the client account, the model and the version of its weights.
+	// Scope separates caches from one another: the client account and the model. Versions of the weights are kept
+	// apart by themselves.
 	Scope string
 	// Parts are the prompt, in order. The last part belongs to this request alone. Plain requests have none.
 	Parts []Part
@@ -63,4 +64,9 @@
 	Rank int
 	// Candidates is the number of engines that were compared.
 	Candidates int
+	// Source is the engine from which the chosen one can fetch a part of the prompt. It is empty when there is none.
+	Source string
+	// Fetched are the prompt tokens that come from there.
+	Fetched int
+	runs    []prefix
 }
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -50,8 +50,10 @@
 	WatchWait time.Duration
 	// ChangePace is the least time between two watches of what changes rarely.
 	ChangePace time.Duration
-	// ServerPace is the least time between two watches of the backend servers.
+	// ServerPace is the time between two watches of the backend servers by all instances together.
 	ServerPace time.Duration
+	// RefreshInterval is the time between two readings of a whole list by all instances together.
+	RefreshInterval time.Duration
 }
 
 // Peers says how other instances are found while the platform is down.
@@ -198,7 +200,8 @@
 		},
 		Platform: Platform{
 			CallTimeout: 2 * time.Second, ListInterval: time.Second,
-			WatchWait: 10 * time.Second, ChangePace: 50 * time.Millisecond, ServerPace: 400 * time.Millisecond,
+			WatchWait: 10 * time.Second, ChangePace: 50 * time.Millisecond, ServerPace: 200 * time.Millisecond,
+			RefreshInterval: 700 * time.Millisecond,
 		},
 		Peers: Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
