Bound repeats by window, leave out engines that are displaced or refuse, retry orders sooner

Ruled out: lack of engines (8 of 12 were up); the age of weights after the first newer version, which is now counted too. Change: repeats are counted by window and service, sendings that did not leave are free; a server whose address answers for another one is left out until the list says more; a refused connection ejects at once; the state of an engine is asked before it is closed, and orders are given again after 150 ms; engines of a silent zone cost more.

--- a/internal/lrconn/pool.go
+++ b/internal/lrconn/pool.go
@@ -17,6 +17,9 @@
 // ErrNotSent means that no byte of the request has left, so that it may be sent elsewhere.
 var ErrNotSent = errs.Class("request was not sent, another backend server may take it")
 
+// ErrRefused means that nobody listens at the address. It is an ErrNotSent too.
+var ErrRefused = errs.Class("nobody listens at the address of the backend server")
+
 // ErrBroken means that the connection broke after the request was sent. It may have run.
 var ErrBroken = errs.Class("connection to the backend server broke, the request may have run")
 
@@ -145,6 +148,9 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, ErrRefused.Wrap(err)
+		}
 		return nil, err
 	}
 	return newConn(raw), nil
--- a/internal/lrconn/pool_test.go
+++ b/internal/lrconn/pool_test.go
@@ -157,6 +157,7 @@
 	requireEqual(t, l.Close(), nil)
 	_, err = do(t, newTestPool(), address, "1")
 	requireEqual(t, ErrNotSent.Has(err), true)
+	requireEqual(t, ErrRefused.Has(err), true)
 }
 
 func TestLimitOfConnections(t *testing.T) {
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -260,10 +260,9 @@
 }
 
 func (d *Daemon) wirePipeline() {
-	r := d.settings.Retries
-	budget := lrretry.NewBudget(r.Share, float64(r.Extra)/float64(max(r.Instances, 1)))
 	d.pipeline = lrpipeline.New(lrpipeline.Parts{
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Budget: budget,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
+		Budgets: newBudgets(d.settings.Retries, d.sharer.Instances), SilentZones: d.sharer.SilentZones,
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
 		}),
--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -20,7 +20,10 @@
 	mutex   sync.Mutex
 	servers map[string]Server
 	closing map[string]bool
-	wanted  map[string]wantedVersion
+	// wanted are the versions of each model that have been named, in order.
+	wanted map[string][]wantedVersion
+	// displaced are servers whose address has gone to another one, until the list says so too.
+	displaced map[string]bool
 	// onRestart is told of servers whose cache is gone.
 	onRestart []func(server string)
 }
@@ -32,7 +35,7 @@
 
 // NewDirectory returns an empty Directory.
 func NewDirectory(log zerolog.Logger) *Directory {
-	return &Directory{log: log, servers: map[string]Server{}, closing: map[string]bool{}, wanted: map[string]wantedVersion{}}
+	return &Directory{log: log, servers: map[string]Server{}, closing: map[string]bool{}, wanted: map[string][]wantedVersion{}, displaced: map[string]bool{}}
 }
 
 // OnRestart makes the directory call the function with each server that has restarted or changed its weights.
@@ -64,6 +67,7 @@
 		servers[id] = merge(before, s)
 		if known && before.Born != s.Born {
 			restarted = append(restarted, id)
+			delete(d.displaced, id)
 		}
 		if !known || before.IsLeaving != s.IsLeaving || before.Born != s.Born {
 			d.log.Info().Str("server", id).Str("service", s.Service).Str("address", s.Address).Bool("leaving", s.IsLeaving).
@@ -72,6 +76,7 @@
 	}
 	for id := range d.servers {
 		if _, ok := servers[id]; !ok {
+			delete(d.displaced, id)
 			d.log.Info().Str("server", id).Msg("fleet: backend server is gone")
 		}
 	}
@@ -118,22 +123,27 @@
 func (d *Directory) SetWanted(now time.Time, model string, version int64) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.wanted[model].version >= version {
+	named := d.wanted[model]
+	if len(named) > 0 && named[len(named)-1].version >= version {
 		return
 	}
-	d.wanted[model] = wantedVersion{version: version, since: now}
+	d.wanted[model] = append(named[max(0, len(named)-maxNamed):], wantedVersion{version: version, since: now})
 	d.log.Info().Str("model", model).Int64("version", version).Msg("fleet: weights are wanted")
 }
 
-// Wanted returns the version of a model's weights that is wanted, and for how long it has been.
-func (d *Directory) Wanted(now time.Time, model string) (int64, time.Duration) {
+// maxNamed is the number of named versions that are remembered beside the newest.
+const maxNamed = 32
+
+// OutdatedFor returns how long a newer version of the model's weights than the given one has been wanted.
+func (d *Directory) OutdatedFor(now time.Time, model string, version int64) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	w, ok := d.wanted[model]
-	if !ok {
-		return 0, 0
+	for _, w := range d.wanted[model] {
+		if w.version > version {
+			return now.Sub(w.since)
+		}
 	}
-	return w.version, now.Sub(w.since)
+	return 0
 }
 
 // WantedVersions returns the wanted version of each model.
@@ -141,12 +151,22 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	versions := make(map[string]int64, len(d.wanted))
-	for model, w := range d.wanted {
-		versions[model] = w.version
+	for model, named := range d.wanted {
+		versions[model] = named[len(named)-1].version
 	}
 	return versions
 }
 
+// Displaced notes that another server has the address of this one, which is gone therefore.
+func (d *Directory) Displaced(server string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if _, ok := d.servers[server]; ok && !d.displaced[server] {
+		d.displaced[server] = true
+		d.log.Info().Str("server", server).Msg("fleet: another server has the address")
+	}
+}
+
 // SetClosing replaces the servers that are about to change their weights.
 func (d *Directory) SetClosing(servers []string) {
 	d.mutex.Lock()
@@ -170,7 +190,7 @@
 	defer d.mutex.Unlock()
 	var servers []Server
 	for _, s := range d.servers {
-		if s.Service == service && !s.IsLeaving {
+		if s.Service == service && !s.IsLeaving && !d.displaced[s.ID] {
 			servers = append(servers, s)
 		}
 	}
@@ -184,7 +204,7 @@
 	defer d.mutex.Unlock()
 	servers := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
-		if !s.IsLeaving {
+		if !s.IsLeaving && !d.displaced[s.ID] {
 			servers = append(servers, s)
 		}
 	}
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -140,6 +140,22 @@
 	return reached
 }
 
+// silentAfter is the silence of all instances of an availability zone after which it seems to be cut off.
+const silentAfter = 350 * time.Millisecond
+
+// SilentZones returns the availability zones of which no instance is heard.
+func (s *Sharer) SilentZones(now time.Time) map[string]bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	silent := map[string]bool{}
+	for _, p := range s.peers {
+		isSilent, seen := silent[p.Zone]
+		silent[p.Zone] = (isSilent || !seen) && now.Sub(p.heardAt) > silentAfter
+	}
+	silent[s.Self.Zone] = false
+	return silent
+}
+
 // HolderHeard reports whether another instance that gives orders to engines has been heard of late.
 func (s *Sharer) HolderHeard(now time.Time) bool {
 	s.mutex.Lock()
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -35,15 +35,25 @@
 	Crashed(now time.Time, digest, server string)
 }
 
+// Budgets bound how often requests are sent once more, for each service.
+type Budgets interface {
+	// Earn counts the first sending of a request.
+	Earn(now time.Time, service string)
+	// Spend takes one repeat and reports whether there was one.
+	Spend(now time.Time, service string) bool
+}
+
 // Parts are what a Pipeline works with.
 type Parts struct {
 	Directory *lrfleet.Directory
 	Balancer  *lrbalance.Balancer
 	Limiter   *lrlimit.Shared
-	Budget    *lrretry.Budget
+	Budgets   Budgets
 	Ejector   *lrretry.Ejector
 	Crashes   Crashes
 	Backend   Backend
+	// SilentZones returns the availability zones of which nothing is heard.
+	SilentZones func(now time.Time) map[string]bool
 	// Instances returns how many instances share the backend servers.
 	Instances func() int
 	Observer  Observer
@@ -140,7 +150,7 @@
 		p.refuse(a, caller, refusal)
 		return
 	}
-	p.Budget.Earn()
+	p.Budgets.Earn(now, a.service.Name)
 	run := &run{pipeline: p, admitted: a, caller: caller, excluded: map[string]bool{}}
 	run.serve(ctx)
 }
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -44,6 +44,8 @@
 	// sends counts attempts, runs those that may have run.
 	sends int
 	runs  int
+	// unsent tells that no byte of the last sending has left.
+	unsent bool
 	// begun tells that the caller has the head of the stream, and lastEvent is the last event that it got.
 	begun     bool
 	lastEvent string
@@ -83,12 +85,13 @@
 
 var errRouteTimeout = errors.New("the time of the request is over")
 
-// mayRepeat reports whether one more sending is allowed, and takes it from the budget.
+// mayRepeat reports whether one more sending is allowed. It is taken from the budget of the service, unless the last
+// one did not leave.
 func (r *run) mayRepeat() bool {
 	if r.sends >= maxSends || r.runs >= max(r.route.MaxAttempts, 1) {
 		return false
 	}
-	return r.pipeline.Budget.Spend()
+	return r.unsent || r.pipeline.Budgets.Spend(r.pipeline.Clock(), r.service.Name)
 }
 
 // choose picks a backend server and counts the request there.
@@ -108,18 +111,14 @@
 			excluded[id] = true
 		}
 	}
+	silent := p.SilentZones(now)
 	for _, s := range servers {
 		byID[s.ID] = s
-		engines = append(engines, lrbalance.Engine{
-			ID: s.ID, Zone: s.Zone, Slots: s.Slots, Version: s.Versions[r.Model], IsClosing: p.Directory.IsClosing(s.ID),
-		})
+		engines = append(engines, r.engine(now, s, silent[s.Zone]))
 	}
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Output: r.OutputTokens, Excluded: excluded,
 	}
-	if r.Model != "" {
-		request.Wanted, request.WantedFor = p.Directory.Wanted(now, r.Model)
-	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
 		return choice, lrfleet.Server{}, false
@@ -129,6 +128,17 @@
 	return choice, byID[choice.Engine.ID], true
 }
 
+func (r *run) engine(now time.Time, server lrfleet.Server, isDoubtful bool) lrbalance.Engine {
+	e := lrbalance.Engine{
+		ID: server.ID, Zone: server.Zone, Slots: server.Slots, Version: server.Versions[r.Model], IsDoubtful: isDoubtful,
+		IsClosing: r.pipeline.Directory.IsClosing(server.ID),
+	}
+	if r.Model != "" {
+		e.OutdatedFor = r.pipeline.Directory.OutdatedFor(now, r.Model, e.Version)
+	}
+	return e
+}
+
 // attempt sends the request to the server and passes the answer on where that settles the request.
 func (r *run) attempt(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server) verdict {
 	p := r.pipeline
@@ -136,6 +146,7 @@
 	computed := false
 	defer func() { p.Balancer.End(choice, computed) }()
 	r.sends++
+	r.unsent = false
 	p.Ejector.Started(began, server.ID)
 	reply, err := p.Backend.Send(ctx, Attempt{
 		Request: r.Request, Server: server, Connections: r.connections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
@@ -149,6 +160,9 @@
 	if r.Model != "" && reply.Version > 0 {
 		p.Directory.NoteVersion(server.ID, r.Model, reply.Version)
 	}
+	if reply.Refusal == RefusedElsewhere {
+		p.Directory.Displaced(server.ID)
+	}
 	if reply.Refusal != Accepted {
 		if reply.Refusal != RefusedVersion || r.wasBounced {
 			r.excluded[server.ID] = true
@@ -183,6 +197,7 @@
 	p := r.pipeline
 	r.excluded[server.ID] = true
 	sent := !lrconn.ErrNotSent.Has(err)
+	r.unsent = !sent
 	p.Observer.Attempted("broken")
 	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", sent).Msg("request: sent")
 	if ctx.Err() != nil {
@@ -191,6 +206,10 @@
 		}
 		return mustEnd
 	}
+	if lrconn.ErrRefused.Has(err) {
+		p.Ejector.Refused(p.Clock(), server.ID)
+		return mayRepeat
+	}
 	if p.Ejector.Failed(p.Clock(), server.ID) {
 		p.Log.Warn().Str("server", server.ID).Msg("backend server: ejected")
 	}
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrlease"
@@ -21,8 +22,10 @@
 	closeFor = 130 * time.Millisecond
 	// emptyFor bounds how long an order waits for the requests at the engine to end.
 	emptyFor = 500 * time.Millisecond
-	// callTimeout bounds each call to an engine.
-	callTimeout = 500 * time.Millisecond
+	// stateTimeout bounds each question for the state of an engine.
+	stateTimeout = 400 * time.Millisecond
+	// orderTimeout bounds each order. One without an answer is given again, since it holds only once.
+	orderTimeout = 150 * time.Millisecond
 	// loadTime is about how long an engine takes for new weights.
 	loadTime = 230 * time.Millisecond
 	// pollPause is the time between two questions whether the weights are in place.
@@ -70,6 +73,9 @@
 	Refused Result = "refused"
 )
 
+// ErrElsewhere means that another engine has the address now.
+var ErrElsewhere = errs.Class("another engine has the address, wait for the list")
+
 // Engines gives orders to engines.
 type Engines interface {
 	State(ctx context.Context, server lrfleet.Server) (State, error)
@@ -191,9 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	began := time.Now()
-	d.setClosing(server.ID, true)
-	d.awaitEmpty(ctx, server.ID)
-	done := d.order(ctx, server, step)
+	done := d.bring(ctx, server, step)
 	d.mutex.Lock()
 	delete(d.busy, server.ID)
 	delete(d.closing, server.ID)
@@ -210,14 +214,26 @@
 		Dur("took", time.Since(began)).Msg("weights: engine")
 }
 
-func (d *Duty) setClosing(id string, closing bool) {
+// bring asks the engine for its state, keeps new requests away from it, and gives the order. An engine that does not
+// answer loses no request.
+func (d *Duty) bring(ctx context.Context, server lrfleet.Server, step lrrollout.Step) bool {
+	state, err := d.state(ctx, server)
+	if err != nil {
+		d.Log.Warn().Err(err).Str("server", server.ID).Msg("weights: engine does not answer")
+		return false
+	}
+	if state.Versions[step.Model] >= step.Version && !state.IsBusy {
+		return true
+	}
+	d.setClosing(server.ID)
+	d.awaitEmpty(ctx, server.ID)
+	return d.order(ctx, server, step, state)
+}
+
+func (d *Duty) setClosing(id string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if closing {
-		d.closing[id] = true
-		return
-	}
-	delete(d.closing, id)
+	d.closing[id] = true
 }
 
 // awaitEmpty waits until all instances know that the engine closes and its requests have ended.
@@ -230,49 +246,59 @@
 }
 
 // order gives the order and waits until it has been carried out.
-func (d *Duty) order(ctx context.Context, server lrfleet.Server, step lrrollout.Step) bool {
+func (d *Duty) order(ctx context.Context, server lrfleet.Server, step lrrollout.Step, state State) bool {
 	for ctx.Err() == nil {
-		state, err := d.state(ctx, server)
-		if err != nil {
-			d.Log.Warn().Err(err).Str("server", server.ID).Msg("weights: engine does not answer")
-			return false
-		}
 		if state.Versions[step.Model] >= step.Version && !state.IsBusy {
 			return true
 		}
-		if state.IsBusy {
-			lrsupervise.Sleep(ctx, pollPause)
-			continue
-		}
-		grant, held := d.Keeper.Held(d.LeaseClock())
-		if !held || grant.Left < callTimeout {
-			return false
+		pause := pollPause
+		if !state.IsBusy {
+			grant, held := d.Keeper.Held(d.LeaseClock())
+			if !held || grant.Left < orderTimeout {
+				return false
+			}
+			result := d.give(ctx, server, Order{
+				Model: step.Model, Version: step.Version, Holder: d.Instance, Fence: grant.Fence, Accepted: state.Accepted,
+			})
+			switch result {
+			case Fenced, Refused:
+				return false
+			case Begun:
+				pause = loadTime
+			}
 		}
-		result, err := d.give(ctx, server, Order{
-			Model: step.Model, Version: step.Version, Holder: d.Instance, Fence: grant.Fence, Accepted: state.Accepted,
-		})
-		d.Log.Info().Err(err).Str("server", server.ID).Str("model", step.Model).Int64("version", step.Version).
-			Uint64("fence", grant.Fence).Int64("accepted", state.Accepted).Str("result", string(result)).Msg("weights: order")
-		switch result {
-		case Fenced, Refused:
+		lrsupervise.Sleep(ctx, pause)
+		next, err := d.state(ctx, server)
+		if err != nil {
+			d.Log.Warn().Err(err).Str("server", server.ID).Msg("weights: engine does not answer")
 			return false
-		case Begun:
-			lrsupervise.Sleep(ctx, loadTime)
-		default:
-			lrsupervise.Sleep(ctx, pollPause)
 		}
+		state = next
 	}
 	return false
 }
 
 func (d *Duty) state(ctx context.Context, server lrfleet.Server) (State, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	return d.Engines.State(ctx, server)
+	state, err := d.Engines.State(ctx, server)
+	d.noteElsewhere(server, err)
+	return state, err
 }
 
-func (d *Duty) give(ctx context.Context, server lrfleet.Server, order Order) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// give gives the order. An order without an answer may still be carried out, but only if no other one comes first.
+func (d *Duty) give(ctx context.Context, server lrfleet.Server, order Order) Result {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return d.Engines.Order(ctx, server, order)
+	result, err := d.Engines.Order(ctx, server, order)
+	d.noteElsewhere(server, err)
+	d.Log.Info().Err(err).Str("server", server.ID).Str("model", order.Model).Int64("version", order.Version).
+		Uint64("fence", order.Fence).Int64("accepted", order.Accepted).Str("result", string(result)).Msg("weights: order")
+	return result
+}
+
+func (d *Duty) noteElsewhere(server lrfleet.Server, err error) {
+	if ErrElsewhere.Has(err) {
+		d.Directory.Displaced(server.ID)
+	}
 }
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -37,6 +37,8 @@
 	oldVersionCost = 400 * time.Millisecond
 	// oldVersionEnd is the time from which on a request must not begin on older weights.
 	oldVersionEnd = 5200 * time.Millisecond
+	// doubtCost keeps requests in reach of the instance while its availability zone seems to be cut off.
+	doubtCost = 300 * time.Millisecond
 	// slotCost is the cost of each request above the slots of a backend server.
 	slotCost = 50 * time.Millisecond
 )
@@ -117,7 +119,7 @@
 	for _, e := range engines {
 		switch {
 		case request.Excluded[e.ID]:
-		case request.Wanted > 0 && e.Version < request.Wanted && request.WantedFor > oldVersionEnd:
+		case e.OutdatedFor > oldVersionEnd:
 		case e.IsClosing:
 			closing = append(closing, e)
 		default:
@@ -213,9 +215,12 @@
 	if choice.Engine.Zone != b.options.Zone {
 		cost += farZone
 	}
-	if choice.Engine.Version < request.Wanted && request.WantedFor > oldVersionGrace {
+	if choice.Engine.OutdatedFor > oldVersionGrace {
 		cost += oldVersionCost
 	}
+	if choice.Engine.IsDoubtful {
+		cost += doubtCost
+	}
 	if len(request.Parts) == 0 {
 		cost += time.Duration(b.random.Int64N(int64(time.Millisecond)))
 	}
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -22,7 +22,7 @@
 
 func newTestRequest(shared, own string) Request {
 	return Request{
-		Scope: "school/m/1", Tokens: 6000, Wanted: 1,
+		Scope: "school/m", Tokens: 6000,
 		Parts: []Part{{ID: "rules", Tokens: 500}, {ID: shared, Tokens: 4500}, {ID: own, Tokens: 1000}},
 	}
 }
@@ -78,8 +78,6 @@
 }
 
 func TestEngineOfOldWeights(t *testing.T) {
-	engines := newTestEngines(2)
-	engines[0].Version = 2
 	cases := []struct {
 		name    string
 		waiting int
@@ -95,9 +93,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := newTestBalancer(1)
 			b.SetPeer("other", map[string]Load{"e0": {Waiting: c.waiting}})
-			request := newTestRequest("file", "x")
-			request.Wanted, request.WantedFor = 2, c.since
-			choice, ok := b.Choose(time.Unix(1000, 0), request, engines)
+			engines := newTestEngines(2)
+			engines[0].Version, engines[1].OutdatedFor = 2, c.since
+			choice, ok := b.Choose(time.Unix(1000, 0), newTestRequest("file", "x"), engines)
 			requireEqual(t, ok, true)
 			requireEqual(t, choice.Engine.ID == "e1", c.want)
 		})
@@ -115,6 +113,20 @@
 	requireEqual(t, choice.Engine.ID, "e0")
 }
 
+// TestZoneThatIsCutOff keeps requests in the own zone until it is full.
+func TestZoneThatIsCutOff(t *testing.T) {
+	engines := newTestEngines(3)
+	engines[1].IsDoubtful, engines[2].IsDoubtful = true, true
+	b := newTestBalancer(1)
+	for n := range 5 {
+		choice, _ := b.Choose(time.Unix(1000, 0), Request{Scope: "s", Tokens: 100 * n}, engines)
+		requireEqual(t, choice.Engine.ID, "e0")
+	}
+	b.SetPeer("other", map[string]Load{"e0": {Waiting: 200_000}})
+	choice, _ := b.Choose(time.Unix(1000, 0), Request{Scope: "s", Tokens: 100}, engines)
+	requireEqual(t, choice.Engine.ID == "e0", false)
+}
+
 func TestNoEngineLeft(t *testing.T) {
 	request := newTestRequest("file", "x")
 	request.Excluded = map[string]bool{"e0": true}
@@ -168,9 +180,12 @@
 			engines[n].Version = 2
 		}
 	}
-	request := newTestRequest("file", "y")
-	request.Wanted, request.WantedFor = 2, 10*time.Second
-	other, ok := b.Choose(now, request, engines)
+	for n := range engines {
+		if engines[n].Version == 1 {
+			engines[n].OutdatedFor = 10 * time.Second
+		}
+	}
+	other, ok := b.Choose(now, newTestRequest("file", "y"), engines)
 	requireEqual(t, ok, true)
 	requireEqual(t, other.Source, "")
 }
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -12,6 +12,10 @@
 	Zone    string
 	Slots   int
 	Version int64
+	// OutdatedFor is how long newer weights have been wanted.
+	OutdatedFor time.Duration
+	// IsDoubtful is set when nothing is heard from the engine's availability zone.
+	IsDoubtful bool
 	// IsClosing is set shortly before an order that stops the engine for a moment.
 	IsClosing bool
 }
@@ -35,10 +39,6 @@
 	Output int
 	// Excluded are backend servers that have failed this request.
 	Excluded map[string]bool
-	// Wanted is the newest version of the weights. Zero means that there is none.
-	Wanted int64
-	// WantedFor is how long the newest version has been named.
-	WantedFor time.Duration
 }
 
 // A Load is the work of one backend server.
--- a/pkg/lrretry/ejector.go
+++ b/pkg/lrretry/ejector.go
@@ -69,6 +69,19 @@
 	delete(e.servers, server)
 }
 
+// Refused notes that the server takes no connections, and ejects it at once.
+func (e *Ejector) Refused(now time.Time, server string) {
+	e.mutex.Lock()
+	s, ok := e.servers[server]
+	if !ok {
+		s = &serverHealth{}
+		e.servers[server] = s
+	}
+	s.failures = max(s.failures, e.options.Failures-1)
+	e.mutex.Unlock()
+	e.Failed(now, server)
+}
+
 // Failed notes that the server has failed, and reports whether this ejected it.
 func (e *Ejector) Failed(now time.Time, server string) bool {
 	e.mutex.Lock()
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -160,10 +160,10 @@
 type Retries struct {
 	// Share is the part of the requests that may be sent once more.
 	Share float64
-	// Extra is the number of further sendings that all instances together may save up.
+	// Extra is the number of further sendings within a window that all instances together may use.
 	Extra int
-	// Instances is the number of instances between which Extra is divided.
-	Instances int
+	// Window is the time within which requests and sendings are counted.
+	Window time.Duration
 }
 
 // TLS names certificate files. Empty names mean plain TCP.
@@ -219,7 +219,7 @@
 			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
 			ValidFor: 2 * time.Second, Settle: 5 * time.Second, MinAtOnce: 2, Share: 0.34,
 		},
-		Retries: Retries{Share: 0.15, Extra: 40, Instances: 12},
+		Retries: Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
 		Paid:    Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
 		Log:     Log{Format: "json", Level: "info"},
 	}
