--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -169,7 +169,7 @@
 	d.instances = lrfleet.NewFollower(d.ports.Instances, lrfleet.FollowOptions{
 		Name: feedInstances, Pace: atOnce, Wait: p.WatchWait,
 	}, d.log,
-		func(now time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(now, entries) })
+		func(_ time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(entries) })
 	d.supervisor.Add("followTables", d.tables.Run)
 	d.supervisor.Add("followServers", d.servers.Run)
 	d.supervisor.Add("followWanted", d.wanted.Run)
@@ -192,6 +192,7 @@
 	d.weights = lrweights.NewDuty(lrweights.Parts{
 		Instance: d.settings.Instance.Name, Keeper: d.keeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
 		Options: lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share}, LeaseClock: lrclock.Boot, Log: d.log,
+		Tell: func(now time.Time, note lrfleet.WeightsNote) { d.sharer.TellWeights(now, note) },
 	})
 	d.supervisor.Add("keepLease", lrsupervise.Every(contendPause, d.keepLease))
 	d.supervisor.Add("rollOut", lrsupervise.Every(rolloutPause, d.weights.Step))
@@ -211,13 +212,12 @@
 }
 
 func (d *Daemon) wireSharer() {
-	i := d.settings.Instance
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerParts{
-		Self:      lrfleet.Instance{Name: i.Name, Zone: i.Zone, PeerAddress: i.PeerAddress, Process: d.process},
+		Self:      d.self(),
 		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Crashes: d.crashes, Rollout: d.weights, Pool: d.pool,
 		Feeds: map[string]lrfleet.Relayed{feedTables: d.tables, feedServers: d.servers, feedWanted: d.wanted, feedInstances: d.instances},
 		Clock: d.clock, Log: d.log,
-	}, !i.FirstStart)
+	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
 		d.log.Error().Str("method", method).Str("panic", fmt.Sprint(value)).Msg("peers: call failed")
 	})...)
@@ -226,10 +226,14 @@
 	d.supervisor.Add("register", d.register)
 }
 
+func (d *Daemon) self() lrfleet.Instance {
+	i := d.settings.Instance
+	return lrfleet.Instance{Name: i.Name, Zone: i.Zone, PeerAddress: i.PeerAddress, Process: d.process, Strength: i.Strength}
+}
+
 // register tells the other instances of this one, through the store.
 func (d *Daemon) register(ctx context.Context) error {
-	i := d.settings.Instance
-	value, err := json.Marshal(lrfleet.Instance{Name: i.Name, Zone: i.Zone, PeerAddress: i.PeerAddress, Process: d.process})
+	value, err := json.Marshal(d.self())
 	if err != nil {
 		return fmt.Errorf("encode registration: %w", err)
 	}
--- a/internal/lrfleet/crashes.go
+++ b/internal/lrfleet/crashes.go
@@ -10,12 +10,8 @@
 	crashBound = 3
 	// crashMemory is how long crashes are remembered.
 	crashMemory = 2 * time.Minute
-	// crashWindow is the time within which two breaks of one server count as one.
-	crashWindow = 500 * time.Millisecond
 	// crashRoom is the most requests remembered. The rest are forgotten.
 	crashRoom = 4096
-	// shareCrashesFor is how long a crash is told to other instances.
-	shareCrashesFor = 3 * time.Second
 )
 
 // A Crash tells that the connection to a server broke while it ran a request.
@@ -25,9 +21,8 @@
 }
 
 type crashRecord struct {
-	servers map[string]time.Time
-	count   int
-	lastAt  time.Time
+	count  int
+	lastAt time.Time
 }
 
 // Crashes remembers which requests were under way when servers crashed, on any instance. It is safe for use by several
@@ -35,12 +30,13 @@
 type Crashes struct {
 	mutex   sync.Mutex
 	records map[string]*crashRecord
-	own     map[Crash]time.Time
+	// news are the crashes to tell. Breaks of one server by one request within its memory count as one crash.
+	news *spread[Crash]
 }
 
 // NewCrashes returns an empty Crashes.
 func NewCrashes() *Crashes {
-	return &Crashes{records: map[string]*crashRecord{}, own: map[Crash]time.Time{}}
+	return &Crashes{records: map[string]*crashRecord{}, news: newSpread[Crash](tellFor, keepFor)}
 }
 
 // IsPoison reports whether the request was under way at so many crashes that it must be their cause.
@@ -53,32 +49,22 @@
 
 // Crashed notes a crash that this instance has seen.
 func (c *Crashes) Crashed(now time.Time, digest, server string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.own[Crash{Digest: digest, Server: server}] = now
-	c.note(now, Crash{Digest: digest, Server: server})
+	c.Heard(now, Crash{Digest: digest, Server: server})
 }
 
 // Heard notes a crash that another instance tells of, perhaps repeatedly.
 func (c *Crashes) Heard(now time.Time, crash Crash) {
+	if !c.news.add(now, crash) {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.note(now, crash)
-}
-
-// note must be called with the mutex held.
-func (c *Crashes) note(now time.Time, crash Crash) {
 	r, ok := c.records[crash.Digest]
 	if !ok {
 		c.makeRoom(now)
-		r = &crashRecord{servers: map[string]time.Time{}}
+		r = &crashRecord{}
 		c.records[crash.Digest] = r
 	}
-	last, seen := r.servers[crash.Server]
-	r.servers[crash.Server] = now
-	if seen && now.Sub(last) < shareCrashesFor+crashWindow {
-		return
-	}
 	r.count++
 	r.lastAt = now
 }
@@ -95,17 +81,5 @@
 	}
 }
 
-// News returns the crashes that this instance has seen of late.
-func (c *Crashes) News(now time.Time) []Crash {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var news []Crash
-	for crash, at := range c.own {
-		if now.Sub(at) > shareCrashesFor {
-			delete(c.own, crash)
-			continue
-		}
-		news = append(news, crash)
-	}
-	return news
-}
+// News returns the crashes that are to be told to other instances.
+func (c *Crashes) News(now time.Time) []Crash { return c.news.news(now) }
--- /dev/null
+++ b/internal/lrfleet/exchange.go
@@ -0,0 +1,202 @@
+package lrfleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+)
+
+// exchange calls another instance.
+func (s *Sharer) exchange(ctx context.Context, p *peer) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	request, cursors := s.stateFor(s.Clock(), p)
+	state, err := s.call(ctx, p, request)
+	now := s.Clock()
+	s.mutex.Lock()
+	p.calling = false
+	if err != nil {
+		p.failedAt = now
+		s.mutex.Unlock()
+		s.Log.Debug().Err(err).Str("peer", p.Name).Msg("fleet: exchange failed")
+		return
+	}
+	p.sent = cursors
+	s.mutex.Unlock()
+	s.hear(now, state, true)
+}
+
+func (s *Sharer) call(ctx context.Context, p *peer, state *lrpeerpb.FleetState) (*lrpeerpb.FleetState, error) {
+	connection, err := s.Pool.Connection(p.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return lrpeerpb.NewFleetClient(connection).Share(ctx, state)
+}
+
+// Share answers another instance.
+func (s *Sharer) Share(_ context.Context, state *lrpeerpb.FleetState) (*lrpeerpb.FleetState, error) {
+	now := s.Clock()
+	s.hear(now, state, false)
+	s.mutex.Lock()
+	p, known := s.peers[state.GetName()]
+	if known && state.GetHeardProcess() == s.Self.Process {
+		p.sent = lrbalance.Cursors{Near: state.GetHeardNear(), Far: state.GetHeardFar()}
+	}
+	s.mutex.Unlock()
+	if !known {
+		p = &peer{Instance: Instance{Name: state.GetName(), Zone: state.GetZone()}}
+	}
+	reply, _ := s.stateFor(now, p)
+	if state.GetWantsLevels() && !reply.GetWantsLevels() {
+		reply.Levels = s.Limiter.Levels(now)
+	}
+	return reply, nil
+}
+
+// stateFor returns what the peer shall hear, and up to where it hears the news with that.
+func (s *Sharer) stateFor(now time.Time, p *peer) (*lrpeerpb.FleetState, lrbalance.Cursors) {
+	isNear := p.Zone == s.Self.Zone
+	s.mutex.Lock()
+	state := &lrpeerpb.FleetState{
+		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, Revisions: map[string]uint64{}, WantsLevels: s.wantsLevels,
+		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.process, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
+	}
+	sum := s.sumFor(now, p)
+	sent := p.sent
+	s.mutex.Unlock()
+	state.Used, state.Reached = sum.used, uint32(sum.reached)
+	for server, l := range sum.loads {
+		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
+			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
+		})
+	}
+	for name, f := range s.Feeds {
+		state.Revisions[name] = f.Latest()
+	}
+	for _, w := range s.weights.news(now) {
+		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
+	}
+	for _, c := range s.Crashes.News(now) {
+		state.Crashes = append(state.Crashes, &lrpeerpb.CrashNote{Digest: c.Digest, Server: c.Server})
+	}
+	holdings, next := s.Balancer.News(now, sent, isNear)
+	state.Holdings = encodeHoldings(holdings)
+	state.NextNear, state.NextFar = next.Near, next.Far
+	return state, next
+}
+
+// sumFor returns the sums that the peer shall hear. It must be called with the mutex held.
+func (s *Sharer) sumFor(now time.Time, p *peer) tally {
+	own := tally{loads: s.Balancer.Own(), used: s.Limiter.Used(), reached: 1}
+	relay := s.relayOf(now, s.Self.Zone)
+	if p.Zone == s.Self.Zone && relay != nil && relay.Name == p.Name {
+		return own
+	}
+	total := s.members.sum(p.Name)
+	total.add(own)
+	if p.Zone == s.Self.Zone {
+		total.add(s.zones.sum(""))
+	}
+	return total
+}
+
+// rolloutState must be called with the mutex held.
+func (s *Sharer) rolloutState(now time.Time) *lrpeerpb.RolloutState {
+	if s.Rollout.IsHolder(now) {
+		s.rollout = rolloutNews{holder: s.Self.Name, closing: s.Rollout.Closing(), at: now}
+	}
+	if s.rollout.holder == "" || now.Sub(s.rollout.at) > reachableFor {
+		return nil
+	}
+	return &lrpeerpb.RolloutState{
+		Holder: s.rollout.holder, Closing: s.rollout.closing, AgeMillis: uint32(now.Sub(s.rollout.at).Milliseconds()),
+	}
+}
+
+func encodeHoldings(holdings []lrbalance.Holding) []*lrpeerpb.CacheNote {
+	byServer := map[string]*lrpeerpb.CacheNote{}
+	var notes []*lrpeerpb.CacheNote
+	for _, h := range holdings {
+		note, ok := byServer[h.Engine]
+		if !ok {
+			note = &lrpeerpb.CacheNote{Server: h.Engine}
+			byServer[h.Engine] = note
+			notes = append(notes, note)
+		}
+		note.Keys = append(note.Keys, uint64(h.Key))
+	}
+	return notes
+}
+
+func decodeHoldings(notes []*lrpeerpb.CacheNote) []lrbalance.Holding {
+	var holdings []lrbalance.Holding
+	for _, n := range notes {
+		for _, k := range n.GetKeys() {
+			holdings = append(holdings, lrbalance.Holding{Engine: n.GetServer(), Key: lrbalance.Key(k)})
+		}
+	}
+	return holdings
+}
+
+// hear takes in what another instance tells, in its answer or in its call.
+func (s *Sharer) hear(now time.Time, state *lrpeerpb.FleetState, isAnswer bool) {
+	sum := newTally()
+	sum.used, sum.reached = state.GetUsed(), int(state.GetReached())
+	for _, l := range state.GetLoads() {
+		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
+	}
+	adopt := s.noteHeard(now, state, sum, isAnswer)
+	if adopt {
+		s.Limiter.Adopt(now, state.GetLevels())
+	}
+	for _, w := range state.GetWeights() {
+		s.weights.add(now, WeightsNote{Server: w.GetServer(), Model: w.GetModel(), Version: w.GetVersion()})
+		s.Directory.NoteVersion(w.GetServer(), w.GetModel(), w.GetVersion())
+	}
+	for _, c := range state.GetCrashes() {
+		s.Crashes.Heard(now, Crash{Digest: c.GetDigest(), Server: c.GetServer()})
+	}
+	s.Balancer.Heard(now, decodeHoldings(state.GetHoldings()), state.GetZone() != s.Self.Zone)
+}
+
+// noteHeard keeps the sums where they belong, and reports whether levels of allowances shall be adopted.
+func (s *Sharer) noteHeard(now time.Time, state *lrpeerpb.FleetState, sum tally, isAnswer bool) (adopt bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p, known := s.peers[state.GetName()]
+	if known {
+		p.heardAt, p.process = now, state.GetProcess()
+		p.heard = lrbalance.Cursors{Near: state.GetNextNear(), Far: state.GetNextFar()}
+	}
+	switch {
+	case state.GetZone() != s.Self.Zone:
+		s.zones.set(now, state.GetZone(), state.GetProcess(), sum)
+	case isAnswer:
+		s.above = report{tally: sum, process: state.GetProcess(), at: now}
+		s.aboveSilent = state.GetSilentZones()
+	default:
+		s.reportedAt = now
+		s.members.set(now, state.GetName(), state.GetProcess(), sum)
+	}
+	s.noteRollout(now, state.GetRollout())
+	s.noteRevisions(now, state)
+	adopt = s.wantsLevels && len(state.GetLevels()) > 0
+	if adopt {
+		s.wantsLevels = false
+	}
+	return adopt
+}
+
+// noteRollout must be called with the mutex held.
+func (s *Sharer) noteRollout(now time.Time, told *lrpeerpb.RolloutState) {
+	if told == nil || told.GetHolder() == s.Self.Name {
+		return
+	}
+	at := now.Add(-time.Duration(told.GetAgeMillis()) * time.Millisecond)
+	if at.After(s.rollout.at) {
+		s.rollout = rolloutNews{holder: told.GetHolder(), closing: told.GetClosing(), at: at}
+	}
+}
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -31,7 +31,7 @@
 
 const (
 	// outageFrom is the silence of the platform from which on missing entries may have lapsed.
-	outageFrom = time.Second
+	outageFrom = 800 * time.Millisecond
 	// watchSlack is how long the answer to a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
 	// retryBase and retryMax space calls that the platform does not answer.
@@ -52,8 +52,8 @@
 	entries  map[string]T
 	revision uint64
 	latest   uint64
-	// contactAt is when the platform last answered.
-	contactAt time.Time
+	// failingSince is when the platform first did not answer. It is zero while it answers.
+	failingSince time.Time
 	// backAt is when the platform answered again after an outage.
 	backAt time.Time
 	// missing are entries that lapsed around an outage, with the time at which they count as gone.
@@ -82,7 +82,7 @@
 			listed = false
 			lrsupervise.Sleep(ctx, backoff.Delay(1, rand.Float64()))
 		default:
-			f.noteFailure(failures, err)
+			f.noteFailure(time.Now(), err)
 			failures++
 			lrsupervise.Sleep(ctx, retryBase/2+backoff.Delay(failures, rand.Float64()))
 		}
@@ -90,10 +90,14 @@
 	return nil
 }
 
-func (f *Follower[T]) noteFailure(failures int, err error) {
-	if failures == 0 {
-		f.log.Warn().Err(err).Str("feed", f.options.Name).Msg("fleet: platform lost")
+func (f *Follower[T]) noteFailure(now time.Time, err error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.failingSince.IsZero() {
+		return
 	}
+	f.failingSince = now
+	f.log.Warn().Err(err).Str("feed", f.options.Name).Msg("fleet: platform lost")
 }
 
 func (f *Follower[T]) step(ctx context.Context, listed bool) error {
@@ -174,12 +178,15 @@
 
 // noteContact must be called with the mutex held.
 func (f *Follower[T]) noteContact(now time.Time) {
-	// A watch that waits in vain is silent for its whole wait.
-	if !f.contactAt.IsZero() && now.Sub(f.contactAt) > outageFrom+f.options.Wait {
+	if f.failingSince.IsZero() {
+		return
+	}
+	silence := now.Sub(f.failingSince)
+	f.failingSince = time.Time{}
+	f.log.Info().Str("feed", f.options.Name).Dur("silence", silence).Msg("fleet: platform regained")
+	if silence > outageFrom {
 		f.backAt = now
-		f.log.Info().Str("feed", f.options.Name).Dur("silence", now.Sub(f.contactAt)).Msg("fleet: platform regained")
 	}
-	f.contactAt = now
 }
 
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
@@ -246,13 +253,6 @@
 	return f.revision
 }
 
-// ContactAt returns when the platform last answered.
-func (f *Follower[T]) ContactAt() time.Time {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.contactAt
-}
-
 // Snapshot returns all entries, for another instance.
 func (f *Follower[T]) Snapshot() Changes[T] {
 	f.mutex.Lock()
--- a/internal/lrfleet/server.go
+++ b/internal/lrfleet/server.go
@@ -39,6 +39,8 @@
 	PeerAddress string `json:"peerAddress"`
 	// Process tells the starts of one instance apart.
 	Process string `json:"process"`
+	// Strength is its part of a processor. Stronger instances rather serve as relay of their zone.
+	Strength float64 `json:"strength"`
 }
 
 // Wanted names the version of a model's weights that engines shall have.
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -1,8 +1,10 @@
 package lrfleet
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,26 +17,34 @@
 )
 
 const (
-	// SharePeriod is the time between two exchanges of a pair of instances.
-	SharePeriod = 100 * time.Millisecond
+	// SharePeriod is the time between two exchanges of an instance with the relay of its zone, in small zones.
+	SharePeriod = 80 * time.Millisecond
+	// membersPerPeriod is the number of instances in a zone up to which SharePeriod holds. It grows with further ones,
+	// so that the work of the relay does not.
+	membersPerPeriod = 10
+	// farSharePeriod is the time between two exchanges of relays, whose bytes cross the border of a zone.
+	farSharePeriod = 120 * time.Millisecond
 	// shareTimeout bounds one exchange.
-	shareTimeout = 400 * time.Millisecond
-	// reachableFor is the silence after which an instance counts as out of reach.
-	reachableFor = 700 * time.Millisecond
-	// behindFor is how long a feed may lag behind another instance's before it is read from there.
-	behindFor = 150 * time.Millisecond
-	// fetchTimeout bounds the reading of a feed from another instance.
-	fetchTimeout = time.Second
+	shareTimeout = 300 * time.Millisecond
+	// reachableFor is the silence after which instances count as out of reach.
+	reachableFor = 900 * time.Millisecond
+	// relayPause is how long an instance that did not answer is passed over as relay.
+	relayPause = 800 * time.Millisecond
+	// relayFor is how long an instance acts as relay after another one has reported to it.
+	relayFor = 600 * time.Millisecond
+	// silentAfter is the silence of the relays of an availability zone after which it seems to be cut off.
+	silentAfter = 450 * time.Millisecond
+	// tellFor is how long notes are passed on, and keepFor how long they are known.
+	tellFor = 1500 * time.Millisecond
+	keepFor = 6 * time.Second
 )
 
-// Rollout is what the sharer tells and hears of the change of weights.
+// Rollout is what the sharer tells of the change of weights.
 type Rollout interface {
 	// IsHolder reports whether this instance gives the orders.
 	IsHolder(now time.Time) bool
 	// Closing returns the servers that this instance is about to give orders to.
 	Closing() []string
-	// Changed returns the servers that have taken new weights of late.
-	Changed(now time.Time) []WeightsNote
 }
 
 // A WeightsNote tells that a server has taken new weights.
@@ -62,43 +72,57 @@
 type Sharer struct {
 	lrpeerpb.UnimplementedFleetServer
 	SharerParts
-	started time.Time
+	weights *spread[WeightsNote]
 
 	mutex sync.Mutex
 	peers map[string]*peer
-	// wantsLevels is true until another instance has told the levels of allowances.
+	// members are the reports of instances of the own zone, zones those of the relays of other zones.
+	members *tallies
+	zones   *tallies
+	// above is what the relay of the own zone tells of all other instances.
+	above report
+	// aboveSilent are the zones that the relay does not hear.
+	aboveSilent []string
+	// reportedAt is when another instance last reported to this one.
+	reportedAt  time.Time
+	startedAt   time.Time
 	wantsLevels bool
-	holder      string
-	holderAt    time.Time
-	closing     []string
-	// behind are the feeds that are known to lag behind another instance's.
-	behind   map[string]lag
-	fetching bool
+	rollout     rolloutNews
+	behind      map[string]lag
+	fetching    bool
 }
 
-// lag says since when a feed is known to lag behind a revision.
-type lag struct {
-	since    time.Time
-	revision uint64
-	// ahead is an instance that knows the revision.
-	ahead string
+// rolloutNews is what was last heard of the holder of the rollout.
+type rolloutNews struct {
+	holder  string
+	closing []string
+	at      time.Time
 }
 
+// peer is another instance.
 type peer struct {
 	Instance
-	heardAt time.Time
-	calling bool
+	calledAt time.Time
+	// heardAt is when it last answered or reported.
+	heardAt  time.Time
+	failedAt time.Time
+	calling  bool
+	// sent tells up to where the peer has heard the own news, and heard up to where the peer's were heard.
+	sent    lrbalance.Cursors
+	heard   lrbalance.Cursors
+	process string
 }
 
 // NewSharer returns a Sharer that knows no other instance.
 func NewSharer(parts SharerParts, wantsLevels bool) *Sharer {
 	return &Sharer{
-		SharerParts: parts, started: parts.Clock(), peers: map[string]*peer{}, wantsLevels: wantsLevels, behind: map[string]lag{},
+		SharerParts: parts, weights: newSpread[WeightsNote](tellFor, keepFor), peers: map[string]*peer{},
+		members: newTallies(), zones: newTallies(), startedAt: parts.Clock(), wantsLevels: wantsLevels, behind: map[string]lag{},
 	}
 }
 
 // SetInstances takes in the instances that the platform lists.
-func (s *Sharer) SetInstances(now time.Time, listed map[string]Instance) {
+func (s *Sharer) SetInstances(listed map[string]Instance) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for name, i := range listed {
@@ -109,318 +133,200 @@
 		if !ok {
 			p = &peer{}
 			s.peers[name] = p
-			s.Log.Info().Str("peer", name).Str("address", i.PeerAddress).Msg("fleet: instance joined")
+			s.Log.Info().Str("peer", name).Str("zone", i.Zone).Str("address", i.PeerAddress).Msg("fleet: instance listed")
 		}
-		p.Instance = Instance{Name: i.Name, Zone: i.Zone, PeerAddress: i.PeerAddress, Process: p.Process}
+		p.Instance = i
 	}
-	for name, p := range s.peers {
-		if _, ok := listed[name]; !ok && now.Sub(p.heardAt) > reachableFor {
+	for name := range s.peers {
+		if _, ok := listed[name]; !ok {
 			delete(s.peers, name)
 		}
 	}
 }
 
-// Instances returns how many instances there are, this one included.
+// Instances returns how many instances are listed, this one included.
 func (s *Sharer) Instances() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return len(s.peers) + 1
 }
 
+// TellWeights spreads that a server has taken new weights.
+func (s *Sharer) TellWeights(now time.Time, note WeightsNote) { s.weights.add(now, note) }
+
 // Reached returns how many instances are within reach, this one included.
 func (s *Sharer) Reached(now time.Time) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	reached := 1
-	for _, p := range s.peers {
-		if now.Sub(p.heardAt) < reachableFor {
-			reached++
-		}
-	}
-	return reached
+	return s.others(now).reached + 1
 }
 
-// silentAfter is the silence of all instances of an availability zone after which it seems to be cut off.
-const silentAfter = 350 * time.Millisecond
+// HolderHeard reports whether another instance that gives orders to engines has been heard of late.
+func (s *Sharer) HolderHeard(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.rollout.holder != "" && s.rollout.holder != s.Self.Name && now.Sub(s.rollout.at) < reachableFor
+}
 
-// SilentZones returns the availability zones of which no instance is heard.
+// SilentZones returns the availability zones of which nothing is heard.
 func (s *Sharer) SilentZones(now time.Time) map[string]bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	silent := map[string]bool{}
-	for _, p := range s.peers {
-		isSilent, seen := silent[p.Zone]
-		silent[p.Zone] = (isSilent || !seen) && now.Sub(p.heardAt) > silentAfter
+	for _, zone := range s.silentZones(now) {
+		silent[zone] = true
 	}
-	silent[s.Self.Zone] = false
 	return silent
 }
 
-// HolderHeard reports whether another instance that gives orders to engines has been heard of late.
-func (s *Sharer) HolderHeard(now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.holder != "" && now.Sub(s.holderAt) < reachableFor
-}
-
-// Step begins an exchange with each instance that was not heard within the period, and takes note of those that are
-// out of reach.
-func (s *Sharer) Step(ctx context.Context, now time.Time) {
-	for _, p := range s.due(now) {
-		go s.exchange(ctx, p)
+// silentZones must be called with the mutex held.
+func (s *Sharer) silentZones(now time.Time) []string {
+	if now.Sub(s.startedAt) < reachableFor {
+		return nil
 	}
-	s.noteReach(now)
-	s.noteClosing(now)
-	s.catchUp(ctx, now)
+	if !s.isRelay(now) {
+		return s.aboveSilent
+	}
+	var silent []string
+	for _, zone := range s.otherZones() {
+		if now.Sub(s.zones.reports[zone].at) > silentAfter {
+			silent = append(silent, zone)
+		}
+	}
+	return silent
 }
 
-// due returns the instances to call now. Of each pair either side may call, so that one call a period is enough.
-func (s *Sharer) due(now time.Time) []*peer {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var due []*peer
+// otherZones must be called with the mutex held.
+func (s *Sharer) otherZones() []string {
+	var zones []string
 	for _, p := range s.peers {
-		pause := SharePeriod/2 + time.Duration(rand.Int64N(int64(SharePeriod)))
-		if !p.calling && now.Sub(p.heardAt) >= pause {
-			p.calling = true
-			due = append(due, p)
+		if p.Zone != s.Self.Zone && !slices.Contains(zones, p.Zone) {
+			zones = append(zones, p.Zone)
 		}
 	}
-	return due
+	slices.Sort(zones)
+	return zones
 }
 
-func (s *Sharer) exchange(ctx context.Context, p *peer) {
-	defer func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		p.calling = false
-	}()
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	connection, err := s.Pool.Connection(p.PeerAddress)
-	if err != nil {
-		s.Log.Warn().Err(err).Str("peer", p.Name).Msg("fleet: no connection to the instance")
-		return
+// relayOf returns the instance of the zone that is reported to: the strongest one that answers. It is nil where that is
+// this instance. It must be called with the mutex held.
+func (s *Sharer) relayOf(now time.Time, zone string) *peer {
+	var best, unheard *peer
+	for _, p := range s.peers {
+		if p.Zone != zone {
+			continue
+		}
+		if now.Sub(p.failedAt) < relayPause && p.heardAt.Before(p.failedAt) {
+			unheard = firstOf(unheard, p)
+			continue
+		}
+		best = firstOf(best, p)
 	}
-	state, err := lrpeerpb.NewFleetClient(connection).Share(ctx, s.state(s.Clock(), s.needsLevels()))
-	if err != nil {
-		s.Log.Debug().Err(err).Str("peer", p.Name).Msg("fleet: exchange failed")
-		return
+	if zone != s.Self.Zone {
+		if best == nil {
+			return unheard
+		}
+		return best
 	}
-	s.hear(s.Clock(), state)
+	if best == nil || precedes(s.Self, best.Instance) {
+		return nil
+	}
+	return best
 }
 
-// Share answers another instance.
-func (s *Sharer) Share(_ context.Context, state *lrpeerpb.FleetState) (*lrpeerpb.FleetState, error) {
-	now := s.Clock()
-	s.hear(now, state)
-	reply := s.state(now, false)
-	if state.GetWantsLevels() && !s.needsLevels() {
-		reply.Levels = s.Limiter.Levels(now)
+func firstOf(a, b *peer) *peer {
+	if a == nil || precedes(b.Instance, a.Instance) {
+		return b
 	}
-	return reply, nil
+	return a
 }
 
-func (s *Sharer) needsLevels() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.wantsLevels
+// precedes reports whether the first instance is rather the relay than the second one.
+func precedes(a, b Instance) bool {
+	return cmp.Or(cmp.Compare(b.Strength, a.Strength), strings.Compare(a.Name, b.Name)) < 0
 }
 
-func (s *Sharer) state(now time.Time, wantsLevels bool) *lrpeerpb.FleetState {
-	state := &lrpeerpb.FleetState{
-		Name: s.Self.Name, Process: s.Self.Process, Revisions: map[string]uint64{}, Used: s.Limiter.Used(),
-		WantsLevels: wantsLevels, IsRolloutHolder: s.Rollout.IsHolder(now),
-	}
-	for name, f := range s.Feeds {
-		state.Revisions[name] = f.Latest()
-	}
-	for server, l := range s.Balancer.Own() {
-		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
-			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
-		})
-	}
-	if state.GetIsRolloutHolder() {
-		state.Closing = s.Rollout.Closing()
-	}
-	for _, w := range s.Rollout.Changed(now) {
-		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
-	}
-	for _, h := range s.Balancer.News(now) {
-		note := &lrpeerpb.CacheNote{Server: h.Engine}
-		for _, k := range h.Keys {
-			note.Keys = append(note.Keys, uint64(k))
-		}
-		state.Holdings = append(state.Holdings, note)
-	}
-	for _, c := range s.Crashes.News(now) {
-		state.Crashes = append(state.Crashes, &lrpeerpb.CrashNote{Digest: c.Digest, Server: c.Server})
-	}
-	return state
+// isRelay reports whether this instance speaks for its zone. It must be called with the mutex held.
+func (s *Sharer) isRelay(now time.Time) bool {
+	return s.relayOf(now, s.Self.Zone) == nil || now.Sub(s.reportedAt) < relayFor
 }
 
-// hear takes in what another instance tells.
-func (s *Sharer) hear(now time.Time, state *lrpeerpb.FleetState) {
-	adopt, known := s.noteHeard(now, state)
-	if !known {
-		return
-	}
-	if adopt {
-		s.Limiter.Adopt(now, state.GetLevels())
-	}
-	s.Limiter.Heard(now, state.GetName()+"/"+state.GetProcess(), state.GetUsed())
-	loads := make(map[string]lrbalance.Load, len(state.GetLoads()))
-	for _, l := range state.GetLoads() {
-		loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
-	}
-	s.Balancer.SetPeer(state.GetName(), loads)
-	for _, w := range state.GetWeights() {
-		s.Directory.NoteVersion(w.GetServer(), w.GetModel(), w.GetVersion())
-	}
-	for _, h := range state.GetHoldings() {
-		holding := lrbalance.Holding{Engine: h.GetServer()}
-		for _, k := range h.GetKeys() {
-			holding.Keys = append(holding.Keys, lrbalance.Key(k))
+// others returns the sum over all other instances. It must be called with the mutex held.
+func (s *Sharer) others(now time.Time) tally {
+	if s.relayOf(now, s.Self.Zone) != nil {
+		if now.Sub(s.above.at) > reachableFor {
+			return newTally()
 		}
-		s.Balancer.Heard(now, holding)
+		return s.above.tally
 	}
-	for _, c := range state.GetCrashes() {
-		s.Crashes.Heard(now, Crash{Digest: c.GetDigest(), Server: c.GetServer()})
+	total := s.members.sum("")
+	total.add(s.zones.sum(""))
+	return total
+}
+
+// Step begins the exchanges that are due and draws the conclusions from what was heard.
+func (s *Sharer) Step(ctx context.Context, now time.Time) {
+	for _, p := range s.due(now) {
+		go s.exchange(ctx, p)
 	}
+	s.conclude(now)
+	s.catchUp(ctx, now)
 }
 
-// noteHeard reports whether levels of allowances shall be adopted, and whether the sender is known.
-func (s *Sharer) noteHeard(now time.Time, state *lrpeerpb.FleetState) (adopt, known bool) {
+// due returns the instances to call now: the relay of the own zone, or those of the other zones.
+func (s *Sharer) due(now time.Time) []*peer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	p, ok := s.peers[state.GetName()]
-	if !ok {
-		return false, false
-	}
-	if p.Process != state.GetProcess() {
-		s.Limiter.Lost(p.Name + "/" + p.Process)
-		p.Process = state.GetProcess()
-	}
-	if now.Sub(p.heardAt) > reachableFor {
-		s.Log.Info().Str("peer", p.Name).Msg("fleet: instance is within reach")
-	}
-	p.heardAt = now
-	if state.GetIsRolloutHolder() {
-		s.holder, s.holderAt, s.closing = state.GetName(), now, state.GetClosing()
-	} else if s.holder == state.GetName() {
-		s.holder, s.closing = "", nil
-	}
-	for feed, revision := range state.GetRevisions() {
-		f, ok := s.Feeds[feed]
-		if !ok || revision <= f.Latest() {
-			continue
-		}
-		if _, ok := s.behind[feed]; !ok {
-			s.behind[feed] = lag{since: now, revision: revision, ahead: state.GetName()}
+	var due []*peer
+	add := func(p *peer, period time.Duration) {
+		if p != nil && !p.calling && now.Sub(p.calledAt) >= period {
+			p.calling, p.calledAt = true, now
+			due = append(due, p)
 		}
 	}
-	adopt = s.wantsLevels && len(state.GetLevels()) > 0
-	if adopt {
-		s.wantsLevels = false
+	add(s.relayOf(now, s.Self.Zone), s.period())
+	if !s.isRelay(now) {
+		return due
 	}
-	return adopt, true
-}
-
-// noteReach forgets the loads of instances out of reach, and keeps to the part of the limits of those within reach.
-func (s *Sharer) noteReach(now time.Time) {
-	reached, known := s.Reached(now), s.Instances()
-	for _, p := range s.outOfReach(now) {
-		s.Balancer.SetPeer(p.Name, nil)
-		s.Limiter.Lost(p.Name + "/" + p.Process)
+	for _, zone := range s.otherZones() {
+		add(s.relayOf(now, zone), farSharePeriod)
 	}
-	s.Limiter.SetShare(now, float64(reached)/float64(known))
+	return due
 }
 
-func (s *Sharer) outOfReach(now time.Time) []Instance {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var lost []Instance
+// period returns the time between two reports to the relay. It must be called with the mutex held.
+func (s *Sharer) period() time.Duration {
+	members := 1
 	for _, p := range s.peers {
-		if now.Sub(p.heardAt) >= reachableFor {
-			lost = append(lost, p.Instance)
+		if p.Zone == s.Self.Zone {
+			members++
 		}
 	}
-	return lost
+	return SharePeriod * time.Duration(max(members, membersPerPeriod)) / membersPerPeriod
 }
 
-// noteClosing tells the directory which servers are about to change their weights.
-func (s *Sharer) noteClosing(now time.Time) {
-	own := s.Rollout.Closing()
+// conclude brings balancer, limiter and directory to what was heard of the other instances.
+func (s *Sharer) conclude(now time.Time) {
 	s.mutex.Lock()
-	if now.Sub(s.holderAt) < reachableFor {
-		own = append(own, s.closing...)
+	s.members.expire(now, reachableFor)
+	s.zones.expire(now, reachableFor)
+	others := s.others(now)
+	known := len(s.peers) + 1
+	source := "own"
+	if s.relayOf(now, s.Self.Zone) != nil {
+		source = s.above.process
+	}
+	closing := s.Rollout.Closing()
+	if s.rollout.holder != s.Self.Name && now.Sub(s.rollout.at) < reachableFor {
+		closing = append(closing, s.rollout.closing...)
 	}
 	s.mutex.Unlock()
-	s.Directory.SetClosing(own)
-}
-
-// catchUp reads a feed from another instance when the own copy has lagged behind for a while.
-func (s *Sharer) catchUp(ctx context.Context, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.fetching {
-		return
-	}
-	for feed, l := range s.behind {
-		latest := s.Feeds[feed].Latest()
-		if latest >= l.revision {
-			delete(s.behind, feed)
-			continue
-		}
-		if now.Sub(l.since) < behindFor && latest > 0 {
-			continue
-		}
-		delete(s.behind, feed)
-		p, ok := s.peers[l.ahead]
-		if !ok {
-			continue
-		}
-		s.fetching = true
-		go s.fetch(ctx, *p, feed)
-		return
-	}
-}
-
-func (s *Sharer) fetch(ctx context.Context, from peer, feed string) {
-	defer func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		s.fetching = false
-	}()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	connection, err := s.Pool.Connection(from.PeerAddress)
-	if err != nil {
-		s.Log.Warn().Err(err).Str("peer", from.Name).Msg("fleet: no connection to the instance")
-		return
-	}
-	reply, err := lrpeerpb.NewFleetClient(connection).FetchFeed(ctx, &lrpeerpb.FetchFeedRequest{Feed: feed})
-	if err != nil {
-		s.Log.Warn().Err(err).Str("peer", from.Name).Str("feed", feed).Msg("fleet: feed could not be read from the instance")
-		return
-	}
-	err = s.Feeds[feed].Decode(s.Clock(), reply.GetEntries(), reply.GetRevision())
-	if err != nil {
-		s.Log.Warn().Err(err).Str("peer", from.Name).Str("feed", feed).Msg("fleet: feed of the instance is unreadable")
-		return
-	}
-	s.Log.Info().Str("peer", from.Name).Str("feed", feed).Uint64("revision", reply.GetRevision()).Msg("fleet: feed read from the instance")
-}
-
-// FetchFeed answers another instance with a copy of one feed.
-func (s *Sharer) FetchFeed(_ context.Context, request *lrpeerpb.FetchFeedRequest) (*lrpeerpb.FetchFeedReply, error) {
-	f, ok := s.Feeds[request.GetFeed()]
-	if !ok {
-		return &lrpeerpb.FetchFeedReply{}, nil
-	}
-	entries, revision, err := f.Encode()
-	if err != nil {
-		return nil, err
-	}
-	return &lrpeerpb.FetchFeedReply{Entries: entries, Revision: revision}, nil
+	s.Balancer.SetOthers(others.loads)
+	if others.reached > 0 {
+		s.Limiter.Heard(now, source, others.used)
+	} else {
+		s.Limiter.Lost()
+	}
+	s.Limiter.SetShare(now, min(float64(others.reached+1)/float64(known), 1))
+	s.Directory.SetClosing(closing)
 }
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -34,8 +34,6 @@
 	changeTimeout = 2500 * time.Millisecond
 	// failurePause is how long an engine that could not be changed is left alone.
 	failurePause = 400 * time.Millisecond
-	// tellChangedFor is how long other instances are told of a change.
-	tellChangedFor = 3 * time.Second
 )
 
 // A State is what an engine tells of itself.
@@ -90,6 +88,8 @@
 	Directory *lrfleet.Directory
 	Balancer  *lrbalance.Balancer
 	Options   lrrollout.Options
+	// Tell spreads that an engine has taken new weights.
+	Tell func(now time.Time, note lrfleet.WeightsNote)
 	// LeaseClock is the clock of the lease, which counts time in suspension.
 	LeaseClock func() time.Time
 	Log        zerolog.Logger
@@ -101,7 +101,6 @@
 	mutex   sync.Mutex
 	busy    map[string]bool
 	closing map[string]bool
-	changed map[lrfleet.WeightsNote]time.Time
 	// failedAt tells when an engine could last not be changed.
 	failedAt map[string]time.Time
 	wasHeld  bool
@@ -110,8 +109,7 @@
 // NewDuty returns a Duty that holds nothing.
 func NewDuty(parts Parts) *Duty {
 	return &Duty{
-		Parts: parts, busy: map[string]bool{}, closing: map[string]bool{},
-		changed: map[lrfleet.WeightsNote]time.Time{}, failedAt: map[string]time.Time{},
+		Parts: parts, busy: map[string]bool{}, closing: map[string]bool{}, failedAt: map[string]time.Time{},
 	}
 }
 
@@ -132,21 +130,6 @@
 	return closing
 }
 
-// Changed returns the engines that have taken new weights of late.
-func (d *Duty) Changed(now time.Time) []lrfleet.WeightsNote {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	var notes []lrfleet.WeightsNote
-	for n, at := range d.changed {
-		if now.Sub(at) > tellChangedFor {
-			delete(d.changed, n)
-			continue
-		}
-		notes = append(notes, n)
-	}
-	return notes
-}
-
 // Step begins the changes that are due, if this instance gives the orders.
 func (d *Duty) Step(ctx context.Context, now time.Time) {
 	grant, held := d.Keeper.Held(d.LeaseClock())
@@ -201,14 +184,13 @@
 	d.mutex.Lock()
 	delete(d.busy, server.ID)
 	delete(d.closing, server.ID)
-	if done {
-		d.changed[lrfleet.WeightsNote{Server: server.ID, Model: step.Model, Version: step.Version}] = time.Now()
-	} else {
+	if !done {
 		d.failedAt[server.ID] = time.Now()
 	}
 	d.mutex.Unlock()
 	if done {
 		d.Directory.NoteVersion(server.ID, step.Model, step.Version)
+		d.Tell(time.Now(), lrfleet.WeightsNote{Server: server.ID, Model: step.Model, Version: step.Version})
 	}
 	d.Log.Info().Str("server", server.ID).Str("model", step.Model).Int64("version", step.Version).Bool("done", done).
 		Dur("took", time.Since(began)).Msg("weights: engine")
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -49,7 +49,7 @@
 	mutex   sync.Mutex
 	random  *rand.Rand
 	own     map[string]Load
-	peers   map[string]map[string]Load
+	others  map[string]Load
 	beliefs *beliefs
 }
 
@@ -57,7 +57,7 @@
 func New(options Options) *Balancer {
 	return &Balancer{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		own: map[string]Load{}, peers: map[string]map[string]Load{}, beliefs: newBeliefs(),
+		own: map[string]Load{}, others: map[string]Load{}, beliefs: newBeliefs(),
 	}
 }
 
@@ -232,11 +232,7 @@
 }
 
 func (b *Balancer) load(engine string) Load {
-	load := b.own[engine]
-	for _, loads := range b.peers {
-		load = load.plus(loads[engine])
-	}
-	return load
+	return b.own[engine].Plus(b.others[engine])
 }
 
 // Load returns the work that all instances are known to have at the engine.
@@ -266,7 +262,7 @@
 }
 
 func (b *Balancer) count(engine string, load Load) {
-	sum := b.own[engine].plus(load)
+	sum := b.own[engine].Plus(load)
 	if sum == (Load{}) {
 		delete(b.own, engine)
 		return
@@ -285,29 +281,44 @@
 	return own
 }
 
-// SetPeer replaces what another instance has told of its work. Nil forgets the instance.
-func (b *Balancer) SetPeer(name string, loads map[string]Load) {
+// SetOthers replaces what is known of the work of all other instances.
+func (b *Balancer) SetOthers(loads map[string]Load) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if loads == nil {
-		delete(b.peers, name)
-		return
-	}
-	b.peers[name] = loads
+	b.others = loads
+}
+
+// Cursors tell up to where a reader has heard the news.
+type Cursors struct {
+	Near uint64
+	Far  uint64
 }
 
-// News returns what engines have come to hold of late through this instance.
-func (b *Balancer) News(now time.Time) []Holding {
+// News returns what engines have come to hold since the cursors. Without far it leaves out what was heard from other
+// availability zones.
+func (b *Balancer) News(now time.Time, cursors Cursors, far bool) ([]Holding, Cursors) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.beliefs.takeNews(now)
+	told, near := b.beliefs.near.since(now, cursors.Near)
+	cursors.Near = near
+	if far {
+		more, next := b.beliefs.far.since(now, cursors.Far)
+		told, cursors.Far = append(told, more...), next
+	}
+	return told, cursors
 }
 
-// Heard takes in what engines hold through another instance.
-func (b *Balancer) Heard(now time.Time, holding Holding) {
+// Heard takes in what engines hold, as told by an instance of the own availability zone or of another one.
+func (b *Balancer) Heard(now time.Time, holdings []Holding, far bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.beliefs.heard(now, holding)
+	log := b.beliefs.near
+	if far {
+		log = b.beliefs.far
+	}
+	for _, h := range holdings {
+		b.beliefs.heard(now, h, log)
+	}
 }
 
 // Forget drops what is believed of an engine's cache, since it restarted or changed its weights.
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -70,10 +70,10 @@
 	now := time.Unix(1000, 0)
 	request := newTestRequest("file", "x")
 	home := ranked(request, engines)[0].ID
-	b.SetPeer("other", map[string]Load{home: {Waiting: 200_000, Running: 40}})
+	b.SetOthers(map[string]Load{home: {Waiting: 200_000, Running: 40}})
 	choice, _ := b.Choose(now, request, engines)
 	requireEqual(t, choice.Engine.ID == home, false)
-	b.SetPeer("other", nil)
+	b.SetOthers(nil)
 	requireEqual(t, b.Load(home), Load{})
 }
 
@@ -92,7 +92,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := newTestBalancer(1)
-			b.SetPeer("other", map[string]Load{"e0": {Waiting: c.waiting}})
+			b.SetOthers(map[string]Load{"e0": {Waiting: c.waiting}})
 			engines := newTestEngines(2)
 			engines[0].Version, engines[1].OutdatedFor = 2, c.since
 			choice, ok := b.Choose(time.Unix(1000, 0), newTestRequest("file", "x"), engines)
@@ -122,7 +122,7 @@
 		choice, _ := b.Choose(time.Unix(1000, 0), Request{Scope: "s", Tokens: 100 * n}, engines)
 		requireEqual(t, choice.Engine.ID, "e0")
 	}
-	b.SetPeer("other", map[string]Load{"e0": {Waiting: 200_000}})
+	b.SetOthers(map[string]Load{"e0": {Waiting: 200_000}})
 	choice, _ := b.Choose(time.Unix(1000, 0), Request{Scope: "s", Tokens: 100}, engines)
 	requireEqual(t, choice.Engine.ID == "e0", false)
 }
@@ -153,14 +153,16 @@
 	first, second := newTestBalancer(1), newTestBalancer(2)
 	choice, _ := first.Choose(now, newTestRequest("file", "x"), engines)
 	requireEqual(t, choice.Source, "")
-	requireEqual(t, len(first.News(now)), 0)
+	news, cursors := first.News(now, Cursors{}, true)
+	requireEqual(t, len(news), 0)
 	first.FirstEvent(now, choice)
-	for _, h := range first.News(now) {
-		second.Heard(now, h)
-	}
+	news, cursors = first.News(now, cursors, true)
+	second.Heard(now, news, false)
+	news, _ = first.News(now, cursors, true)
+	requireEqual(t, len(news), 0)
 	request := newTestRequest("file", "y")
 	request.Excluded = map[string]bool{}
-	second.SetPeer("first", map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
+	second.SetOthers(map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
 	other, _ := second.Choose(now, request, engines)
 	requireEqual(t, other.Engine.ID == choice.Engine.ID, false)
 	requireEqual(t, other.Source, choice.Engine.ID)
@@ -198,10 +200,24 @@
 	choice, _ := b.Choose(now, newTestRequest("file", "x"), engines)
 	b.FirstEvent(now, choice)
 	b.Forget(choice.Engine.ID)
-	b.SetPeer("other", map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
+	b.SetOthers(map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
 	other, _ := b.Choose(now, newTestRequest("file", "y"), engines)
 	requireEqual(t, other.Source, "")
-	requireEqual(t, len(b.News(now)), 0)
+}
+
+// TestNewsOfOtherZonesStayWithinTheZone keeps news from going round between availability zones.
+func TestNewsOfOtherZonesStayWithinTheZone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newTestBalancer(1)
+	b.Heard(now, []Holding{{Engine: "e0", Key: 1}}, true)
+	b.Heard(now, []Holding{{Engine: "e0", Key: 2}}, false)
+	across, _ := b.News(now, Cursors{}, false)
+	within, _ := b.News(now, Cursors{}, true)
+	requireEqual(t, len(across), 1)
+	requireEqual(t, across[0].Key, 2)
+	requireEqual(t, len(within), 2)
+	late, _ := b.News(now.Add(newsFor), Cursors{}, true)
+	requireEqual(t, len(late), 0)
 }
 
 func requireEqual[T comparable](t *testing.T, got, want T) {
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -11,8 +11,6 @@
 	beliefLife = 9 * time.Second
 	// beliefRoom is the most parts remembered of one engine. The stale ones are dropped when it is reached.
 	beliefRoom = 20000
-	// newsFor is how long a part that an engine has come to hold is told to other instances.
-	newsFor = 1200 * time.Millisecond
 )
 
 // A Key names the cache entry of a leading run of shared parts: its scope, the version of the weights and the parts.
@@ -49,20 +47,16 @@
 	isReady bool
 }
 
-// A Holding tells that an engine holds parts.
-type Holding struct {
-	Engine string
-	Keys   []Key
-}
-
 // beliefs are the shared parts that engines are believed to hold, since requests with them were sent there.
 type beliefs struct {
 	engines map[string]map[Key]belief
-	news    map[string]map[Key]time.Time
+	// near are news of this instance and of those that report to it, far those of other availability zones.
+	near *newsLog
+	far  *newsLog
 }
 
 func newBeliefs() *beliefs {
-	return &beliefs{engines: map[string]map[Key]belief{}, news: map[string]map[Key]time.Time{}}
+	return &beliefs{engines: map[string]map[Key]belief{}, near: newNewsLog(), far: newNewsLog()}
 }
 
 // begin notes that the engine is about to compute what it lacks of the runs.
@@ -78,16 +72,19 @@
 	for _, r := range runs {
 		before, ok := b.engines[engine][r.key]
 		if !ok || !before.isReady {
-			b.tell(now, engine, r.key)
+			b.near.add(now, Holding{Engine: engine, Key: r.key})
 		}
 		b.set(now, engine, r.key, true)
 	}
 }
 
-// heard notes what another instance tells.
-func (b *beliefs) heard(now time.Time, holding Holding) {
-	for _, k := range holding.Keys {
-		b.set(now, holding.Engine, k, true)
+// heard notes what another instance tells, and keeps it in the log for further instances if it is new.
+func (b *beliefs) heard(now time.Time, holding Holding, log *newsLog) {
+	before, ok := b.engines[holding.Engine][holding.Key]
+	isNew := !ok || !before.isReady || now.Sub(before.usedAt) > beliefLife
+	b.set(now, holding.Engine, holding.Key, true)
+	if isNew {
+		log.add(now, holding)
 	}
 }
 
@@ -111,36 +108,6 @@
 	}
 }
 
-func (b *beliefs) tell(now time.Time, engine string, key Key) {
-	told, ok := b.news[engine]
-	if !ok {
-		told = map[Key]time.Time{}
-		b.news[engine] = told
-	}
-	told[key] = now
-}
-
-// takeNews returns what engines have come to hold of late.
-func (b *beliefs) takeNews(now time.Time) []Holding {
-	var holdings []Holding
-	for engine, told := range b.news {
-		h := Holding{Engine: engine}
-		for k, at := range told {
-			if now.Sub(at) > newsFor {
-				delete(told, k)
-				continue
-			}
-			h.Keys = append(h.Keys, k)
-		}
-		if len(h.Keys) == 0 {
-			delete(b.news, engine)
-			continue
-		}
-		holdings = append(holdings, h)
-	}
-	return holdings
-}
-
 // cached returns the tokens of the runs that the engine is believed to hold or to be computing.
 func (b *beliefs) cached(now time.Time, engine string, runs []prefix) int {
 	return b.sum(now, engine, runs, false)
@@ -166,5 +133,4 @@
 
 func (b *beliefs) forget(engine string) {
 	delete(b.engines, engine)
-	delete(b.news, engine)
 }
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -49,7 +49,8 @@
 	Running int `json:"running"`
 }
 
-func (l Load) plus(other Load) Load {
+// Plus returns the sum of both loads.
+func (l Load) Plus(other Load) Load {
 	return Load{Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running}
 }
 
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -15,8 +15,10 @@
 type Shared struct {
 	mutex    sync.Mutex
 	accounts map[string]*sharedAccount
-	peers    map[string]map[string]float64
 	share    float64
+	// source is who tells what all others have used, and heard what it last told.
+	source string
+	heard  map[string]float64
 	// isFull makes buckets start full, since no instance has used anything yet.
 	isFull bool
 }
@@ -30,7 +32,7 @@
 
 // NewShared returns a Shared limiter. With full, all buckets start full: nothing has been used by any instance.
 func NewShared(full bool) *Shared {
-	return &Shared{accounts: map[string]*sharedAccount{}, peers: map[string]map[string]float64{}, share: 1, isFull: full}
+	return &Shared{accounts: map[string]*sharedAccount{}, share: 1, isFull: full}
 }
 
 // SetShare sets the part of all limits that this instance and those it reaches may use.
@@ -119,14 +121,14 @@
 	}
 }
 
-// Heard takes in what another process has used in all. The first word of a process, and the first after it was out of
-// reach, charges nothing: what it used before came from its own part.
-func (s *Shared) Heard(now time.Time, process string, used map[string]float64) {
+// Heard takes in what all other instances within reach have used in all, as the source tells it. The first word of a
+// source charges nothing, since sources count from different moments.
+func (s *Shared) Heard(now time.Time, source string, used map[string]float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	before, known := s.peers[process]
-	s.peers[process] = maps.Clone(used)
-	if !known {
+	before, isNew := s.heard, s.source != source || s.heard == nil
+	s.source, s.heard = source, maps.Clone(used)
+	if isNew {
 		return
 	}
 	for name, total := range used {
@@ -139,11 +141,11 @@
 	}
 }
 
-// Lost forgets another process that is out of reach.
-func (s *Shared) Lost(process string) {
+// Lost notes that no other instance is within reach.
+func (s *Shared) Lost() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	delete(s.peers, process)
+	s.source, s.heard = "", nil
 }
 
 // account returns the account with the limits in force. It must be called with the mutex held.
--- a/pkg/lrlimit/shared_test.go
+++ b/pkg/lrlimit/shared_test.go
@@ -34,17 +34,17 @@
 
 func (f *sharedFleet) exchange() {
 	for n, node := range f.nodes {
-		reached := 0
+		reached, used := 0, map[string]float64{}
 		for p, peer := range f.nodes {
 			if !f.reaches(n, p) {
-				node.Lost(fmt.Sprint(p))
 				continue
 			}
 			reached++
 			if p != n {
-				node.Heard(f.now, fmt.Sprint(p), peer.Used())
+				used["school"] += peer.Used()["school"]
 			}
 		}
+		node.Heard(f.now, fmt.Sprint("side of ", f.cut), used)
 		node.SetShare(f.now, float64(reached)/float64(len(f.nodes)))
 	}
 }
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -36,6 +36,8 @@
 	MetricsAddress string
 	// FirstStart tells that the deployment starts for the first time, so that no allowance has been used.
 	FirstStart bool
+	// Strength is the instance's part of a processor. Stronger instances do more of the work between instances.
+	Strength float64
 }
 
 // Platform says how the platform's object API is reached.
@@ -201,7 +203,7 @@
 		Platform: Platform{
 			CallTimeout: 2 * time.Second, ListInterval: time.Second,
 			WatchWait: 10 * time.Second, ChangePace: 50 * time.Millisecond, ServerPace: 200 * time.Millisecond,
-			RefreshInterval: 700 * time.Millisecond,
+			RefreshInterval: 500 * time.Millisecond,
 		},
 		Peers: Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
