--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -51,6 +51,9 @@
 	Backend       lrpipeline.Backend
 	Engines       lrweights.Engines
 	Connections   *lrconn.Pool
+	// Collectors are metrics of the ports, and Duties work that they do in the background.
+	Collectors []prometheus.Collector
+	Duties     map[string]lrsupervise.Duty
 	// Handler returns the handler of callers.
 	Handler func(pipeline *lrpipeline.Pipeline, maxBody func() int64) http.Handler
 }
@@ -76,6 +79,9 @@
 	expirePause = 200 * time.Millisecond
 	// lapseGrace is how long after an outage of the platform missing entries are believed in.
 	lapseGrace = 2200 * time.Millisecond
+	// turnStep is the time by which each further instance waits longer for its turn, and turnMax the longest wait.
+	turnStep = 100 * time.Millisecond
+	turnMax  = 900 * time.Millisecond
 	// registerPause is the time between two tries to register the instance.
 	registerPause = 500 * time.Millisecond
 	// retainPause is the time between two closings of connections that are not needed.
@@ -115,6 +121,8 @@
 	instances *lrfleet.Follower[lrfleet.Instance]
 
 	supervisor *lrsupervise.Supervisor
+	// lastHolder is when another holder of the lease was last known. Only keepLease uses it.
+	lastHolder time.Time
 	draining   atomic.Bool
 	running    atomic.Int64
 	idler      *lrframe.Idler
@@ -138,37 +146,41 @@
 	d.wireWeights()
 	d.wireSharer()
 	d.wirePipeline()
+	d.metrics.registry.MustRegister(ports.Collectors...)
+	for name, duty := range ports.Duties {
+		d.supervisor.Add(name, duty)
+	}
 	return d
 }
 
 func (d *Daemon) wireFeeds() {
 	p := d.settings.Platform
-	atOnce := func() time.Duration { return p.ChangePace }
-	inTurn := func() time.Duration { return d.turn(p.ServerPace) }
-	refresh := func() time.Duration { return d.turn(p.RefreshInterval) }
-	d.tables = lrfleet.NewFollower(d.ports.Tables, lrfleet.FollowOptions{
-		Name: feedTables, Pace: atOnce, Wait: p.WatchWait, Refresh: refresh,
-	}, d.log,
+	options := func(name string, interval time.Duration) lrfleet.FollowOptions {
+		return lrfleet.FollowOptions{
+			Name: name, Wait: p.WatchWait, Interval: interval, Delay: d.turnDelay,
+			Watches: func() bool { return d.sharer.Rank() < p.Watchers },
+		}
+	}
+	d.tables = lrfleet.NewFollower(d.ports.Tables, options(feedTables, p.RefreshInterval), d.log,
 		func(_ time.Time, entries map[string]lrtable.Spec) {
 			spec, ok := entries[d.ports.TableName]
 			if ok {
 				d.directory.SetSpec(spec)
 			}
 		})
-	d.servers = lrfleet.NewFollower(d.ports.Servers, lrfleet.FollowOptions{
-		Name: feedServers, Pace: inTurn, Wait: p.WatchWait, LapseGrace: lapseGrace,
-	}, d.log, func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
-	d.wanted = lrfleet.NewFollower(d.ports.Wanted, lrfleet.FollowOptions{
-		Name: feedWanted, Pace: atOnce, Wait: p.WatchWait, Refresh: refresh,
-	}, d.log,
+	servers := options(feedServers, p.ServerInterval)
+	servers.IsChanging, servers.LapseGrace = true, lapseGrace
+	d.servers = lrfleet.NewFollower(d.ports.Servers, servers, d.log,
+		func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
+	d.wanted = lrfleet.NewFollower(d.ports.Wanted, options(feedWanted, p.RefreshInterval), d.log,
 		func(now time.Time, entries map[string]lrfleet.Wanted) {
 			for _, w := range entries {
 				d.directory.SetWanted(now, w.Model, w.Version)
 			}
 		})
-	d.instances = lrfleet.NewFollower(d.ports.Instances, lrfleet.FollowOptions{
-		Name: feedInstances, Pace: atOnce, Wait: p.WatchWait,
-	}, d.log,
+	instances := options(feedInstances, p.InstanceInterval)
+	instances.Watches = func() bool { return false }
+	d.instances = lrfleet.NewFollower(d.ports.Instances, instances, d.log,
 		func(_ time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(entries) })
 	d.supervisor.Add("followTables", d.tables.Run)
 	d.supervisor.Add("followServers", d.servers.Run)
@@ -176,14 +188,13 @@
 	d.supervisor.Add("followInstances", d.instances.Run)
 	d.supervisor.Add("refreshTables", d.tables.RunRefresh)
 	d.supervisor.Add("refreshWanted", d.wanted.RunRefresh)
+	d.supervisor.Add("refreshInstances", d.instances.RunRefresh)
 	d.supervisor.Add("expireServers", lrsupervise.Every(expirePause, func(_ context.Context, now time.Time) { d.servers.Expire(now) }))
 }
 
-// turn returns the time between two readings by this instance, so that all instances within reach together read once an
-// interval. What one has read the others hear from it.
-func (d *Daemon) turn(interval time.Duration) time.Duration {
-	reached := d.sharer.Reached(d.clock())
-	return interval*time.Duration(reached) + time.Duration(rand.Int64N(int64(interval)))
+// turnDelay returns how much longer than others this instance waits with what one instance is enough for.
+func (d *Daemon) turnDelay() time.Duration {
+	return min(time.Duration(d.sharer.Rank())*turnStep, turnMax)
 }
 
 func (d *Daemon) wireWeights() {
@@ -200,9 +211,15 @@
 
 // keepLease renews the lease, or contends for it while no other instance is known to hold it.
 func (d *Daemon) keepLease(ctx context.Context, now time.Time) {
-	if !d.weights.IsHolder(now) && d.sharer.HolderHeard(now) {
-		return
+	if d.weights.IsHolder(now) || !d.sharer.HolderHeard(now) && now.Sub(d.lastHolder) > d.turnDelay() {
+		d.stepLease(ctx)
 	}
+	if d.sharer.HolderHeard(now) {
+		d.lastHolder = now
+	}
+}
+
+func (d *Daemon) stepLease(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Orders.LeaseValidity)
 	defer cancel()
 	err := d.keeper.Step(ctx)
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -8,6 +8,9 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 )
 
+// maxReadAge is the greatest age that is told.
+const maxReadAge = time.Hour
+
 // exchange calls another instance.
 func (s *Sharer) exchange(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -61,7 +64,8 @@
 	isNear := p.Zone == s.Self.Zone
 	s.mutex.Lock()
 	state := &lrpeerpb.FleetState{
-		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, Revisions: map[string]uint64{}, WantsLevels: s.wantsLevels,
+		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, Revisions: map[string]uint64{},
+		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels,
 		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.process, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
 	}
 	sum := s.sumFor(now, p)
@@ -75,6 +79,7 @@
 	}
 	for name, f := range s.Feeds {
 		state.Revisions[name] = f.Latest()
+		state.ReadAges[name] = uint32(min(f.ReadAge(now), maxReadAge).Milliseconds())
 	}
 	for _, w := range s.weights.news(now) {
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
@@ -148,6 +153,12 @@
 	for _, l := range state.GetLoads() {
 		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
 	}
+	for name, f := range s.Feeds {
+		age, ok := state.GetReadAges()[name]
+		if ok {
+			f.NoteReadAge(now, time.Duration(age)*time.Millisecond)
+		}
+	}
 	adopt := s.noteHeard(now, state, sum, isAnswer)
 	if adopt {
 		s.Limiter.Adopt(now, state.GetLevels())
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -18,13 +18,19 @@
 type FollowOptions struct {
 	// Name stands in the log.
 	Name string
-	// Pace returns the least time between two calls.
-	Pace func() time.Duration
 	// Wait is how long a watch waits for a change.
 	Wait time.Duration
-	// Refresh returns the time between two readings of the whole list. Watches may hear nothing for a while although
-	// something has changed. A nil Refresh means that changes are frequent enough to tell.
-	Refresh func() time.Duration
+	// Interval is the time between two readings of the feed by all instances together. With IsChanging each reading is a
+	// watch, which returns at once. Otherwise watches wait for changes, and a whole list is read at each interval, since
+	// watches may hear nothing for a while although something has changed. Zero means that there are no readings.
+	Interval time.Duration
+	// IsChanging tells that entries change all the time.
+	IsChanging bool
+	// Watches reports whether this instance watches the feed. Where it does not, it reads it in turn with others, and
+	// hears from those that watch.
+	Watches func() bool
+	// Delay returns how much longer than Interval this instance waits, so that others go first.
+	Delay func() time.Duration
 	// LapseGrace is how long after an outage entries that are missing are still believed in.
 	LapseGrace time.Duration
 }
@@ -37,6 +43,12 @@
 	// retryBase and retryMax space calls that the platform does not answer.
 	retryBase = 100 * time.Millisecond
 	retryMax  = 800 * time.Millisecond
+	// retryMaxFresh is the longest pause between calls while other instances tell what they read.
+	retryMaxFresh = 2500 * time.Millisecond
+	// roleLook is the time between two looks whether this instance shall watch.
+	roleLook = 500 * time.Millisecond
+	// watchPause is the time between two watches.
+	watchPause = 50 * time.Millisecond
 	// listTimeout bounds the reading of a whole list.
 	listTimeout = 2 * time.Second
 )
@@ -52,6 +64,8 @@
 	entries  map[string]T
 	revision uint64
 	latest   uint64
+	// freshAt is when any instance is known to have read the feed.
+	freshAt time.Time
 	// failingSince is when the platform first did not answer. It is zero while it answers.
 	failingSince time.Time
 	// backAt is when the platform answered again after an outage.
@@ -69,27 +83,61 @@
 
 // Run follows the feed until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
-	backoff := lrretry.Backoff{Base: retryBase, Max: retryMax}
 	listed, failures := false, 0
 	for ctx.Err() == nil {
+		if listed && f.options.IsChanging && !f.awaitTurn(ctx) {
+			return nil
+		}
+		if listed && !f.options.IsChanging && !f.options.Watches() {
+			lrsupervise.Sleep(ctx, roleLook)
+			continue
+		}
 		err := f.step(ctx, listed)
 		switch {
 		case err == nil:
 			listed, failures = true, 0
-			lrsupervise.Sleep(ctx, f.options.Pace())
+			lrsupervise.Sleep(ctx, watchPause)
 		case ErrHistoryGone.Has(err):
 			f.log.Warn().Str("feed", f.options.Name).Msg("fleet: history is gone, listing anew")
 			listed = false
-			lrsupervise.Sleep(ctx, backoff.Delay(1, rand.Float64()))
+			lrsupervise.Sleep(ctx, f.backoff(1))
 		default:
 			f.noteFailure(time.Now(), err)
 			failures++
-			lrsupervise.Sleep(ctx, retryBase/2+backoff.Delay(failures, rand.Float64()))
+			lrsupervise.Sleep(ctx, watchPause+f.backoff(failures))
 		}
 	}
 	return nil
 }
 
+// backoff spaces calls that the platform does not answer. It is longer while others tell what they read.
+func (f *Follower[T]) backoff(failures int) time.Duration {
+	b := lrretry.Backoff{Base: retryBase, Max: retryMax}
+	if f.freshFor(time.Now()) < retryMaxFresh {
+		b.Max = retryMaxFresh
+	}
+	return b.Delay(failures, rand.Float64())
+}
+
+// freshFor returns how long ago any instance is known to have read the feed.
+func (f *Follower[T]) freshFor(now time.Time) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.freshAt)
+}
+
+// awaitTurn waits until it is time to read and no other instance has. It reports false when the context has ended.
+func (f *Follower[T]) awaitTurn(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		left := f.options.Interval + f.options.Delay() - f.freshFor(time.Now())
+		if left <= 0 {
+			return true
+		}
+		lrsupervise.Sleep(ctx, left)
+	}
+	return false
+}
+
 func (f *Follower[T]) noteFailure(now time.Time, err error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -125,22 +173,36 @@
 	return nil
 }
 
-// RunRefresh reads the whole list now and then until the context ends.
+// RunRefresh reads the whole list in turn with other instances until the context ends.
 func (f *Follower[T]) RunRefresh(ctx context.Context) error {
-	for ctx.Err() == nil {
-		lrsupervise.Sleep(ctx, f.options.Refresh())
+	for f.awaitTurn(ctx) {
 		err := f.list(ctx)
 		if err != nil {
 			f.log.Debug().Err(err).Str("feed", f.options.Name).Msg("fleet: list not refreshed")
+			lrsupervise.Sleep(ctx, f.backoff(1)+f.options.Interval)
 		}
 	}
 	return nil
 }
 
+// ReadAge returns how long ago any instance is known to have read the feed.
+func (f *Follower[T]) ReadAge(now time.Time) time.Duration { return f.freshFor(now) }
+
+// NoteReadAge takes in how long ago another instance knows the feed to have been read.
+func (f *Follower[T]) NoteReadAge(now time.Time, age time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	at := now.Add(-age)
+	if at.After(f.freshAt) {
+		f.freshAt = at
+	}
+}
+
 // Replace takes in a whole list that the platform has just answered.
 func (f *Follower[T]) Replace(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	f.noteContact(now)
+	f.freshAt = now
 	for name := range f.entries {
 		if _, ok := changes.Set[name]; !ok {
 			changes.Deleted = append(changes.Deleted, name)
@@ -154,6 +216,9 @@
 func (f *Follower[T]) Apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	f.noteContact(now)
+	if f.options.IsChanging {
+		f.freshAt = now
+	}
 	f.mutex.Unlock()
 	f.apply(now, changes)
 }
--- a/internal/lrfleet/relay.go
+++ b/internal/lrfleet/relay.go
@@ -10,6 +10,10 @@
 type Relayed interface {
 	// Latest returns the revision of the last change that is known.
 	Latest() uint64
+	// ReadAge returns how long ago any instance is known to have read the feed, and NoteReadAge takes in what another
+	// one knows.
+	ReadAge(now time.Time) time.Duration
+	NoteReadAge(now time.Time, age time.Duration)
 	// Encode returns all entries.
 	Encode() (map[string][]byte, uint64, error)
 	// Decode takes in the entries of another instance.
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -151,6 +151,19 @@
 	return len(s.peers) + 1
 }
 
+// Rank returns how many other instances go before this one where one is enough.
+func (s *Sharer) Rank() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	rank := 0
+	for _, p := range s.peers {
+		if precedes(p.Instance, s.Self) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // TellWeights spreads that a server has taken new weights.
 func (s *Sharer) TellWeights(now time.Time, note WeightsNote) { s.weights.add(now, note) }
 
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -50,10 +50,12 @@
 	ListInterval time.Duration
 	// WatchWait is how long a watch waits for a change.
 	WatchWait time.Duration
-	// ChangePace is the least time between two watches of what changes rarely.
-	ChangePace time.Duration
-	// ServerPace is the time between two watches of the backend servers by all instances together.
-	ServerPace time.Duration
+	// Watchers is the number of instances that watch the platform for the others.
+	Watchers int
+	// InstanceInterval is the time between two readings of the list of instances by all instances together.
+	InstanceInterval time.Duration
+	// ServerInterval is the time between two readings of the backend servers by all instances together.
+	ServerInterval time.Duration
 	// RefreshInterval is the time between two readings of a whole list by all instances together.
 	RefreshInterval time.Duration
 }
@@ -202,8 +204,8 @@
 		},
 		Platform: Platform{
 			CallTimeout: 2 * time.Second, ListInterval: time.Second,
-			WatchWait: 10 * time.Second, ChangePace: 50 * time.Millisecond, ServerPace: 200 * time.Millisecond,
-			RefreshInterval: 500 * time.Millisecond,
+			WatchWait: 20 * time.Second, Watchers: 8, InstanceInterval: 2 * time.Second,
+			ServerInterval: 400 * time.Millisecond, RefreshInterval: 800 * time.Millisecond,
 		},
 		Peers: Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
