Give a restarted instance the levels of allowances before it is ready

Change: an instance is ready once others have told the levels, or after 0.6 s; it begins with a second's rate, and counts all others as within reach until they could have answered. Test: TestRestartedInstanceTakesOverLevels.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -310,7 +310,9 @@
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
 // isReady reports whether new connections shall come here.
-func (d *Daemon) isReady() bool { return d.directory.Table() != nil && !d.draining.Load() }
+func (d *Daemon) isReady() bool {
+	return d.directory.Table() != nil && !d.draining.Load() && d.sharer.KnowsLevels(d.clock())
+}
 
 // Run serves until the context ends, then stops without cutting a request.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -65,7 +65,7 @@
 	s.mutex.Lock()
 	state := &lrpeerpb.FleetState{
 		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, Revisions: map[string]uint64{},
-		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels,
+		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsFor,
 		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.process, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
 	}
 	sum := s.sumFor(now, p)
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -164,6 +164,16 @@
 	return rank
 }
 
+// levelsFor is how long an instance that has just started waits for others to tell the levels of allowances.
+const levelsFor = 600 * time.Millisecond
+
+// KnowsLevels reports whether the levels of allowances are known, or nobody can tell them.
+func (s *Sharer) KnowsLevels(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.wantsLevels || now.Sub(s.startedAt) > levelsFor
+}
+
 // TellWeights spreads that a server has taken new weights.
 func (s *Sharer) TellWeights(now time.Time, note WeightsNote) { s.weights.add(now, note) }
 
@@ -340,6 +350,11 @@
 	} else {
 		s.Limiter.Lost()
 	}
-	s.Limiter.SetShare(now, min(float64(others.reached+1)/float64(known), 1))
+	share := min(float64(others.reached+1)/float64(known), 1)
+	if now.Sub(s.startedAt) < reachableFor {
+		// The others have not been asked for long enough to tell that they are out of reach.
+		share = 1
+	}
+	s.Limiter.SetShare(now, share)
 	s.Directory.SetClosing(closing)
 }
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -198,3 +198,33 @@
 	requireEqual(t, "strength goes first", precedes(strong, weak), true)
 	requireEqual(t, "then the name", precedes(weak, Instance{Name: "b", Strength: 0.2}), true)
 }
+
+// TestRestartedInstanceTakesOverLevels restarts an instance while an account has used up half of its burst.
+func TestRestartedInstanceTakesOverLevels(t *testing.T) {
+	f := newTestFleet(3)
+	_, _ = f.find("b2").Limiter.Reserve(f.now, "school", 1, 1000, 1)
+	f.run(time.Second)
+	for _, s := range f.sharers {
+		_, _ = s.Limiter.Reserve(f.now, "school", 1, 1000, 50)
+	}
+	f.run(time.Second)
+	for n, s := range f.sharers {
+		if s.Self.Name != "c1" {
+			continue
+		}
+		self := s.Self
+		self.Process = "c1.2"
+		fresh := f.newSharer(self)
+		fresh.Limiter = lrlimit.NewShared(false)
+		fresh.wantsLevels = true
+		fresh.peers = s.peers
+		f.sharers[n] = fresh
+	}
+	f.run(300 * time.Millisecond)
+	fresh := f.find("c1")
+	requireEqual(t, "levels are known", fresh.KnowsLevels(f.now), true)
+	_, ok := fresh.Limiter.Reserve(f.now, "school", 1, 1000, 500)
+	requireEqual(t, "half of the burst is there", ok, true)
+	_, ok = fresh.Limiter.Reserve(f.now, "school", 1, 1000, 200)
+	requireEqual(t, "no more than that", ok, false)
+}
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -8,7 +8,7 @@
 )
 
 // firstLevel is the time whose refill an instance starts with when no other instance can tell it the level.
-const firstLevel = 500 * time.Millisecond
+const firstLevel = time.Second
 
 // Shared admits requests on one bucket a client account that all instances keep alike: each tells the others what it
 // has used in all. An instance that reaches only some of the others keeps to their part of the rate and burst, so that
