--- a/internal/lrmetric/deploy_test.go
+++ b/internal/lrmetric/deploy_test.go
@@ -25,11 +25,11 @@
 
 func TestEachAlertHasItsSection(t *testing.T) {
 	rules := readFile(t, "../../deploy/alerts.rules.yml")
-	page := readFile(t, "../../docs/OPERATING.md")
+	page := readFile(t, "../../docs/OPERATIONS.md")
 	for _, match := range regexp.MustCompile(`alert: (\w+)`).FindAllStringSubmatch(rules, -1) {
 		t.Run(match[1], func(t *testing.T) {
 			if !strings.Contains(page, "\n### "+match[1]+"\n") {
-				t.Fatal("docs/OPERATING.md has no section of this name")
+				t.Fatal("docs/OPERATIONS.md has no section of this name")
 			}
 		})
 	}
--- a/pages_test.go
+++ b/pages_test.go
@@ -22,6 +22,44 @@
 	}
 }
 
+// TestEveryLogMessageIsExplained finds each message of the instance on the platform in the page for the crew.
+func TestEveryLogMessageIsExplained(t *testing.T) {
+	page, err := os.ReadFile("docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, folder := range []string{"platform", "internal/lredge", "internal/lrfleet", "internal/lrpipeline", "internal/lrweights", "internal/lrlog"} {
+		for _, message := range logMessages(t, folder) {
+			if !strings.Contains(string(page), "`"+message+"`") {
+				t.Errorf("docs/OPERATIONS.md does not explain the message %q of %s", message, folder)
+			}
+		}
+	}
+}
+
+// logMessages returns the messages that the files of the folder write to the log.
+func logMessages(t *testing.T, folder string) []string {
+	t.Helper()
+	names, err := filepath.Glob(folder + "/*.go")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("files of %s: %v, %v", folder, names, err)
+	}
+	var messages []string
+	for _, n := range names {
+		if strings.HasSuffix(n, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, match := range regexp.MustCompile(`\.Msg\("([^"]+)"\)`).FindAllStringSubmatch(string(data), -1) {
+			messages = append(messages, match[1])
+		}
+	}
+	return messages
+}
+
 // testSource returns the text of all test files.
 func testSource(t *testing.T) string {
 	t.Helper()
--- a/pkg/lrsettings/page_test.go
+++ b/pkg/lrsettings/page_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestOperatingPageNamesEverySettingWithItsDefault(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -21,7 +21,7 @@
 			row := fmt.Sprintf("| `[%s] %s` | %s |", section, key, shownDefault(value))
 			t.Run(section+"."+key, func(t *testing.T) {
 				if !strings.Contains(string(page), row) {
-					t.Fatalf("docs/OPERATING.md has no row that starts with: %s", row)
+					t.Fatalf("docs/OPERATIONS.md has no row that starts with: %s", row)
 				}
 			})
 		}
