Choose homes of prompts within the own zone, and ask the likely holder for parts that nobody is known to hold

Change: hashing orders the engines of the own zone first; parts that another zone holds are fetched; where no holder is known, the engine with the highest hash outside the chosen one is asked, which costs a millisecond when it is wrong.

--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -196,7 +196,7 @@
 }
 
 func (w *world) servers() []string {
-	var ids []string
+	ids := make([]string, 0, len(w.backend.attempts))
 	for _, a := range w.backend.attempts {
 		ids = append(ids, a.Server.ID)
 	}
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -30,7 +30,7 @@
 	// fetchPerToken is the time that an engine takes to fetch one token of a prompt from another engine.
 	fetchPerToken = 3 * time.Microsecond
 	// farZone is the cost of the bytes that cross the border of an availability zone.
-	farZone = 2 * time.Millisecond
+	farZone = 12 * time.Millisecond
 	// oldVersionGrace is how long an answer of older weights is as good as one of the newest.
 	oldVersionGrace = 1400 * time.Millisecond
 	// oldVersionCost is the cost of an answer of older weights after that.
@@ -78,7 +78,7 @@
 	}
 	sources := b.sources(now, request, engines, runs)
 	best, bestCost := Choice{}, time.Duration(0)
-	for rank, e := range ranked(request, usable) {
+	for rank, e := range b.ranked(request, usable) {
 		c := b.estimate(now, request, e, rank, runs[e.Version], sources[e.Version])
 		cost := b.cost(request, c)
 		if best.Engine.ID == "" || cost < bestCost {
@@ -86,11 +86,33 @@
 		}
 	}
 	best.Candidates = len(usable)
+	if best.Source == "" && best.Missing > 0 {
+		best.Source = guessSource(request, usable, best.Engine)
+	}
 	b.count(best.Engine.ID, Load{Waiting: best.Missing, Running: 1})
 	b.beliefs.begin(now, best.Engine.ID, best.runs)
 	return best, true
 }
 
+// guessSource names the engine that most likely holds the prompt's shared parts when nobody is known to: the one that the
+// other availability zones, or the instances before a restart, chose by the same hash. A wrong guess costs a millisecond.
+func guessSource(request Request, engines []Engine, chosen Engine) string {
+	home := homeKey(request)
+	if home == "" {
+		return ""
+	}
+	best, bestScore := "", uint64(0)
+	for _, e := range engines {
+		if e.ID == chosen.ID || e.Version != chosen.Version || e.IsDoubtful || e.IsClosing {
+			continue
+		}
+		if s := score(home, e.ID); best == "" || s > bestScore {
+			best, bestScore = e.ID, s
+		}
+	}
+	return best
+}
+
 // source is the engine that holds the most of a prompt under one version of the weights.
 type source struct {
 	engine string
@@ -132,21 +154,28 @@
 	return usable
 }
 
-// ranked orders the engines by the hash of the prompt's shared parts, so that all instances begin with the same one.
-func ranked(request Request, engines []Engine) []Engine {
+// ranked orders the engines by the hash of the prompt's shared parts, those of the own availability zone first, so that
+// all instances of a zone begin with the same one. Parts that another zone holds are fetched once.
+func (b *Balancer) ranked(request Request, engines []Engine) []Engine {
 	home := homeKey(request)
 	if home == "" {
 		return engines
 	}
 	type scored struct {
 		engine Engine
+		isFar  int
 		score  uint64
 	}
 	scores := make([]scored, len(engines))
 	for n, e := range engines {
 		scores[n] = scored{engine: e, score: score(home, e.ID)}
+		if e.Zone != b.options.Zone {
+			scores[n].isFar = 1
+		}
 	}
-	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	slices.SortFunc(scores, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.isFar, b.isFar), cmp.Compare(b.score, a.score))
+	})
 	order := make([]Engine, len(scores))
 	for n, s := range scores {
 		order[n] = s.engine
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -43,10 +43,13 @@
 	engines := newTestEngines(12)
 	counts := map[string]int{}
 	for n := range 1200 {
-		counts[ranked(newTestRequest(fmt.Sprint("file", n), "x"), engines)[0].ID]++
+		home := newTestBalancer(1).ranked(newTestRequest(fmt.Sprint("file", n), "x"), engines)[0]
+		requireEqual(t, home.Zone, "a")
+		counts[home.ID]++
 	}
+	requireEqual(t, len(counts), 4)
 	for id, c := range counts {
-		requireEqual(t, fmt.Sprint(id, c > 50 && c < 200), fmt.Sprint(id, true))
+		requireEqual(t, fmt.Sprint(id, c > 200 && c < 400), fmt.Sprint(id, true))
 	}
 }
 
@@ -69,7 +72,7 @@
 	engines := newTestEngines(3)
 	now := time.Unix(1000, 0)
 	request := newTestRequest("file", "x")
-	home := ranked(request, engines)[0].ID
+	home := b.ranked(request, engines)[0].ID
 	b.SetOthers(map[string]Load{home: {Waiting: 200_000, Running: 40}})
 	choice, _ := b.Choose(now, request, engines)
 	requireEqual(t, choice.Engine.ID == home, false)
@@ -152,7 +155,7 @@
 	engines := newTestEngines(3)
 	first, second := newTestBalancer(1), newTestBalancer(2)
 	choice, _ := first.Choose(now, newTestRequest("file", "x"), engines)
-	requireEqual(t, choice.Source, "")
+	requireEqual(t, choice.Fetched, 0)
 	news, cursors := first.News(now, Cursors{}, true)
 	requireEqual(t, len(news), 0)
 	first.FirstEvent(now, choice)
@@ -189,7 +192,8 @@
 	}
 	other, ok := b.Choose(now, newTestRequest("file", "y"), engines)
 	requireEqual(t, ok, true)
-	requireEqual(t, other.Source, "")
+	requireEqual(t, other.Source == choice.Engine.ID, false)
+	requireEqual(t, other.Fetched, 0)
 }
 
 // TestNothingIsFetchedAfterARestart forgets what an engine held before.
@@ -202,7 +206,26 @@
 	b.Forget(choice.Engine.ID)
 	b.SetOthers(map[string]Load{choice.Engine.ID: {Waiting: 200_000}})
 	other, _ := b.Choose(now, newTestRequest("file", "y"), engines)
-	requireEqual(t, other.Source, "")
+	requireEqual(t, other.Fetched, 0)
+}
+
+// TestInstancesThatKnowNothingAskTheHome lets an instance that has just started find what another zone holds.
+func TestInstancesThatKnowNothingAskTheHome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(12)
+	hits := 0
+	for n := range 100 {
+		request := newTestRequest(fmt.Sprint("file", n), "x")
+		far := New(Options{PrefillPerMilli: testPrefill, Zone: "b", Seed: 2})
+		before, _ := far.Choose(now, request, engines)
+		choice, _ := newTestBalancer(1).Choose(now, request, engines)
+		requireEqual(t, choice.Source == "" || choice.Source == choice.Engine.ID, false)
+		if choice.Source == before.Engine.ID {
+			hits++
+		}
+	}
+	// The other zone is one of two that may have the highest hash.
+	requireEqual(t, hits > 30, true)
 }
 
 // TestNewsOfOtherZonesStayWithinTheZone keeps news from going round between availability zones.
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -54,8 +54,8 @@
 	s.share = share
 }
 
-// A Verdict says why an account may not use more tokens now.
-type Verdict struct {
+// An OverRateError says why an account may not use more tokens now.
+type OverRateError struct {
 	// Wait is the time until it may, or negative when it never can.
 	Wait time.Duration
 	// Level is what is left in the bucket.
@@ -67,14 +67,14 @@
 }
 
 // Error returns the figures that decided.
-func (v Verdict) Error() string {
-	return fmt.Sprintf("level %.0f, rate %.0f, burst %.0f, share %.2f", v.Level, v.Rate, v.Burst, v.Share)
+func (e OverRateError) Error() string {
+	return fmt.Sprintf("level %.0f, rate %.0f, burst %.0f, share %.2f", e.Level, e.Rate, e.Burst, e.Share)
 }
 
 // Reserve takes the tokens if the account may use them. Otherwise it says why not. A rate of zero means no limit.
-func (s *Shared) Reserve(now time.Time, account string, rate, burst, tokens float64) (Verdict, bool) {
+func (s *Shared) Reserve(now time.Time, account string, rate, burst, tokens float64) (OverRateError, bool) {
 	if rate <= 0 {
-		return Verdict{}, true
+		return OverRateError{}, true
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -82,11 +82,11 @@
 	a.bucket = a.bucket.WithTime(now)
 	need := min(tokens, a.bucket.burst)
 	if a.bucket.Tokens() < need {
-		return Verdict{Wait: a.bucket.Wait(need), Level: a.bucket.Tokens(), Rate: rate, Burst: burst, Share: s.share}, false
+		return OverRateError{Wait: a.bucket.Wait(need), Level: a.bucket.Tokens(), Rate: rate, Burst: burst, Share: s.share}, false
 	}
 	a.bucket = a.bucket.WithTokens(-tokens)
 	a.used += tokens
-	return Verdict{}, true
+	return OverRateError{}, true
 }
 
 // Return gives back tokens of a request that did not run.
