Count attention in the estimate of long prompts, and what is late more than what waits

Change: pairs of tokens count 0.275 ms a million; a wait above 0.7 of the wanted time costs three times as much; a restarted instance waits 0.3 s for levels.

--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -165,7 +165,7 @@
 }
 
 // levelsFor is how long an instance that has just started waits for others to tell the levels of allowances.
-const levelsFor = 600 * time.Millisecond
+const levelsFor = 300 * time.Millisecond
 
 // KnowsLevels reports whether the levels of allowances are known, or nobody can tell them.
 func (s *Sharer) KnowsLevels(now time.Time) bool {
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -120,6 +120,7 @@
 	}
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Output: r.OutputTokens, Excluded: excluded,
+		Target: r.route.TargetLatency - p.Clock().Sub(r.Received),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -37,8 +37,13 @@
 	oldVersionCost = 400 * time.Millisecond
 	// oldVersionEnd is the time from which on a request must not begin on older weights.
 	oldVersionEnd = 5200 * time.Millisecond
+	// targetShare is the part of the wanted time above which each further wait costs lateWeight times as much.
+	targetShare = 0.7
+	lateWeight  = 3.0
 	// doubtCost keeps requests in reach of the instance while its availability zone seems to be cut off.
 	doubtCost = 300 * time.Millisecond
+	// attentionPerMillionPairs is the time that an engine takes for the attention between a million pairs of tokens.
+	attentionPerMillionPairs = 275 * time.Microsecond
 	// slotCost is the cost of each request above the slots of a backend server.
 	slotCost = 50 * time.Millisecond
 )
@@ -89,7 +94,8 @@
 	if best.Source == "" && best.Missing > 0 {
 		best.Source = guessSource(request, usable, best.Engine)
 	}
-	b.count(best.Engine.ID, Load{Waiting: best.Missing, Running: 1})
+	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
+	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
 	b.beliefs.begin(now, best.Engine.ID, best.runs)
 	return best, true
 }
@@ -223,7 +229,7 @@
 		c.Missing = min(c.Missing, request.Tokens-int(homeShare*float64(sharedTokens(runs))))
 	}
 	load := b.load(engine.ID)
-	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + time.Duration(c.Fetched)*fetchPerToken +
+	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, request.Tokens) + time.Duration(c.Fetched)*fetchPerToken +
 		time.Duration(load.Running)*decodeSlowdown
 	if engine.Slots > 0 && load.Running >= engine.Slots {
 		c.Wait += time.Duration(load.Running-engine.Slots+1) * slotCost
@@ -247,6 +253,10 @@
 	if choice.Engine.OutdatedFor > oldVersionGrace {
 		cost += oldVersionCost
 	}
+	late := choice.Wait - time.Duration(targetShare*float64(request.Target))
+	if request.Target > 0 && late > 0 {
+		cost += time.Duration(lateWeight * float64(late))
+	}
 	if choice.Engine.IsDoubtful {
 		cost += doubtCost
 	}
@@ -260,6 +270,13 @@
 	return time.Duration(float64(tokens) / b.options.PrefillPerMilli * float64(time.Millisecond))
 }
 
+// attention returns the time by which the missing tokens take longer to compute in a long prompt: each one looks at all
+// before it.
+func (b *Balancer) attention(missing, total int) time.Duration {
+	pairs := float64(missing) * (float64(total) - float64(missing)/2)
+	return time.Duration(pairs / 1e6 * float64(attentionPerMillionPairs))
+}
+
 func (b *Balancer) load(engine string) Load {
 	return b.own[engine].Plus(b.others[engine])
 }
@@ -276,7 +293,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.beliefs.ready(now, choice.Engine.ID, choice.runs)
-	b.count(choice.Engine.ID, Load{Waiting: -choice.Missing})
+	b.count(choice.Engine.ID, Load{Waiting: -choice.work})
 }
 
 // End tells that a request has ended. Its prompt was computed if its first event has come.
@@ -285,7 +302,7 @@
 	defer b.mutex.Unlock()
 	load := Load{Running: -1}
 	if !computed {
-		load.Waiting = -choice.Missing
+		load.Waiting = -choice.work
 	}
 	b.count(choice.Engine.ID, load)
 }
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -37,6 +37,8 @@
 	Tokens int
 	// Output is the largest number of tokens that are generated.
 	Output int
+	// Target is the time within which the caller wants the first event. Zero means that it does not say.
+	Target time.Duration
 	// Excluded are backend servers that have failed this request.
 	Excluded map[string]bool
 }
@@ -69,5 +71,7 @@
 	Source string
 	// Fetched are the prompt tokens that come from there.
 	Fetched int
-	runs    []prefix
+	// work is the time of the computation, in tokens of a short prompt.
+	work int
+	runs []prefix
 }
