Take over the lease sooner, hurry late rollouts, and begin nothing too late on old weights

Cause, from the trace: the holder was removed as the version was named; its successor held the lease 2.5 s later, since it first looked when the holder was missed; under three hot accounts each engine took 1.2 to 2.3 s to finish its runs; the request was sent 4.7 s after the naming to an engine with 1.3 s of queue. An instance that joined later counted from its own start. Ruled out: lost orders (all were begun at the first try). Change: three instances look at the lease each 0.5 s; from 2.8 s on half of the engines change at once and runs go on under the new weights; a request goes to an engine of old weights only if it begins there within 5 s of the naming; instances tell one another how long versions have been wanted.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -71,6 +71,10 @@
 	rolloutLease = "rollout"
 	// contendPause is the time between two looks at the lease while nobody is known to hold it.
 	contendPause = 250 * time.Millisecond
+	// standbys is the number of instances that look at the lease all the time, so that one of them takes over as soon as it
+	// has lapsed, and standbyPause the time between two looks.
+	standbys     = 3
+	standbyPause = 500 * time.Millisecond
 	// rolloutPause is the time between two looks at the engines.
 	rolloutPause = 25 * time.Millisecond
 	// sharePause is the time between two looks at which instances are due for an exchange.
@@ -121,8 +125,10 @@
 	instances *lrfleet.Follower[lrfleet.Instance]
 
 	supervisor *lrsupervise.Supervisor
-	// lastHolder is when another holder of the lease was last known. Only keepLease uses it.
+	// lastHolder is when another holder of the lease was last known, and leaseLook when the lease was last looked at.
+	// Only keepLease uses them.
 	lastHolder time.Time
+	leaseLook  time.Time
 	draining   atomic.Bool
 	running    atomic.Int64
 	idler      *lrframe.Idler
@@ -202,7 +208,8 @@
 	d.keeper = lrlease.NewKeeper(d.ports.Store, rolloutLease, d.settings.Instance.Name, o.LeaseValidity, lrclock.Boot)
 	d.weights = lrweights.NewDuty(lrweights.Parts{
 		Instance: d.settings.Instance.Name, Keeper: d.keeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
-		Options: lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share}, LeaseClock: lrclock.Boot, Log: d.log,
+		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter},
+		LeaseClock: lrclock.Boot, Log: d.log,
 		Tell: func(now time.Time, note lrfleet.WeightsNote) { d.sharer.TellWeights(now, note) },
 	})
 	d.supervisor.Add("keepLease", lrsupervise.Every(contendPause, d.keepLease))
@@ -211,7 +218,9 @@
 
 // keepLease renews the lease, or contends for it while no other instance is known to hold it.
 func (d *Daemon) keepLease(ctx context.Context, now time.Time) {
-	if d.weights.IsHolder(now) || !d.sharer.HolderHeard(now) && now.Sub(d.lastHolder) > d.turnDelay() {
+	isStandby := d.sharer.Rank() < standbys && now.Sub(d.leaseLook) >= standbyPause
+	if d.weights.IsHolder(now) || isStandby || !d.sharer.HolderHeard(now) && now.Sub(d.lastHolder) > d.turnDelay() {
+		d.leaseLook = now
 		d.stepLease(ctx)
 	}
 	if d.sharer.HolderHeard(now) {
--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -1,6 +1,7 @@
 package lrfleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -131,8 +132,46 @@
 	d.log.Info().Str("model", model).Int64("version", version).Msg("fleet: weights are wanted")
 }
 
+// WantedAges returns how long each version that is remembered has been wanted.
+func (d *Directory) WantedAges(now time.Time) []WantedAge {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var ages []WantedAge
+	for model, named := range d.wanted {
+		for _, w := range named {
+			ages = append(ages, WantedAge{Wanted: Wanted{Model: model, Version: w.version}, Age: now.Sub(w.since)})
+		}
+	}
+	return ages
+}
+
+// NoteWantedAge takes in how long another instance knows a version to have been wanted. An instance that has just started
+// would count from its own start.
+func (d *Directory) NoteWantedAge(now time.Time, age WantedAge) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	since := now.Add(-age.Age)
+	named := d.wanted[age.Model]
+	at, known := slices.BinarySearchFunc(named, age.Version, func(w wantedVersion, version int64) int {
+		return cmp.Compare(w.version, version)
+	})
+	if known {
+		if since.Before(named[at].since) {
+			named[at].since = since
+		}
+		return
+	}
+	d.wanted[age.Model] = slices.Insert(named, at, wantedVersion{version: age.Version, since: since})
+}
+
+// A WantedAge tells how long a version has been wanted.
+type WantedAge struct {
+	Wanted
+	Age time.Duration
+}
+
 // maxNamed is the number of named versions that are remembered beside the newest.
-const maxNamed = 32
+const maxNamed = 8
 
 // OutdatedFor returns how long a newer version of the model's weights than the given one has been wanted.
 func (d *Directory) OutdatedFor(now time.Time, model string, version int64) time.Duration {
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -11,6 +11,9 @@
 // maxReadAge is the greatest age that is told.
 const maxReadAge = time.Hour
 
+// maxWantedAge is the age up to which other instances are told of wanted weights.
+const maxWantedAge = 20 * time.Second
+
 // exchange calls another instance.
 func (s *Sharer) exchange(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -81,6 +84,13 @@
 		state.Revisions[name] = f.Latest()
 		state.ReadAges[name] = uint32(min(f.ReadAge(now), maxReadAge).Milliseconds())
 	}
+	for _, w := range s.Directory.WantedAges(now) {
+		if w.Age < maxWantedAge {
+			state.Wanted = append(state.Wanted, &lrpeerpb.WantedNote{
+				Model: w.Model, Version: w.Version, AgeMillis: uint32(w.Age.Milliseconds()),
+			})
+		}
+	}
 	for _, w := range s.weights.news(now) {
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
 	}
@@ -163,6 +173,11 @@
 	if adopt {
 		s.Limiter.Adopt(now, state.GetLevels())
 	}
+	for _, w := range state.GetWanted() {
+		s.Directory.NoteWantedAge(now, WantedAge{
+			Wanted: Wanted{Model: w.GetModel(), Version: w.GetVersion()}, Age: time.Duration(w.GetAgeMillis()) * time.Millisecond,
+		})
+	}
 	for _, w := range state.GetWeights() {
 		s.weights.add(now, WeightsNote{Server: w.GetServer(), Model: w.GetModel(), Version: w.GetVersion()})
 		s.Directory.NoteVersion(w.GetServer(), w.GetModel(), w.GetVersion())
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -45,7 +45,7 @@
 	Versions map[string]int64
 }
 
-// An Order tells an engine to take new weights. The runs that are under way finish first.
+// An Order tells an engine to take new weights.
 type Order struct {
 	Model   string
 	Version int64
@@ -53,6 +53,8 @@
 	Fence   uint64
 	// Accepted is the number of accepted orders at which the order still holds.
 	Accepted int64
+	// KeepsRuns makes the runs that are under way go on under the new weights at once, instead of finishing first.
+	KeepsRuns bool
 }
 
 // Result is what an engine answers to an order.
@@ -170,11 +172,21 @@
 		}
 		engines = append(engines, lrrollout.Engine{
 			ID: s.ID, Service: s.Service, Versions: s.Versions, Running: d.Balancer.Load(s.ID).Running,
+			OutdatedFor: d.outdatedFor(now, s),
 		})
 	}
 	return lrrollout.Next(d.Options, engines, d.Directory.WantedVersions(), d.busy)
 }
 
+// outdatedFor returns how long newer weights of any of the server's models have been wanted.
+func (d *Duty) outdatedFor(now time.Time, server lrfleet.Server) time.Duration {
+	oldest := time.Duration(0)
+	for model, version := range server.Versions {
+		oldest = max(oldest, d.Directory.OutdatedFor(now, model, version))
+	}
+	return oldest
+}
+
 // change brings one engine to the version, or gives up for a while.
 func (d *Duty) change(ctx context.Context, server lrfleet.Server, step lrrollout.Step) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -208,7 +220,9 @@
 		return true
 	}
 	d.setClosing(server.ID)
-	d.awaitEmpty(ctx, server.ID)
+	if !step.IsLate {
+		d.awaitEmpty(ctx, server.ID)
+	}
 	return d.order(ctx, server, step, state)
 }
 
@@ -241,6 +255,7 @@
 			}
 			result := d.give(ctx, server, Order{
 				Model: step.Model, Version: step.Version, Holder: d.Instance, Fence: grant.Fence, Accepted: state.Accepted,
+				KeepsRuns: step.IsLate,
 			})
 			switch result {
 			case Fenced, Refused:
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -35,8 +35,8 @@
 	oldVersionGrace = 1400 * time.Millisecond
 	// oldVersionCost is the cost of an answer of older weights after that.
 	oldVersionCost = 400 * time.Millisecond
-	// oldVersionEnd is the time from which on a request must not begin on older weights.
-	oldVersionEnd = 5200 * time.Millisecond
+	// oldVersionEnd is the time from which on a request must not begin on older weights, its wait at the engine included.
+	oldVersionEnd = 5 * time.Second
 	// targetShare is the part of the wanted time above which each further wait costs lateWeight times as much.
 	targetShare = 0.7
 	lateWeight  = 3.0
@@ -85,14 +85,20 @@
 	best, bestCost := Choice{}, time.Duration(0)
 	for rank, e := range b.ranked(request, usable) {
 		c := b.estimate(now, request, e, rank, runs[e.Version], sources[e.Version])
+		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > oldVersionEnd {
+			continue
+		}
 		cost := b.cost(request, c)
 		if best.Engine.ID == "" || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
+	if best.Engine.ID == "" {
+		return Choice{}, false
+	}
 	best.Candidates = len(usable)
-	if best.Source == "" && best.Missing > 0 {
-		best.Source = guessSource(request, usable, best.Engine)
+	if best.Source == "" {
+		best.Source = b.secondSource(now, request, usable, best)
 	}
 	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
@@ -100,20 +106,22 @@
 	return best, true
 }
 
-// guessSource names the engine that most likely holds the prompt's shared parts when nobody is known to: the one that the
-// other availability zones, or the instances before a restart, chose by the same hash. A wrong guess costs a millisecond.
-func guessSource(request Request, engines []Engine, chosen Engine) string {
+// secondSource names an engine to ask for what the chosen one may have evicted: another one that is known to hold the
+// shared parts, or else the one that the other availability zones, or the instances before a restart, chose by the same
+// hash. Nothing moves while the chosen engine holds the parts, and a wrong guess costs a millisecond.
+func (b *Balancer) secondSource(now time.Time, request Request, engines []Engine, chosen Choice) string {
 	home := homeKey(request)
 	if home == "" {
 		return ""
 	}
-	best, bestScore := "", uint64(0)
+	best, bestTokens, bestScore := "", 0, uint64(0)
 	for _, e := range engines {
-		if e.ID == chosen.ID || e.Version != chosen.Version || e.IsDoubtful || e.IsClosing {
+		if e.ID == chosen.Engine.ID || e.Version != chosen.Engine.Version || e.IsDoubtful || e.IsClosing {
 			continue
 		}
-		if s := score(home, e.ID); best == "" || s > bestScore {
-			best, bestScore = e.ID, s
+		tokens, s := b.beliefs.fetchable(now, e.ID, chosen.runs), score(home, e.ID)
+		if best == "" || tokens > bestTokens || tokens == bestTokens && s > bestScore {
+			best, bestTokens, bestScore = e.ID, tokens, s
 		}
 	}
 	return best
@@ -147,7 +155,7 @@
 	for _, e := range engines {
 		switch {
 		case request.Excluded[e.ID]:
-		case e.OutdatedFor > oldVersionEnd:
+		case e.OutdatedFor >= oldVersionEnd:
 		case e.IsClosing:
 			closing = append(closing, e)
 		default:
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -91,6 +91,7 @@
 		{"costs later", 20_000, 2 * time.Second, false},
 		{"is used later when the other is full", 100_000, 2 * time.Second, true},
 		{"takes nothing in the end", 100_000, 6 * time.Second, false},
+		{"takes nothing that would begin too late", 400_000, 4950 * time.Millisecond, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/lrrollout/plan_test.go
+++ b/pkg/lrrollout/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 func newTestEngines(versions ...int64) []Engine {
@@ -24,10 +25,10 @@
 	}{
 		{"nothing is named", newTestEngines(1, 1), nil, nil, "[]"},
 		{"all are there", newTestEngines(2, 2), map[string]int64{"m": 2}, nil, "[]"},
-		{"the least busy go first", newTestEngines(1, 1, 1), map[string]int64{"m": 2}, nil, "[{e2 m 2} {e1 m 2}]"},
-		{"the oldest go first", newTestEngines(1, 2, 2), map[string]int64{"m": 3}, nil, "[{e0 m 3} {e2 m 3}]"},
-		{"versions in between are skipped", newTestEngines(1), map[string]int64{"m": 7}, nil, "[{e0 m 7}]"},
-		{"those that change count", newTestEngines(1, 1, 1), map[string]int64{"m": 2}, map[string]bool{"e0": true}, "[{e2 m 2}]"},
+		{"the least busy go first", newTestEngines(1, 1, 1), map[string]int64{"m": 2}, nil, "[{e2 m 2 false} {e1 m 2 false}]"},
+		{"the oldest go first", newTestEngines(1, 2, 2), map[string]int64{"m": 3}, nil, "[{e0 m 3 false} {e2 m 3 false}]"},
+		{"versions in between are skipped", newTestEngines(1), map[string]int64{"m": 7}, nil, "[{e0 m 7 false}]"},
+		{"those that change count", newTestEngines(1, 1, 1), map[string]int64{"m": 2}, map[string]bool{"e0": true}, "[{e2 m 2 false}]"},
 		{"no room", newTestEngines(1, 1, 1), map[string]int64{"m": 2}, map[string]bool{"e0": true, "e1": true}, "[]"},
 		{"other models are left alone", newTestEngines(1, 1), map[string]int64{"n": 2}, nil, "[]"},
 	}
@@ -38,6 +39,22 @@
 	}
 }
 
+// TestLateRolloutGoesFaster follows a holder that died: its successor begins late and has less time.
+func TestLateRolloutGoesFaster(t *testing.T) {
+	options := Options{MinAtOnce: 1, Share: 0.25, LateShare: 0.5, LateAfter: 2 * time.Second}
+	engines := newTestEngines(1, 1, 1, 1, 1, 1, 1, 1)
+	for n := range engines {
+		engines[n].OutdatedFor = time.Second
+	}
+	requireEqual(t, len(Next(options, engines, map[string]int64{"m": 2}, nil)), 2)
+	for n := range engines {
+		engines[n].OutdatedFor = 3 * time.Second
+	}
+	late := Next(options, engines, map[string]int64{"m": 2}, nil)
+	requireEqual(t, len(late), 4)
+	requireEqual(t, late[0].IsLate, true)
+}
+
 func requireEqual[T comparable](t *testing.T, got, want T) {
 	t.Helper()
 	if got != want {
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -158,6 +158,9 @@
 	MinAtOnce int
 	// Share is the part of a model's engines that may take new weights at the same time.
 	Share float64
+	// LateShare is that part once weights have been outdated for LateAfter. Their requests are not waited for any more.
+	LateShare float64
+	LateAfter time.Duration
 }
 
 // Retries bounds how often requests are sent once more, over all instances.
@@ -224,7 +227,7 @@
 		Limits: Limits{GrantValidity: time.Second, LeaseValidity: 15 * time.Second, MaxWait: 2 * time.Second},
 		Orders: Orders{
 			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
-			ValidFor: 2 * time.Second, Settle: 5 * time.Second, MinAtOnce: 2, Share: 0.34,
+			ValidFor: 2 * time.Second, Settle: 5 * time.Second, MinAtOnce: 2, Share: 0.34, LateShare: 0.5, LateAfter: 2800 * time.Millisecond,
 		},
 		Retries: Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
 		Paid:    Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
