--- a/internal/lrcommand/edge.go
+++ b/internal/lrcommand/edge.go
@@ -27,6 +27,8 @@
 	}
 	command.Flags().StringVar(&path, "settings", os.Getenv(envSettings), "INI file with the settings (or "+envSettings+")")
 	command.RunE = func(c *cobra.Command, _ []string) error {
+		// A reload signal that comes before the start is over must not end the process.
+		signal.Ignore(syscall.SIGHUP)
 		settings, err := readSettings(path)
 		if err != nil {
 			return err
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -187,7 +187,7 @@
 	instances := options(feedInstances, p.InstanceInterval)
 	instances.Watches = func() bool { return false }
 	d.instances = lrfleet.NewFollower(d.ports.Instances, instances, d.log,
-		func(_ time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(entries) })
+		func(now time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(now, entries) })
 	d.supervisor.Add("followTables", d.tables.Run)
 	d.supervisor.Add("followServers", d.servers.Run)
 	d.supervisor.Add("followWanted", d.wanted.Run)
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -47,14 +47,11 @@
 	now := s.Clock()
 	s.hear(now, state, false)
 	s.mutex.Lock()
-	p, known := s.peers[state.GetName()]
-	if known && state.GetHeardProcess() == s.Self.Process {
+	p := s.peerOf(state)
+	if state.GetHeardProcess() == s.Self.Process {
 		p.sent = lrbalance.Cursors{Near: state.GetHeardNear(), Far: state.GetHeardFar()}
 	}
 	s.mutex.Unlock()
-	if !known {
-		p = &peer{Instance: Instance{Name: state.GetName(), Zone: state.GetZone()}}
-	}
 	reply, _ := s.stateFor(now, p)
 	if state.GetWantsLevels() && !reply.GetWantsLevels() {
 		reply.Levels = s.Limiter.Levels(now)
@@ -67,8 +64,9 @@
 	isNear := p.Zone == s.Self.Zone
 	s.mutex.Lock()
 	state := &lrpeerpb.FleetState{
-		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, Revisions: map[string]uint64{},
-		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsFor,
+		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
+		Revisions: map[string]uint64{},
+		ReadAges:  map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsFor,
 		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.process, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
 	}
 	sum := s.sumFor(now, p)
@@ -192,11 +190,9 @@
 func (s *Sharer) noteHeard(now time.Time, state *lrpeerpb.FleetState, sum tally, isAnswer bool) (adopt bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	p, known := s.peers[state.GetName()]
-	if known {
-		p.heardAt, p.process = now, state.GetProcess()
-		p.heard = lrbalance.Cursors{Near: state.GetNextNear(), Far: state.GetNextFar()}
-	}
+	p := s.peerOf(state)
+	p.heardAt, p.process = now, state.GetProcess()
+	p.heard = lrbalance.Cursors{Near: state.GetNextNear(), Far: state.GetNextFar()}
 	switch {
 	case state.GetZone() != s.Self.Zone:
 		s.zones.set(now, state.GetZone(), state.GetProcess(), sum)
@@ -216,6 +212,21 @@
 	return adopt
 }
 
+// peerOf returns the sender of the state. One that the list does not name yet is known from now on, since it may be the
+// only one from which the newer list can be read. It must be called with the mutex held.
+func (s *Sharer) peerOf(state *lrpeerpb.FleetState) *peer {
+	p, known := s.peers[state.GetName()]
+	if known {
+		return p
+	}
+	p = &peer{Instance: Instance{
+		Name: state.GetName(), Zone: state.GetZone(), PeerAddress: state.GetPeerAddress(), Process: state.GetProcess(), Strength: state.GetStrength(),
+	}}
+	s.peers[p.Name] = p
+	s.Log.Info().Str("peer", p.Name).Str("zone", p.Zone).Str("address", p.PeerAddress).Msg("fleet: instance heard before it was listed")
+	return p
+}
+
 // noteRollout must be called with the mutex held.
 func (s *Sharer) noteRollout(now time.Time, told *lrpeerpb.RolloutState) {
 	if told == nil || told.GetHolder() == s.Self.Name {
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// SetInstances takes in the instances that the platform lists.
-func (s *Sharer) SetInstances(listed map[string]Instance) {
+// SetInstances takes in the instances that the platform lists. Others stay known while they are heard.
+func (s *Sharer) SetInstances(now time.Time, listed map[string]Instance) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for name, i := range listed {
@@ -137,8 +137,8 @@
 		}
 		p.Instance = i
 	}
-	for name := range s.peers {
-		if _, ok := listed[name]; !ok {
+	for name, p := range s.peers {
+		if _, ok := listed[name]; !ok && now.Sub(p.heardAt) > reachableFor {
 			delete(s.peers, name)
 		}
 	}
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -39,7 +39,7 @@
 		}
 	}
 	for _, s := range f.sharers {
-		s.SetInstances(listed)
+		s.SetInstances(f.now, listed)
 	}
 	return f
 }
@@ -228,3 +228,22 @@
 	_, ok = fresh.Limiter.Reserve(f.now, "school", 1, 1000, 200)
 	requireEqual(t, "no more than that", ok, false)
 }
+
+// TestInstanceThatIsNotListedIsHeard leaves the relay of another zone out of an instance's list, which it can only read
+// from that relay.
+func TestInstanceThatIsNotListedIsHeard(t *testing.T) {
+	f := newTestFleet(3)
+	b0 := f.find("b0")
+	listed := map[string]Instance{}
+	for name, p := range b0.peers {
+		if name != "a0" {
+			listed[name] = p.Instance
+		}
+	}
+	b0.SetInstances(f.now, listed)
+	requireEqual(t, "listed", len(b0.peers), 7)
+	f.run(2 * time.Second)
+	b0.SetInstances(f.now, listed)
+	requireEqual(t, "known", b0.Instances(), 9)
+	requireEqual(t, "address", b0.peers["a0"].PeerAddress, "127.0.0.1:1")
+}
