--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -13,13 +13,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrclock"
-	"github.com/lavenderrouter/lavenderrouter/internal/lrconn"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrlease"
@@ -37,27 +35,6 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
-// Ports are how the outside is reached. They translate and decide nothing.
-type Ports struct {
-	Tables lrfleet.Feed[lrtable.Spec]
-	// TableName is the name of the routing table in force among the tables.
-	TableName string
-	Servers   lrfleet.Feed[lrfleet.Server]
-	Wanted    lrfleet.Feed[lrfleet.Wanted]
-	Instances lrfleet.Feed[lrfleet.Instance]
-	Store     lrplatform.Store
-	// InstancesKind is the kind under which instances register themselves in the store.
-	InstancesKind string
-	Backend       lrpipeline.Backend
-	Engines       lrweights.Engines
-	Connections   *lrconn.Pool
-	// Collectors are metrics of the ports, and Duties work that they do in the background.
-	Collectors []prometheus.Collector
-	Duties     map[string]lrsupervise.Duty
-	// Handler returns the handler of callers.
-	Handler func(pipeline *lrpipeline.Pipeline, maxBody func() int64) http.Handler
-}
-
 // The names of the feeds.
 const (
 	feedTables    = "tables"
@@ -90,11 +67,6 @@
 	registerPause = 500 * time.Millisecond
 	// retainPause is the time between two closings of connections that are not needed.
 	retainPause = time.Second
-	// drainMargin is the time between the end of a planned stop and the moment at which the process is killed.
-	drainMargin = 400 * time.Millisecond
-	// lastQuiet is how long no request may run before the process ends, and lastPoll the time between two looks.
-	lastQuiet = 250 * time.Millisecond
-	lastPoll  = 10 * time.Millisecond
 	// metricsPath is where metrics are served.
 	metricsPath = "/metrics"
 )
@@ -369,18 +341,6 @@
 	}
 }
 
-// closeWhileDraining ends each kept connection with its next answer once a planned stop has begun.
-func (d *Daemon) closeWhileDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.running.Add(1)
-		defer d.running.Add(-1)
-		if d.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 type listeners struct{ callers, admin, metrics, peers net.Listener }
 
 func (d *Daemon) listen() (listeners, error) {
@@ -401,36 +361,3 @@
 	}
 	return l, nil
 }
-
-// drain ends readiness, waits until the balancer has seen it, and lets every running request finish.
-func (d *Daemon) drain(callers net.Listener) {
-	s := d.settings.Server
-	d.draining.Store(true)
-	d.log.Info().Dur("delay", s.DrainDelay).Dur("timeout", s.DrainTimeout).Msg("edge: draining")
-	ctx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout-drainMargin)
-	defer cancel()
-	release, stop := context.WithTimeout(ctx, s.DrainDelay)
-	err := d.keeper.Release(release)
-	if err != nil {
-		d.log.Warn().Err(err).Msg("weights: lease not handed back")
-	}
-	<-release.Done()
-	stop()
-	_ = callers.Close()
-	d.awaitLast(ctx)
-	if running := d.running.Load(); running > 0 {
-		d.log.Error().Int64("requests", running).Msg("edge: requests were cut")
-	}
-}
-
-// awaitLast lets every request finish and closes each connection once it carries none.
-func (d *Daemon) awaitLast(ctx context.Context) {
-	quiet := time.Duration(0)
-	for quiet < lastQuiet && ctx.Err() == nil {
-		lrsupervise.Sleep(ctx, lastPoll)
-		quiet += lastPoll
-		if d.idler.CloseIdle(time.Now()) > 0 || d.running.Load() > 0 {
-			quiet = 0
-		}
-	}
-}
