Let an instance that lags behind a feed read it for itself

Change: the age of a reading counts only where its revision has come. Test: TestInstanceThatLagsBehindReadsForItself.

--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -163,7 +163,8 @@
 	}
 	for name, f := range s.Feeds {
 		age, ok := state.GetReadAges()[name]
-		if ok {
+		// What others have read is of use only once it has come here: an instance that lags behind reads for itself.
+		if ok && state.GetRevisions()[name] <= f.Latest() {
 			f.NoteReadAge(now, time.Duration(age)*time.Millisecond)
 		}
 	}
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
@@ -247,3 +248,36 @@
 	requireEqual(t, "known", b0.Instances(), 9)
 	requireEqual(t, "address", b0.peers["a0"].PeerAddress, "127.0.0.1:1")
 }
+
+// laggingFeed is a feed of which an instance knows an old revision only.
+type laggingFeed struct {
+	latest uint64
+	age    time.Duration
+}
+
+func (l *laggingFeed) Latest() uint64                                        { return l.latest }
+func (l *laggingFeed) ReadAge(time.Time) time.Duration                       { return l.age }
+func (l *laggingFeed) NoteReadAge(_ time.Time, age time.Duration)            { l.age = age }
+func (*laggingFeed) Encode() (map[string][]byte, uint64, error)              { return nil, 0, nil }
+func (*laggingFeed) Decode(_ time.Time, _ map[string][]byte, _ uint64) error { return nil }
+
+// TestInstanceThatLagsBehindReadsForItself does not take what others have read for its own while it does not have it.
+func TestInstanceThatLagsBehindReadsForItself(t *testing.T) {
+	f := newTestFleet(1)
+	for _, s := range f.sharers {
+		s.Feeds["feed"] = &laggingFeed{latest: 5}
+	}
+	behind, current := &laggingFeed{latest: 4, age: time.Hour}, &laggingFeed{latest: 5, age: time.Hour}
+	f.find("b0").Feeds["feed"], f.find("c0").Feeds["feed"] = behind, current
+	for _, s := range f.sharers {
+		_, _ = s.Share(context.Background(), f.find("a0").firstState(f.now))
+	}
+	requireEqual(t, "age at the one behind", behind.age, time.Hour)
+	requireEqual(t, "age at the other", current.age, 0)
+}
+
+// firstState returns what the sharer tells an instance that it has not heard yet.
+func (s *Sharer) firstState(now time.Time) *lrpeerpb.FleetState {
+	state, _ := s.stateFor(now, &peer{Instance: Instance{Name: "x", Zone: "x"}})
+	return state
+}
