--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -67,7 +67,7 @@
 		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
 		Revisions: map[string]uint64{},
 		ReadAges:  map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsFor,
-		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.process, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
+		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.heardProcess, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
 	}
 	sum := s.sumFor(now, p)
 	sent := p.sent
@@ -192,7 +192,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	p := s.peerOf(state)
-	p.heardAt, p.process = now, state.GetProcess()
+	p.heardAt, p.heardProcess = now, state.GetProcess()
 	p.heard = lrbalance.Cursors{Near: state.GetNextNear(), Far: state.GetNextFar()}
 	switch {
 	case state.GetZone() != s.Self.Zone:
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -108,9 +108,10 @@
 	failedAt time.Time
 	calling  bool
 	// sent tells up to where the peer has heard the own news, and heard up to where the peer's were heard.
-	sent    lrbalance.Cursors
-	heard   lrbalance.Cursors
-	process string
+	sent  lrbalance.Cursors
+	heard lrbalance.Cursors
+	// heardProcess is the process that was heard last, whose news the cursors count. The list may still name another one.
+	heardProcess string
 }
 
 // NewSharer returns a Sharer that knows no other instance.
