--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -51,7 +51,7 @@
 	// begun tells that the caller has the head of the stream, and lastEvent is the last event that it got.
 	begun     bool
 	lastEvent string
-	// wasBounced tells that a server had other weights than expected.
+	// wasBounced tells that a server had other weights than expected. It may be asked again once, with what it has shown.
 	wasBounced bool
 	// failure is the last failure that a backend server answered with.
 	failure     *Reply
