Refuse with what the first look found; count runs, hash and list in one place each

Cause: a request refused before its body was read was identified a second time to be refused. Had the routing table arrived between the two looks, it would have gone on without a body and ended the handler in a panic. Without a change of behaviour: runs are counted where a sending returns and not taken back; the hashes of an engine order serve the second source too; names missing from a list are found by one loop; the log level is parsed by one function; lrlease asks for the three calls that it makes, so that platform/ loses List, Watch and Delete, which nothing called; two fields that nothing read are gone.

--- a/internal/lrcommand/edge.go
+++ b/internal/lrcommand/edge.go
@@ -1,7 +1,6 @@
 package lrcommand
 
 import (
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,9 +32,9 @@
 		if err != nil {
 			return err
 		}
-		level, err := zerolog.ParseLevel(settings.Log.Level)
+		level, err := parseLevel(settings.Log)
 		if err != nil {
-			return fmt.Errorf("[log] level: use debug, info, warn or error: %w", err)
+			return err
 		}
 		log, closeLog := lrlog.New(c.OutOrStdout(), level, settings.Log.LinesPerSecond, time.Now)
 		defer closeLog()
--- a/internal/lrcommand/serve.go
+++ b/internal/lrcommand/serve.go
@@ -66,10 +66,18 @@
 	return settings, errors.Join(mistakes...)
 }
 
-func newLogger(settings lrsettings.Log, output io.Writer) (zerolog.Logger, error) {
+func parseLevel(settings lrsettings.Log) (zerolog.Level, error) {
 	level, err := zerolog.ParseLevel(settings.Level)
 	if err != nil {
-		return zerolog.Nop(), fmt.Errorf("[log] level: use debug, info, warn or error: %w", err)
+		return level, fmt.Errorf("[log] level: use debug, info, warn or error: %w", err)
+	}
+	return level, nil
+}
+
+func newLogger(settings lrsettings.Log, output io.Writer) (zerolog.Logger, error) {
+	level, err := parseLevel(settings)
+	if err != nil {
+		return zerolog.Nop(), err
 	}
 	if settings.Format == "console" {
 		output = zerolog.ConsoleWriter{Out: output, TimeFormat: time.TimeOnly}
--- a/internal/lredge/ports.go
+++ b/internal/lredge/ports.go
@@ -22,7 +22,7 @@
 	Servers   lrfleet.Feed[lrfleet.Server]
 	Wanted    lrfleet.Feed[lrfleet.Wanted]
 	Instances lrfleet.Feed[lrfleet.Instance]
-	Store     lrplatform.Store
+	Store     lrplatform.Objects
 	// InstancesKind is the kind under which instances register themselves in the store.
 	InstancesKind string
 	Backend       lrpipeline.Backend
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -203,11 +203,7 @@
 	f.mutex.Lock()
 	f.noteContact(now)
 	f.freshAt = now
-	for name := range f.entries {
-		if _, ok := changes.Set[name]; !ok {
-			changes.Deleted = append(changes.Deleted, name)
-		}
-	}
+	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
 	f.apply(now, changes)
 }
@@ -231,16 +227,23 @@
 		return false
 	}
 	changes.Revision = 0
-	for name := range f.entries {
-		if _, ok := changes.Set[name]; !ok {
-			changes.Deleted = append(changes.Deleted, name)
-		}
-	}
+	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
 	f.apply(now, changes)
 	return true
 }
 
+// missingFrom returns the names of the entries that a whole list does not hold.
+func missingFrom[T any](list, entries map[string]T) []string {
+	var missing []string
+	for name := range entries {
+		if _, ok := list[name]; !ok {
+			missing = append(missing, name)
+		}
+	}
+	return missing
+}
+
 // noteContact must be called with the mutex held.
 func (f *Follower[T]) noteContact(now time.Time) {
 	if f.failingSince.IsZero() {
--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -29,7 +29,7 @@
 
 // A Keeper gets one lease, renews it and hands it back. It is safe for use by several goroutines.
 type Keeper struct {
-	store    lrplatform.Store
+	store    lrplatform.Objects
 	name     string
 	holder   string
 	validity time.Duration
@@ -46,7 +46,7 @@
 }
 
 // NewKeeper returns a Keeper of the lease of the name. It holds nothing until Step has been called.
-func NewKeeper(store lrplatform.Store, name, holder string, validity time.Duration, clock func() time.Time) *Keeper {
+func NewKeeper(store lrplatform.Objects, name, holder string, validity time.Duration, clock func() time.Time) *Keeper {
 	return &Keeper{store: store, name: name, holder: holder + "/" + uuid.NewString(), validity: validity, clock: clock}
 }
 
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -95,6 +95,13 @@
 	return refusal
 }
 
+// Refuse ends a request with the refusal that Identify returned. The table may have changed since, but the body of the
+// request has not been read.
+func (p *Pipeline) Refuse(request *Request, caller Caller, refusal *lrerror.Error) {
+	a, _ := p.identify(request)
+	p.refuse(a, caller, refusal)
+}
+
 func (p *Pipeline) identify(request *Request) (admitted, *lrerror.Error) {
 	table := p.Directory.Table()
 	if table == nil {
--- a/internal/lrpipeline/pipeline_test.go
+++ b/internal/lrpipeline/pipeline_test.go
@@ -186,6 +186,19 @@
 	requireEqual(t, caller.refusal.RetryAfter() > 0, true)
 }
 
+// TestRefusalStandsThoughTheTableArrives refuses a request, whose body has not been read, with what the first look found.
+func TestRefusalStandsThoughTheTableArrives(t *testing.T) {
+	w := newWorld(t, step{body: "ok"})
+	known := w.pipeline.Directory
+	w.pipeline.Directory = emptyDirectory()
+	request, caller := w.request("read"), &recorded{}
+	refusal := w.pipeline.Identify(request)
+	w.pipeline.Directory = known
+	w.pipeline.Refuse(request, caller, refusal)
+	requireEqual(t, caller.status, 503)
+	requireEqual(t, len(w.backend.attempts), 0)
+}
+
 func requireEqual[T comparable](t *testing.T, got, want T) {
 	t.Helper()
 	if got != want {
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -119,8 +119,8 @@
 		engines = append(engines, r.engine(now, s, silent[s.Zone]))
 	}
 	request := lrbalance.Request{
-		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Output: r.OutputTokens, Excluded: excluded,
-		Target: r.route.TargetLatency - p.Clock().Sub(r.Received),
+		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
+		Target: r.route.TargetLatency - now.Sub(r.Received),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
@@ -150,13 +150,16 @@
 	computed := false
 	defer func() { p.Balancer.End(choice, computed) }()
 	r.sends++
-	r.unsent = false
 	p.Ejector.Started(began, server.ID)
 	reply, err := p.Backend.Send(ctx, Attempt{
 		Request: r.Request, Server: server, Connections: r.connections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
 		Urgency: r.route.PriorityOf(r.account), TimeLeft: r.deadline.Sub(began), ResumeAfter: r.lastEvent,
 		Version: server.Versions[r.Model], FetchFrom: r.source(choice),
 	})
+	r.unsent = lrconn.ErrNotSent.Has(err)
+	if err == nil && reply.Refusal == Accepted || err != nil && !r.unsent {
+		r.runs++
+	}
 	if err != nil {
 		return r.broken(ctx, server, err)
 	}
@@ -176,7 +179,6 @@
 		p.Observer.Attempted("refused")
 		return mayRepeat
 	}
-	r.runs++
 	computed = true
 	if r.route.Kind == lrtable.Streaming && reply.IsSuccess() {
 		return r.relayStream(ctx, choice, server, reply)
@@ -200,14 +202,9 @@
 func (r *run) broken(ctx context.Context, server lrfleet.Server, err error) verdict {
 	p := r.pipeline
 	r.excluded[server.ID] = true
-	sent := !lrconn.ErrNotSent.Has(err)
-	r.unsent = !sent
 	p.Observer.Attempted("broken")
-	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", sent).Msg("request: sent")
+	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", !r.unsent).Msg("request: sent")
 	if ctx.Err() != nil {
-		if sent {
-			r.runs++
-		}
 		return mustEnd
 	}
 	if lrconn.ErrRefused.Has(err) {
@@ -217,10 +214,9 @@
 	if p.Ejector.Failed(p.Clock(), server.ID) {
 		p.Log.Warn().Str("server", server.ID).Msg("backend server: ejected")
 	}
-	if !sent {
+	if r.unsent {
 		return mayRepeat
 	}
-	r.runs++
 	p.Crashes.Crashed(p.Clock(), r.Digest, server.ID)
 	if r.route.Repeatable() {
 		return mayRepeat
@@ -234,7 +230,6 @@
 	p.Balancer.FirstEvent(p.Clock(), choice)
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
-		r.runs--
 		return r.broken(ctx, server, lrconn.ErrBroken.Wrap(err))
 	}
 	if !reply.IsSuccess() {
@@ -271,7 +266,6 @@
 			p.Balancer.FirstEvent(p.Clock(), choice)
 		}
 		if err != nil {
-			r.runs--
 			return r.broken(ctx, server, lrconn.ErrBroken.Wrap(err))
 		}
 		if first {
--- a/internal/lrplatform/store.go
+++ b/internal/lrplatform/store.go
@@ -44,16 +44,21 @@
 	return o
 }
 
-// A Store keeps versioned objects. Its errors belong to the classes of this package.
-type Store interface {
+// Objects are read and written one by one. Its errors belong to the classes of this package.
+type Objects interface {
 	// Get returns the object, or an ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
-	// List returns the objects of the kind whose names start with the prefix, ordered by name.
-	List(ctx context.Context, kind, prefix string) ([]Object, error)
 	// Create writes a new object. It returns an ErrConflict when the object exists.
 	Create(ctx context.Context, kind, name string, value []byte) (Object, error)
 	// Update writes the object if its version is still the stored one, and returns an ErrConflict otherwise.
 	Update(ctx context.Context, object Object) (Object, error)
+}
+
+// A Store keeps versioned objects. Its errors belong to the classes of this package.
+type Store interface {
+	Objects
+	// List returns the objects of the kind whose names start with the prefix, ordered by name.
+	List(ctx context.Context, kind, prefix string) ([]Object, error)
 	// Delete removes the object if its version is still the stored one, and returns an ErrConflict otherwise.
 	Delete(ctx context.Context, object Object) error
 	// Watch waits until objects of the kind have changed after the revision, or the context ends.
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -171,7 +171,7 @@
 			continue
 		}
 		engines = append(engines, lrrollout.Engine{
-			ID: s.ID, Service: s.Service, Versions: s.Versions, Running: d.Balancer.Load(s.ID).Running,
+			ID: s.ID, Versions: s.Versions, Running: d.Balancer.Load(s.ID).Running,
 			OutdatedFor: d.outdatedFor(now, s),
 		})
 	}
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -83,7 +83,9 @@
 	}
 	sources := b.sources(now, request, engines, runs)
 	best, bestCost := Choice{}, time.Duration(0)
-	for rank, e := range b.ranked(request, usable) {
+	order := b.ranked(request, usable)
+	for rank, candidate := range order {
+		e := candidate.engine
 		c := b.estimate(now, request, e, rank, runs[e.Version], sources[e.Version])
 		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > oldVersionEnd {
 			continue
@@ -98,7 +100,7 @@
 	}
 	best.Candidates = len(usable)
 	if best.Source == "" {
-		best.Source = b.secondSource(now, request, usable, best)
+		best.Source = b.secondSource(now, order, best)
 	}
 	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
@@ -109,19 +111,19 @@
 // secondSource names an engine to ask for what the chosen one may have evicted: another one that is known to hold the
 // shared parts, or else the one that the other availability zones, or the instances before a restart, chose by the same
 // hash. Nothing moves while the chosen engine holds the parts, and a wrong guess costs a millisecond.
-func (b *Balancer) secondSource(now time.Time, request Request, engines []Engine, chosen Choice) string {
-	home := homeKey(request)
-	if home == "" {
+func (b *Balancer) secondSource(now time.Time, candidates []candidate, chosen Choice) string {
+	if len(chosen.runs) == 0 {
 		return ""
 	}
 	best, bestTokens, bestScore := "", 0, uint64(0)
-	for _, e := range engines {
+	for _, c := range candidates {
+		e := c.engine
 		if e.ID == chosen.Engine.ID || e.Version != chosen.Engine.Version || e.IsDoubtful || e.IsClosing {
 			continue
 		}
-		tokens, s := b.beliefs.fetchable(now, e.ID, chosen.runs), score(home, e.ID)
-		if best == "" || tokens > bestTokens || tokens == bestTokens && s > bestScore {
-			best, bestTokens, bestScore = e.ID, tokens, s
+		tokens := b.beliefs.fetchable(now, e.ID, chosen.runs)
+		if best == "" || tokens > bestTokens || tokens == bestTokens && c.score > bestScore {
+			best, bestTokens, bestScore = e.ID, tokens, c.score
 		}
 	}
 	return best
@@ -168,32 +170,34 @@
 	return usable
 }
 
+// candidate is an engine with the hash of the prompt's shared parts on it.
+type candidate struct {
+	engine Engine
+	isFar  int
+	score  uint64
+}
+
 // ranked orders the engines by the hash of the prompt's shared parts, those of the own availability zone first, so that
-// all instances of a zone begin with the same one. Parts that another zone holds are fetched once.
-func (b *Balancer) ranked(request Request, engines []Engine) []Engine {
+// all instances of a zone begin with the same one. Parts that another zone holds are fetched once. Engines of requests
+// without shared parts keep their order.
+func (b *Balancer) ranked(request Request, engines []Engine) []candidate {
 	home := homeKey(request)
-	if home == "" {
-		return engines
+	order := make([]candidate, len(engines))
+	for n, e := range engines {
+		order[n] = candidate{engine: e}
 	}
-	type scored struct {
-		engine Engine
-		isFar  int
-		score  uint64
+	if home == "" {
+		return order
 	}
-	scores := make([]scored, len(engines))
 	for n, e := range engines {
-		scores[n] = scored{engine: e, score: score(home, e.ID)}
+		order[n].score = score(home, e.ID)
 		if e.Zone != b.options.Zone {
-			scores[n].isFar = 1
+			order[n].isFar = 1
 		}
 	}
-	slices.SortFunc(scores, func(a, b scored) int {
+	slices.SortFunc(order, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.isFar, b.isFar), cmp.Compare(b.score, a.score))
 	})
-	order := make([]Engine, len(scores))
-	for n, s := range scores {
-		order[n] = s.engine
-	}
 	return order
 }
 
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -43,7 +43,7 @@
 	engines := newTestEngines(12)
 	counts := map[string]int{}
 	for n := range 1200 {
-		home := newTestBalancer(1).ranked(newTestRequest(fmt.Sprint("file", n), "x"), engines)[0]
+		home := newTestBalancer(1).ranked(newTestRequest(fmt.Sprint("file", n), "x"), engines)[0].engine
 		requireEqual(t, home.Zone, "a")
 		counts[home.ID]++
 	}
@@ -72,7 +72,7 @@
 	engines := newTestEngines(3)
 	now := time.Unix(1000, 0)
 	request := newTestRequest("file", "x")
-	home := b.ranked(request, engines)[0].ID
+	home := b.ranked(request, engines)[0].engine.ID
 	b.SetOthers(map[string]Load{home: {Waiting: 200_000, Running: 40}})
 	choice, _ := b.Choose(now, request, engines)
 	requireEqual(t, choice.Engine.ID == home, false)
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -35,8 +35,6 @@
 	Parts []Part
 	// Tokens is the length of the whole prompt.
 	Tokens int
-	// Output is the largest number of tokens that are generated.
-	Output int
 	// Target is the time within which the caller wants the first event. Zero means that it does not say.
 	Target time.Duration
 	// Excluded are backend servers that have failed this request.
--- a/pkg/lrrollout/plan.go
+++ b/pkg/lrrollout/plan.go
@@ -9,8 +9,7 @@
 
 // An Engine is one engine as the holder of the rollout sees it.
 type Engine struct {
-	ID      string
-	Service string
+	ID string
 	// Versions maps each model of the engine to the version of its weights.
 	Versions map[string]int64
 	// Running is the number of requests at the engine.
