Believe in lapsed entries only after an outage of the whole deployment, and never hand them on

A backend server left at 15.005 s by the removal of its entry. edge-gs-b-2, turned away until 14.04 s, still believed in missing entries for 2.2 s (an outage, as it saw it) and handed its list on: edge-gs-a-3 dropped the server at 15.389 s and had it back at 15.925 s. The last instance dropped it at 17.1 s and a request reached it at 17.294 s (bound 2 s: DRAIN). Ruled out: the reading of the list (edge-gs-a-2 knew at 15.29 s), the relays (the adopting instance had asked for the news). Change: an outage is a time in which this instance was not answered and no instance is known to have read the feed. Lists for others leave lapsing entries out. A removal raises the revision; so does every adopted list. Five tests, each failed first.

--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -36,7 +36,7 @@
 }
 
 const (
-	// outageFrom is the silence of the platform from which on missing entries may have lapsed.
+	// outageFrom is the time without a reading by any instance from which on missing entries may have lapsed.
 	outageFrom = 800 * time.Millisecond
 	// watchSlack is how long the answer to a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
@@ -192,17 +192,27 @@
 func (f *Follower[T]) NoteReadAge(now time.Time, age time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	at := now.Add(-age)
-	if at.After(f.freshAt) {
-		f.freshAt = at
+	f.noteRead(now, now.Add(-age))
+}
+
+// noteRead takes in that an instance has read the feed. Entries may have lapsed if the platform has not answered here and
+// nobody is known to have read the feed for a while: it was out of reach of more than this instance. The mutex must be held.
+func (f *Follower[T]) noteRead(now, at time.Time) {
+	if !at.After(f.freshAt) {
+		return
+	}
+	isOutage := !f.failingSince.IsZero() && at.Sub(f.freshAt) > outageFrom
+	if isOutage {
+		f.backAt = now
 	}
+	f.freshAt = at
 }
 
 // Replace takes in a whole list that the platform has just answered.
 func (f *Follower[T]) Replace(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
+	f.noteRead(now, now)
 	f.noteContact(now)
-	f.freshAt = now
 	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
 	f.apply(now, changes)
@@ -211,10 +221,10 @@
 // Apply takes in changes that the platform has just answered.
 func (f *Follower[T]) Apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
-	f.noteContact(now)
 	if f.options.IsChanging {
-		f.freshAt = now
+		f.noteRead(now, now)
 	}
+	f.noteContact(now)
 	f.mutex.Unlock()
 	f.apply(now, changes)
 }
@@ -226,6 +236,7 @@
 		f.mutex.Unlock()
 		return false
 	}
+	f.latest = changes.Latest
 	changes.Revision = 0
 	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
@@ -252,16 +263,33 @@
 	silence := now.Sub(f.failingSince)
 	f.failingSince = time.Time{}
 	f.log.Info().Str("feed", f.options.Name).Dur("silence", silence).Msg("fleet: platform regained")
-	if silence > outageFrom {
-		f.backAt = now
-	}
 }
 
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	entries := maps.Clone(f.entries)
+	isSet := f.set(entries, changes.Set)
+	isRemoved, isLapsing := f.remove(now, entries, changes.Deleted)
+	isExpired := f.expire(now, entries)
+	f.entries = entries
+	f.revision = max(f.revision, changes.Revision)
+	if isSet {
+		f.latest = max(f.latest, changes.Latest)
+	}
+	if isRemoved || isLapsing {
+		// A removal leaves no entry that bears its revision.
+		f.latest = max(f.latest, changes.Revision)
+	}
+	f.mutex.Unlock()
+	if isSet || isRemoved || isExpired {
+		f.onChange(now, entries)
+	}
+}
+
+// set takes entries in and reports whether one has changed. The mutex must be held.
+func (f *Follower[T]) set(entries, listed map[string]T) bool {
 	changed := false
-	for name, entry := range changes.Set {
+	for name, entry := range listed {
 		delete(f.missing, name)
 		before, ok := entries[name]
 		if ok && reflect.DeepEqual(before, entry) {
@@ -270,31 +298,42 @@
 		changed = true
 		entries[name] = entry
 	}
+	return changed
+}
+
+// remove drops entries that are no longer listed, or lets them lapse with the grace after an outage. It reports whether one
+// was removed and whether one has begun to lapse. The mutex must be held.
+func (f *Follower[T]) remove(now time.Time, entries map[string]T, names []string) (isRemoved, isLapsing bool) {
 	graceEnd := f.backAt.Add(f.options.LapseGrace)
-	for _, name := range changes.Deleted {
-		if now.Before(graceEnd) {
-			f.missing[name] = graceEnd
+	for _, name := range names {
+		if _, ok := entries[name]; !ok {
 			continue
 		}
-		changed = true
-		delete(entries, name)
+		if !now.Before(graceEnd) {
+			isRemoved = true
+			delete(entries, name)
+			delete(f.missing, name)
+			continue
+		}
+		if _, ok := f.missing[name]; !ok {
+			isLapsing = true
+		}
+		f.missing[name] = graceEnd
 	}
+	return isRemoved, isLapsing
+}
+
+// expire drops the entries whose grace is over and reports whether there was one. The mutex must be held.
+func (f *Follower[T]) expire(now time.Time, entries map[string]T) bool {
+	expired := false
 	for name, end := range f.missing {
 		if !now.Before(end) {
-			changed = true
+			expired = true
 			delete(entries, name)
 			delete(f.missing, name)
 		}
 	}
-	f.entries = entries
-	f.revision = max(f.revision, changes.Revision)
-	if changed {
-		f.latest = max(f.latest, changes.Latest)
-	}
-	f.mutex.Unlock()
-	if changed {
-		f.onChange(now, entries)
-	}
+	return expired
 }
 
 // Expire drops entries whose grace after an outage is over. It is called now and then.
@@ -321,9 +360,14 @@
 	return f.revision
 }
 
-// Snapshot returns all entries, for another instance.
+// Snapshot returns the entries for another instance. Those that are missing since an outage are left out: each instance
+// believes in them only as long as its own grace lasts.
 func (f *Follower[T]) Snapshot() Changes[T] {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return Changes[T]{Set: maps.Clone(f.entries), Revision: f.revision, Latest: f.latest}
+	entries := maps.Clone(f.entries)
+	for name := range f.missing {
+		delete(entries, name)
+	}
+	return Changes[T]{Set: entries, Revision: f.revision, Latest: f.latest}
 }
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -236,3 +236,84 @@
 	requireEqual(t, "error", other.Decode(now, entries, latest), nil)
 	requireEqual(t, "value at the other", other.Snapshot().Set["a"], "2")
 }
+
+// lapsing returns a follower of entries that are believed in for a while after an outage, and what it knows.
+func lapsing(now time.Time, names ...string) *Follower[string] {
+	f := NewFollower(Feed[string](nil), FollowOptions{IsChanging: true, LapseGrace: 2 * time.Second}, zerolog.Nop(), func(time.Time, map[string]string) {})
+	f.Replace(now, listOf(10, names...))
+	return f
+}
+
+// listOf returns a whole list whose last change was at the revision.
+func listOf(latest uint64, names ...string) Changes[string] {
+	changes := Changes[string]{Set: map[string]string{}, Revision: latest, Latest: latest}
+	for _, n := range names {
+		changes.Set[n] = "1"
+	}
+	return changes
+}
+
+func known(f *Follower[string]) string {
+	return strings.Join(slices.Sorted(maps.Keys(f.Snapshot().Set)), ",")
+}
+
+// TestEntryRemovedWhileOthersRead is gone at once for an instance that the platform turned away while it served others: no
+// entry has lapsed meanwhile, so one that is missing was removed.
+func TestEntryRemovedWhileOthersRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := lapsing(now, "a", "b")
+	f.noteFailure(now, errDown)
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		f.NoteReadAge(now, 50*time.Millisecond)
+	}
+	f.Replace(now, listOf(11, "a"))
+	requireEqual(t, "known", known(f), "a")
+}
+
+// TestEntryLapsedWhileNobodyRead is believed in, whether the news come from the platform or from another instance.
+func TestEntryLapsedWhileNobodyRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	changes := 0
+	f := NewFollower(Feed[string](nil), FollowOptions{IsChanging: true, LapseGrace: 2 * time.Second}, zerolog.Nop(),
+		func(time.Time, map[string]string) { changes++ })
+	f.Replace(now, listOf(10, "a", "b"))
+	f.noteFailure(now, errDown)
+	now = now.Add(3 * time.Second)
+	f.NoteReadAge(now, 50*time.Millisecond)
+	f.Adopt(now, listOf(11, "a"))
+	f.Expire(now.Add(time.Second))
+	requireEqual(t, "changes within the grace", changes, 1)
+	f.Expire(now.Add(2 * time.Second))
+	requireEqual(t, "changes after it", changes, 2)
+	requireEqual(t, "known after it", known(f), "a")
+}
+
+// TestRemovalIsTold moves the revision that others compare, although no entry that is left has changed.
+func TestRemovalIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := lapsing(now, "a", "b")
+	f.Replace(now.Add(time.Second), Changes[string]{Set: map[string]string{"a": "1"}, Revision: 12, Latest: 9})
+	requireEqual(t, "latest", f.Latest(), uint64(12))
+}
+
+// TestLapsedEntryIsNotHandedOn lets an instance that has dropped an entry adopt the list of one that still believes in it.
+func TestLapsedEntryIsNotHandedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	waiting, dropped := lapsing(now, "a", "b"), lapsing(now, "a", "b")
+	dropped.Replace(now.Add(time.Second), listOf(11, "a"))
+	waiting.noteFailure(now, errDown)
+	waiting.Replace(now.Add(3*time.Second), listOf(12, "a", "c"))
+	entries, latest, err := waiting.Encode()
+	requireEqual(t, "error", err, nil)
+	requireEqual(t, "error", dropped.Decode(now.Add(3*time.Second), entries, latest), nil)
+	requireEqual(t, "known", known(dropped), "a,c")
+}
+
+// TestAdoptedListIsFetchedOnce catches up with a revision that brought no change, as by an entry that cannot be read.
+func TestAdoptedListIsFetchedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := lapsing(now, "a")
+	f.Adopt(now, listOf(15, "a"))
+	requireEqual(t, "latest", f.Latest(), uint64(15))
+}
