Draw large requests evenly from the pools of all zones, and let waiting requests keep their turn

A request took all its tokens from the fullest zone: that pool then filled up at a third of the rate while the other two were full and lost what came in. Small requests overtook a large one that waited at the same instance. Change: Account.Draws asks all zones so that their pools are left equally full, but not homes that did not answer when they were last asked; Limiter.Reserve lets a request that waits keep its turn. The model of the test does what the product does: early refusal, giving back after it. Conclusion: better, not mended. What is left comes from instances that wait beside one another without one queue.

--- a/internal/lrgrant/limiter.go
+++ b/internal/lrgrant/limiter.go
@@ -38,6 +38,8 @@
 	mutex  sync.Mutex
 	state  *lrlimit.Account
 	limits lrlimit.Limits
+	// waiting is the number of requests that wait for tokens. Later ones go behind them.
+	waiting int
 	// queued tells that the account waits in the prefetch ring.
 	queued bool
 }
@@ -56,7 +58,7 @@
 		return nil, lrlimit.RateLimited(request.Account, -1)
 	}
 	a := l.account(now, request)
-	reserved := l.take(a, request.Tokens)
+	reserved := l.takeAtOnce(a, request.Tokens)
 	if reserved != nil {
 		l.fetchAhead(a)
 		return reserved, nil
@@ -64,9 +66,25 @@
 	return l.fetchAndTake(ctx, now.Add(l.options.MaxWait), a, request)
 }
 
+// takeAtOnce uses held tokens unless an earlier request waits for them: small requests would overtake large ones for good.
+// Otherwise the request counts as waiting.
+func (l *Limiter) takeAtOnce(a *account, tokens float64) lrlimit.Reservation {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.waiting == 0 {
+		reserved := l.takeHeld(a, tokens)
+		if reserved != nil {
+			return reserved
+		}
+	}
+	a.waiting++
+	return nil
+}
+
 func (l *Limiter) fetchAndTake(ctx context.Context, deadline time.Time, a *account, request lrlimit.Request) (lrlimit.Reservation, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	defer a.stopWaiting()
 	select {
 	case a.turn <- struct{}{}:
 	case <-ctx.Done():
@@ -87,40 +105,46 @@
 	}
 }
 
-// order returns the zones in the order in which to ask their homes.
-func (l *Limiter) order(a *account) []string {
+// draws returns the homes to ask for what the tokens lack, in order.
+func (l *Limiter) draws(a *account, tokens float64) []lrlimit.Draw {
 	zones := l.zones()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.state.Order(l.clock(), zones, a.limits.WithShare(1/float64(len(zones))))
+	now := l.clock()
+	return a.state.Draws(now, zones, a.limits.WithShare(1/float64(len(zones))), max(tokens-a.state.Held(now), 0))
 }
 
 // fetch asks the homes one after the other until the request fits.
 func (l *Limiter) fetch(ctx context.Context, a *account, request lrlimit.Request) lrlimit.Reservation {
-	for _, z := range l.order(a) {
+	for _, d := range l.draws(a, request.Tokens) {
 		reserved := l.take(a, request.Tokens)
 		if reserved != nil {
 			return reserved
 		}
-		l.exchange(ctx, a, z, request.Tokens)
+		l.exchange(ctx, a, d, request.Tokens)
 	}
 	return l.take(a, request.Tokens)
 }
 
-// exchange asks the home of the zone for what the account lacks to hold the tokens.
-func (l *Limiter) exchange(ctx context.Context, a *account, zone string, tokens float64) {
+// exchange asks a home for what the account lacks to hold the tokens, as far as the draw allows.
+func (l *Limiter) exchange(ctx context.Context, a *account, draw lrlimit.Draw, tokens float64) {
 	now := l.clock()
 	a.mutex.Lock()
-	need := max(tokens-a.state.Held(now), 0)
+	need := min(max(tokens-a.state.Held(now), 0), draw.Most)
 	want := a.state.Want(now, need)
 	a.mutex.Unlock()
-	l.caller.call(ctx, zone, []*ask{{account: a, need: need, want: want}})
+	l.caller.call(ctx, draw.Zone, []*ask{{account: a, need: need, want: want}})
 }
 
-// take uses held tokens. A pause of the process between the look at the clock and the use is found afterwards.
 func (l *Limiter) take(a *account, tokens float64) lrlimit.Reservation {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	return l.takeHeld(a, tokens)
+}
+
+// takeHeld uses held tokens. A pause of the process between the look at the clock and the use is found afterwards. The
+// account's mutex must be held.
+func (l *Limiter) takeHeld(a *account, tokens float64) lrlimit.Reservation {
 	parts, ok := a.state.Take(l.clock(), tokens)
 	if !ok {
 		return nil
@@ -164,6 +188,12 @@
 	return max(time.Duration(missing/request.Rate*float64(time.Second)), minRetryDelay)
 }
 
+func (a *account) stopWaiting() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.waiting--
+}
+
 func (l *Limiter) account(now time.Time, request lrlimit.Request) *account {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/lrgrant/reporting.go
+++ b/internal/lrgrant/reporting.go
@@ -28,14 +28,14 @@
 		return
 	}
 	defer func() { <-a.turn }()
-	for _, z := range l.order(a) {
+	for _, d := range l.draws(a, 0) {
 		a.mutex.Lock()
 		short := a.state.IsShort(l.clock())
 		a.mutex.Unlock()
 		if !short {
 			return
 		}
-		l.exchange(ctx, a, z, 0)
+		l.exchange(ctx, a, d, 0)
 	}
 }
 
--- a/pkg/lrlimit/account.go
+++ b/pkg/lrlimit/account.go
@@ -171,6 +171,70 @@
 	return ordered
 }
 
+// A Draw is what to ask the home of one zone for.
+type Draw struct {
+	Zone string
+	// Most bounds the tokens that are asked for.
+	Most float64
+}
+
+// Draws returns which homes to ask for tokens that a request lacks, in order. The pools are left equally full, since a full
+// one loses what comes in while another is filled up. After that each home is asked for whatever is still lacking.
+func (a *Account) Draws(now time.Time, zones []string, limits Limits, lacking float64) []Draw {
+	ordered := a.Order(now, zones, limits)
+	draws := a.evenDraws(now, ordered, limits, lacking)
+	for _, z := range ordered {
+		draws = append(draws, Draw{Zone: z, Most: math.Inf(1)})
+	}
+	return draws
+}
+
+// evenDraws leaves out homes that did not answer when they were last asked: a request would wait for them in vain.
+func (a *Account) evenDraws(now time.Time, zones []string, limits Limits, lacking float64) []Draw {
+	draws := make([]Draw, 0, len(zones))
+	levels := make([]float64, 0, len(zones))
+	for _, z := range zones {
+		s, ok := a.source(z)
+		if ok && s.holding.HasFailed() {
+			continue
+		}
+		level := limits.Burst
+		if ok {
+			level = s.holding.PoolLevel(now, limits)
+		}
+		draws = append(draws, Draw{Zone: z, Most: level})
+		levels = append(levels, level)
+	}
+	left := levelAfter(levels, lacking)
+	for n := range draws {
+		draws[n].Most -= left
+	}
+	return slices.DeleteFunc(draws, func(d Draw) bool { return d.Most <= 0 })
+}
+
+// levelAfter returns how full each pool is left when the tokens are taken from the fullest ones.
+func levelAfter(levels []float64, tokens float64) float64 {
+	sorted := slices.Sorted(slices.Values(levels))
+	slices.Reverse(sorted)
+	var sum float64
+	for n, level := range sorted {
+		sum += level
+		left := (sum - tokens) / float64(n+1)
+		if n+1 == len(sorted) || left >= sorted[n+1] {
+			return max(left, 0)
+		}
+	}
+	return 0
+}
+
+func (a *Account) source(zone string) (source, bool) {
+	n := slices.IndexFunc(a.sources, func(s source) bool { return s.zone == zone })
+	if n < 0 {
+		return source{}, false
+	}
+	return a.sources[n], true
+}
+
 // Want returns how many tokens to ask a home for when a request lacks some: what will be used within the batch time,
 // and no more than the request lacks when the account is not busy here.
 func (a *Account) Want(now time.Time, need float64) float64 {
--- a/pkg/lrlimit/connected_test.go
+++ b/pkg/lrlimit/connected_test.go
@@ -112,6 +112,46 @@
 	checkFewWrongful(t, c)
 }
 
+// TestConnectedFleetAgreesOnLargeRequestsOverSeeds adds many runs up, since one of them has only a few refusals.
+func TestConnectedFleetAgreesOnLargeRequestsOverSeeds(t *testing.T) {
+	var sum comparison
+	for seed := uint64(1); seed <= 40; seed++ {
+		f := newFleet(seed, 3, 3)
+		f.runFor(warmUp)
+		account := accountNames()[0]
+		c := compareWithCentral(f, account, testLimits(account), 0.9, 5, f.uneven)
+		checkNoExcess(t, f)
+		sum.requests += c.requests
+		sum.refused += c.refused
+		sum.central += c.central
+		sum.wrongful += c.wrongful
+	}
+	checkFewWrongful(t, sum)
+}
+
+// TestPoolsAreLeftEquallyFull draws a large request from three pools of different levels.
+func TestPoolsAreLeftEquallyFull(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := lrlimit.Limits{Rate: 0, Burst: 100}
+	a := lrlimit.NewAccount("d", "a", now)
+	for zone, level := range map[string]float64{"a": 100, "b": 70, "c": 10} {
+		h := a.Holding(zone, lrlimit.Member{Name: zone})
+		report := h.Report(now, 0, 0)
+		h.Accept(now, now, report.Sequence, lrlimit.Answer{Accepted: true, Level: level, Validity: time.Second})
+	}
+	asked := map[string]float64{}
+	for _, d := range a.Draws(now, []string{"a", "b", "c"}, limits, 90)[:2] {
+		asked[d.Zone] = d.Most
+	}
+	for zone, want := range map[string]float64{"a": 60, "b": 30} {
+		t.Run(zone, func(t *testing.T) {
+			if asked[zone] != want {
+				t.Errorf("asked for %v tokens, want %v", asked[zone], want)
+			}
+		})
+	}
+}
+
 func TestZoneCutOffKeepsItsEntitlement(t *testing.T) {
 	f := newFleet(3, 3, 3)
 	f.runFor(warmUp)
--- a/pkg/lrlimit/holding.go
+++ b/pkg/lrlimit/holding.go
@@ -99,6 +99,7 @@
 		return
 	}
 	h.awaiting = false
+	h.silentUntil = time.Time{}
 	h.tokens = h.Tokens(now) + answer.Tokens
 	h.expires = sentAt.Add(answer.Validity)
 	h.level, h.levelAt, h.elsewhere = answer.Level, now, answer.Elsewhere
@@ -119,6 +120,9 @@
 // IsSilent reports whether the home did not answer a moment ago.
 func (h *Holding) IsSilent(now time.Time) bool { return now.Before(h.silentUntil) }
 
+// HasFailed reports whether the home did not answer when it was last asked.
+func (h *Holding) HasFailed() bool { return !h.silentUntil.IsZero() }
+
 // lose gives up what was reported in an exchange without an answer: it can't be told when the home learned of it.
 func (h *Holding) lose() {
 	for _, p := range h.reported {
--- a/pkg/lrlimit/traffic_test.go
+++ b/pkg/lrlimit/traffic_test.go
@@ -47,40 +47,40 @@
 			return
 		}
 		p.account(d.account).Ask(p.fleet.now, d.reserved)
-		if p.take(now, d) {
+		if len(p.waiting[d.account]) == 0 && p.take(now, d) {
 			return
 		}
 		p.waiting[d.account] = append(p.waiting[d.account], d)
 		if len(p.waiting[d.account]) == 1 {
-			p.try(now, d, p.order(d.account))
+			p.try(now, d, p.draws(d))
 		}
 	})
 }
 
-// order returns the zones in the order in which to ask them.
-func (p *proc) order(account string) []string {
+// draws returns the homes to ask for what the request lacks.
+func (p *proc) draws(d demand) []lrlimit.Draw {
 	f := p.fleet
-	return p.account(account).Order(f.now, f.zones, testLimits(account).WithShare(1/float64(len(f.zones))))
+	a := p.account(d.account)
+	return a.Draws(f.now, f.zones, testLimits(d.account).WithShare(1/float64(len(f.zones))), d.reserved-a.Held(f.now))
 }
 
 // try takes the tokens, or asks the homes of the zones one after the other. One request of an account does so at a time.
-func (p *proc) try(now time.Time, d demand, zones []string) {
+func (p *proc) try(now time.Time, d demand, draws []lrlimit.Draw) {
 	f := p.fleet
 	a := p.account(d.account)
 	switch {
 	case p.take(now, d):
 		p.tryNext(d.account)
-	case len(zones) > 0:
-		need := d.reserved - a.Held(f.now)
-		p.exchange(d.account, zones[0], testLimits(d.account), need, a.Want(f.now, need), func() {
-			p.try(f.now, d, zones[1:])
+	case len(draws) > 0:
+		need := min(d.reserved-a.Held(f.now), draws[0].Most)
+		p.exchange(d.account, draws[0].Zone, testLimits(d.account), need, a.Want(f.now, need), func() {
+			p.try(f.now, d, draws[1:])
 		})
-	case f.now.Add(minRetryDelay).Before(d.deadline):
-		missing := (d.reserved - a.Held(f.now)) / testLimits(d.account).Rate
-		delay := min(max(time.Duration(missing*float64(time.Second)), minRetryDelay), maxRetryDelay)
-		p.later(delay, func(now time.Time) { p.try(now, d, p.order(d.account)) })
+	case f.now.Add(p.missing(d)).Before(d.deadline):
+		p.later(min(p.missing(d), maxRetryDelay), func(now time.Time) { p.try(now, d, p.draws(d)) })
 	default:
 		p.decide(d, false, nil)
+		p.giveUp(d.account)
 		p.tryNext(d.account)
 	}
 }
@@ -90,7 +90,7 @@
 	for len(p.waiting[account]) > 0 {
 		next := p.waiting[account][0]
 		if p.fleet.now.Before(next.deadline) {
-			p.later(0, func(now time.Time) { p.try(now, next, p.order(account)) })
+			p.later(0, func(now time.Time) { p.try(now, next, p.draws(next)) })
 			return
 		}
 		p.decide(next, false, nil)
@@ -165,3 +165,17 @@
 	}
 	return closest
 }
+
+func (p *proc) missing(d demand) time.Duration {
+	missing := (d.reserved - p.account(d.account).Held(p.fleet.now)) / testLimits(d.account).Rate
+	return max(time.Duration(missing*float64(time.Second)), minRetryDelay)
+}
+
+// giveUp empties the holdings of an account whose request was refused, so that other processes can use the tokens.
+func (p *proc) giveUp(account string) {
+	for _, z := range p.fleet.zones {
+		home, _ := p.view(z).Home(account)
+		p.account(account).Holding(z, home).GiveUp()
+		p.exchange(account, z, testLimits(account), 0, 0, func() {})
+	}
+}
