Tell again of prompt parts that stay in use

An engine's holding was told once, when it became ready; others believe in it for 9 s from then on, while the teller's own belief lives on with each use. Parts in steady use were so forgotten in the other zones. Change: a part in use is told again after 4 s. A test of two instances that hear of a part in use, which failed first.

--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -250,3 +250,32 @@
 		t.Fatalf("got %v, want %v", got, want)
 	}
 }
+
+// TestPartInUseStaysKnownElsewhere keeps a file in use at one instance for longer than beliefs last. The other instances, which
+// hear its news, go on knowing who holds the file.
+func TestPartInUseStaysKnownElsewhere(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(3)
+	first, second, third := newTestBalancer(1), newTestBalancer(2), newTestBalancer(3)
+	var toSecond, toThird Cursors
+	told := 0
+	for n := range 15 {
+		now = now.Add(time.Second)
+		choice, _ := first.Choose(now, newTestRequest("file", fmt.Sprint(n)), engines)
+		first.FirstEvent(now, choice)
+		first.End(choice, true)
+		news, cursors := first.News(now, toSecond, true)
+		toSecond = cursors
+		told += len(news)
+		second.Heard(now, news, false)
+		news, toThird = second.News(now, toThird, true)
+		third.Heard(now, news, false)
+	}
+	for _, b := range []*Balancer{second, third} {
+		choice, _ := b.Choose(now, newTestRequest("file", "y"), engines)
+		requireEqual(t, choice.Missing, 1000)
+		requireEqual(t, choice.Fetched, 0)
+	}
+	// Two shared parts, told again each four seconds.
+	requireEqual(t, told, 8)
+}
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -9,6 +9,9 @@
 const (
 	// beliefLife is how long an engine is believed to keep a part that was not used again.
 	beliefLife = 9 * time.Second
+	// tellAgainAfter is the time after which others are told of a part again when it is used: they believe in it only for
+	// beliefLife.
+	tellAgainAfter = 4 * time.Second
 	// beliefRoom is the most parts remembered of one engine. The stale ones are dropped when it is reached.
 	beliefRoom = 20000
 )
@@ -45,6 +48,8 @@
 	usedAt time.Time
 	// isReady tells that the part has been computed, so that others may fetch it. It is false while it is computed.
 	isReady bool
+	// toldAt is when others were last told of the part.
+	toldAt time.Time
 }
 
 // beliefs are the shared parts that engines are believed to hold, since requests with them were sent there.
@@ -63,41 +68,44 @@
 func (b *beliefs) begin(now time.Time, engine string, runs []prefix) {
 	for _, r := range runs {
 		before := b.engines[engine][r.key]
-		b.set(now, engine, r.key, before.isReady && now.Sub(before.usedAt) < beliefLife)
+		b.set(engine, r.key, belief{
+			usedAt: now, isReady: before.isReady && now.Sub(before.usedAt) < beliefLife, toldAt: before.toldAt,
+		})
 	}
 }
 
 // ready notes that the engine has computed the runs.
 func (b *beliefs) ready(now time.Time, engine string, runs []prefix) {
 	for _, r := range runs {
-		before, ok := b.engines[engine][r.key]
-		if !ok || !before.isReady {
-			b.near.add(now, Holding{Engine: engine, Key: r.key})
-		}
-		b.set(now, engine, r.key, true)
+		b.hold(now, Holding{Engine: engine, Key: r.key}, b.near)
 	}
 }
 
-// heard notes what another instance tells, and keeps it in the log for further instances if it is new.
-func (b *beliefs) heard(now time.Time, holding Holding, log *newsLog) {
-	before, ok := b.engines[holding.Engine][holding.Key]
-	isNew := !ok || !before.isReady || now.Sub(before.usedAt) > beliefLife
-	b.set(now, holding.Engine, holding.Key, true)
-	if isNew {
+// heard notes what another instance tells, and keeps it in the log for further instances.
+func (b *beliefs) heard(now time.Time, holding Holding, log *newsLog) { b.hold(now, holding, log) }
+
+// hold notes that an engine holds a part, and tells others of it unless they have heard so a while ago.
+func (b *beliefs) hold(now time.Time, holding Holding, log *newsLog) {
+	before := b.engines[holding.Engine][holding.Key]
+	isKnown := before.isReady && now.Sub(before.usedAt) < beliefLife && now.Sub(before.toldAt) < tellAgainAfter
+	toldAt := before.toldAt
+	if !isKnown {
 		log.add(now, holding)
+		toldAt = now
 	}
+	b.set(holding.Engine, holding.Key, belief{usedAt: now, isReady: true, toldAt: toldAt})
 }
 
-func (b *beliefs) set(now time.Time, engine string, key Key, isReady bool) {
+func (b *beliefs) set(engine string, key Key, entry belief) {
 	held, ok := b.engines[engine]
 	if !ok {
 		held = map[Key]belief{}
 		b.engines[engine] = held
 	}
 	if len(held) >= beliefRoom {
-		dropStale(now, held)
+		dropStale(entry.usedAt, held)
 	}
-	held[key] = belief{usedAt: now, isReady: isReady}
+	held[key] = entry
 }
 
 func dropStale(now time.Time, held map[Key]belief) {
