Read the store in turns that follow the news, and charge no use of others to instances that start alone

Ruled out: watches of configuration and weights (12 a second with all 8 watchers), renewals of the lease (1.6 a second). Change: turns follow Sharer.NewsDelay; instances in zones that are cut off do not count in the rank; looks at the lease get rarer with the rank; failed readings wait for their turn; a waiting watch of the servers counts as reading for 0.8 s; RunRefresh leaves the first list to Run. Levels are told only by who knows them; an instance apart charges nothing.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -46,12 +46,8 @@
 const (
 	// rolloutLease is the name of the lease under which orders are given.
 	rolloutLease = "rollout"
-	// contendPause is the time between two looks at the lease while nobody is known to hold it.
+	// contendPause is the time between two decisions whether to look at the lease.
 	contendPause = 250 * time.Millisecond
-	// standbys is the number of instances that look at the lease all the time, so that one of them takes over as soon as it
-	// has lapsed, and standbyPause the time between two looks.
-	standbys     = 3
-	standbyPause = 500 * time.Millisecond
 	// rolloutPause is the time between two looks at the engines.
 	rolloutPause = 25 * time.Millisecond
 	// sharePause is the time between two looks at which instances are due for an exchange.
@@ -60,9 +56,9 @@
 	expirePause = 200 * time.Millisecond
 	// lapseGrace is how long after an outage of the platform missing entries are believed in.
 	lapseGrace = 2200 * time.Millisecond
-	// turnStep is the time by which each further instance waits longer for its turn, and turnMax the longest wait.
-	turnStep = 100 * time.Millisecond
-	turnMax  = 900 * time.Millisecond
+	// serverWatchWait is how long one instance watches the backend servers before it asks again, so that the others soon find
+	// out that it no longer hears anything.
+	serverWatchWait = 800 * time.Millisecond
 	// registerPause is the time between two tries to register the instance.
 	registerPause = 500 * time.Millisecond
 	// retainPause is the time between two closings of connections that are not needed.
@@ -97,14 +93,12 @@
 	instances *lrfleet.Follower[lrfleet.Instance]
 
 	supervisor *lrsupervise.Supervisor
-	// lastHolder is when another holder of the lease was last known, and leaseLook when the lease was last looked at.
-	// Only keepLease uses them.
-	lastHolder time.Time
-	leaseLook  time.Time
-	draining   atomic.Bool
-	running    atomic.Int64
-	idler      *lrframe.Idler
-	done       chan struct{}
+	// looks is used by keepLease alone.
+	looks    leaseLooks
+	draining atomic.Bool
+	running  atomic.Int64
+	idler    *lrframe.Idler
+	done     chan struct{}
 }
 
 // New returns a Daemon that does not run yet.
@@ -136,7 +130,7 @@
 	options := func(name string, interval time.Duration) lrfleet.FollowOptions {
 		return lrfleet.FollowOptions{
 			Name: name, Wait: p.WatchWait, Interval: interval, Delay: d.turnDelay,
-			Watches: func() bool { return d.sharer.Rank() < p.Watchers },
+			Watches: func() bool { return d.sharer.Rank(d.clock()) < p.Watchers },
 		}
 	}
 	d.tables = lrfleet.NewFollower(d.ports.Tables, options(feedTables, p.RefreshInterval), d.log,
@@ -147,7 +141,7 @@
 			}
 		})
 	servers := options(feedServers, p.ServerInterval)
-	servers.IsChanging, servers.LapseGrace = true, lapseGrace
+	servers.IsChanging, servers.LapseGrace, servers.Wait = true, lapseGrace, serverWatchWait
 	d.servers = lrfleet.NewFollower(d.ports.Servers, servers, d.log,
 		func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
 	d.wanted = lrfleet.NewFollower(d.ports.Wanted, options(feedWanted, p.RefreshInterval), d.log,
@@ -172,7 +166,7 @@
 
 // turnDelay returns how much longer than others this instance waits with what one instance is enough for.
 func (d *Daemon) turnDelay() time.Duration {
-	return min(time.Duration(d.sharer.Rank())*turnStep, turnMax)
+	return turnDelay(d.sharer.Rank(d.clock()), d.sharer.NewsDelay())
 }
 
 func (d *Daemon) wireWeights() {
@@ -190,14 +184,9 @@
 
 // keepLease renews the lease, or contends for it while no other instance is known to hold it.
 func (d *Daemon) keepLease(ctx context.Context, now time.Time) {
-	isStandby := d.sharer.Rank() < standbys && now.Sub(d.leaseLook) >= standbyPause
-	if d.weights.IsHolder(now) || isStandby || !d.sharer.HolderHeard(now) && now.Sub(d.lastHolder) > d.turnDelay() {
-		d.leaseLook = now
+	if d.looks.isDue(now, d.sharer.Rank(now), d.weights.IsHolder(now), d.sharer.HolderHeard(now), d.turnDelay()) {
 		d.stepLease(ctx)
 	}
-	if d.sharer.HolderHeard(now) {
-		d.lastHolder = now
-	}
 }
 
 func (d *Daemon) stepLease(ctx context.Context) {
@@ -249,11 +238,17 @@
 
 func (d *Daemon) registerOnce(ctx context.Context, value []byte) error {
 	kind, name := d.ports.InstancesKind, d.settings.Instance.Name
-	_, err := d.ports.Store.Create(ctx, kind, name, value)
-	if !lrplatform.ErrConflict.Has(err) {
-		return err
+	if d.settings.Instance.FirstStart {
+		_, err := d.ports.Store.Create(ctx, kind, name, value)
+		if !lrplatform.ErrConflict.Has(err) {
+			return err
+		}
 	}
 	before, err := d.ports.Store.Get(ctx, kind, name)
+	if lrplatform.ErrNotFound.Has(err) {
+		_, err = d.ports.Store.Create(ctx, kind, name, value)
+		return err
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -51,9 +51,11 @@
 	if state.GetHeardProcess() == s.Self.Process {
 		p.sent = lrbalance.Cursors{Near: state.GetHeardNear(), Far: state.GetHeardFar()}
 	}
+	// What is left in its own part alone tells nothing of the whole.
+	knowsLevels := s.hasStarted || !s.wantsLevels
 	s.mutex.Unlock()
 	reply, _ := s.stateFor(now, p)
-	if state.GetWantsLevels() && !reply.GetWantsLevels() {
+	if state.GetWantsLevels() && knowsLevels {
 		reply.Levels = s.Limiter.Levels(now)
 	}
 	return reply, nil
@@ -170,7 +172,7 @@
 	}
 	adopt := s.noteHeard(now, state, sum, isAnswer)
 	if adopt {
-		s.Limiter.StartWith(now, 1)
+		s.Limiter.StartWith(now, 1, false)
 		s.Limiter.Adopt(now, state.GetLevels())
 	}
 	for _, w := range state.GetWanted() {
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -68,6 +68,8 @@
 	freshAt time.Time
 	// failingSince is when the platform first did not answer. It is zero while it answers.
 	failingSince time.Time
+	// watchingSince is when the watch under way began. It is zero while there is none.
+	watchingSince time.Time
 	// backAt is when the platform answered again after an outage.
 	backAt time.Time
 	// missing are entries that lapsed around an outage, with the time at which they count as gone.
@@ -104,7 +106,7 @@
 		default:
 			f.noteFailure(time.Now(), err)
 			failures++
-			lrsupervise.Sleep(ctx, watchPause+f.backoff(failures))
+			lrsupervise.Sleep(ctx, watchPause+f.backoff(failures)+f.retryDelay(listed))
 		}
 	}
 	return nil
@@ -119,6 +121,14 @@
 	return b.Delay(failures, rand.Float64())
 }
 
+// retryDelay spaces the calls of instances that read in turn.
+func (f *Follower[T]) retryDelay(listed bool) time.Duration {
+	if !listed || !f.options.IsChanging {
+		return 0
+	}
+	return f.options.Delay()
+}
+
 // freshFor returns how long ago any instance is known to have read the feed.
 func (f *Follower[T]) freshFor(now time.Time) time.Duration {
 	f.mutex.Lock()
@@ -154,6 +164,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
 	defer cancel()
+	f.noteWatch(time.Now())
+	defer f.noteWatch(time.Time{})
 	changes, err := f.feed.Watch(ctx, f.Revision(), f.options.Wait)
 	if err != nil {
 		return err
@@ -162,6 +174,13 @@
 	return nil
 }
 
+// noteWatch notes that a watch has begun, or ended with the zero time.
+func (f *Follower[T]) noteWatch(since time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.watchingSince = since
+}
+
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -175,18 +194,29 @@
 
 // RunRefresh reads the whole list in turn with other instances until the context ends.
 func (f *Follower[T]) RunRefresh(ctx context.Context) error {
+	// Run begins with a whole list.
+	lrsupervise.Sleep(ctx, f.options.Interval)
 	for f.awaitTurn(ctx) {
 		err := f.list(ctx)
 		if err != nil {
 			f.log.Debug().Err(err).Str("feed", f.options.Name).Msg("fleet: list not refreshed")
-			lrsupervise.Sleep(ctx, f.backoff(1)+f.options.Interval)
+			lrsupervise.Sleep(ctx, f.backoff(1)+f.options.Interval+f.options.Delay())
 		}
 	}
 	return nil
 }
 
-// ReadAge returns how long ago any instance is known to have read the feed.
-func (f *Follower[T]) ReadAge(now time.Time) time.Duration { return f.freshFor(now) }
+// ReadAge returns how long ago any instance is known to have read the feed. A watch of this instance that still waits reads it
+// all the time, unless the platform did not answer the call before or is late with the answer.
+func (f *Follower[T]) ReadAge(now time.Time) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	isWatching := f.options.IsChanging && f.failingSince.IsZero() && now.Sub(f.watchingSince) <= f.options.Wait
+	if isWatching {
+		return 0
+	}
+	return now.Sub(f.freshAt)
+}
 
 // NoteReadAge takes in how long ago another instance knows the feed to have been read.
 func (f *Follower[T]) NoteReadAge(now time.Time, age time.Duration) {
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -317,3 +317,33 @@
 	f.Adopt(now, listOf(15, "a"))
 	requireEqual(t, "latest", f.Latest(), uint64(15))
 }
+
+// TestWatchInProgressCountsAsReading lets one instance watch a feed without changes, so that the others need not.
+func TestWatchInProgressCountsAsReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
+		f, _ := followed(ctx, feed, FollowOptions{IsChanging: true, Interval: 400 * time.Millisecond})
+		time.Sleep(time.Second)
+		requireEqual(t, "age while a watch waits", f.ReadAge(time.Now()), 0)
+		feed.change(func(f *fakeFeed) { f.down = true })
+		time.Sleep(2 * time.Second)
+		requireEqual(t, "age while the platform does not answer", f.ReadAge(time.Now()) > time.Second, true)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestFeedIsListedOnceAtTheStart does not refresh the list that following it has just read.
+func TestFeedIsListedOnceAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
+		_, _ = followed(ctx, feed, FollowOptions{Interval: 800 * time.Millisecond})
+		time.Sleep(500 * time.Millisecond)
+		lists, _ := feed.counts()
+		requireEqual(t, "lists", lists, 1)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -154,19 +154,29 @@
 	return len(s.peers) + 1
 }
 
-// Rank returns how many other instances go before this one where one is enough.
-func (s *Sharer) Rank() int {
+// Rank returns how many other instances go before this one where one is enough. Those of availability zones that are cut off do
+// not count.
+func (s *Sharer) Rank(now time.Time) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	silent := s.silentZones(now)
 	rank := 0
 	for _, p := range s.peers {
-		if precedes(p.Instance, s.Self) {
+		if precedes(p.Instance, s.Self) && !slices.Contains(silent, p.Zone) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// NewsDelay returns how long news take from any instance to any other one: to the relay of its zone, on to that of another
+// zone, and to the instance there.
+func (s *Sharer) NewsDelay() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return 2*s.period() + farSharePeriod
+}
+
 // levelsFor is how long an instance that has just started waits for others to tell the levels of allowances.
 const levelsFor = 300 * time.Millisecond
 
@@ -337,7 +347,7 @@
 	s.members.expire(now, reachableFor)
 	s.zones.expire(now, reachableFor)
 	others := s.others(now)
-	share, isStarting := s.share(now, others)
+	share, start := s.share(now, others)
 	source := "own"
 	if s.relayOf(now, s.Self.Zone) != nil {
 		source = s.above.process
@@ -353,29 +363,46 @@
 	} else {
 		s.Limiter.Lost()
 	}
-	if isStarting {
-		s.Limiter.StartWith(now, share)
-	} else {
+	switch start {
+	case startAlone:
+		s.Limiter.StartWith(now, share, true)
+	case startJoined:
+		s.Limiter.StartWith(now, share, false)
+	default:
 		s.Limiter.SetShare(now, share)
 	}
 	s.Directory.SetClosing(closing)
 }
 
-// share returns the part of the allowances that this instance and those it reaches may use, and whether what is left of them
-// is not known yet. The others have not been asked for long enough then to tell that they are out of reach. An instance that
-// heard no levels by the time it is ready started together with the others: each uses its own part until all have heard one
-// another, since what callers sent meanwhile arrives faster than the news of it. It must be called with the mutex held.
-func (s *Sharer) share(now time.Time, others tally) (share float64, isStarting bool) {
-	known := len(s.peers) + 1
+// startState tells how an instance stands to the others' use of allowances.
+type startState int
+
+const (
+	// hasStarted instances have asked the others for long enough to tell which are out of reach.
+	hasStarted startState = iota
+	// startAlone instances have heard no levels: they started together with the others, and each uses its own part until all have
+	// heard one another, since what callers sent meanwhile arrives faster than the news of it.
+	startAlone
+	// startJoined instances use the whole from now on, with what is left in their own buckets.
+	startJoined
+)
+
+// share returns the part of the allowances that this instance and those it reaches may use. It must be called with the mutex
+// held.
+func (s *Sharer) share(now time.Time, others tally) (float64, startState) {
+	known := float64(len(s.peers) + 1)
+	reached := min(float64(others.reached+1)/known, 1)
 	switch {
 	case s.hasStarted:
-		return min(float64(others.reached+1)/float64(known), 1), false
-	case now.Sub(s.startedAt) >= reachableFor:
-		s.hasStarted = true
-		return min(float64(others.reached+1)/float64(known), 1), s.wantsLevels
-	case s.wantsLevels:
-		return 1 / float64(known), true
-	default:
-		return 1, true
+		return reached, hasStarted
+	case now.Sub(s.startedAt) < reachableFor && s.wantsLevels:
+		return 1 / known, startAlone
+	case now.Sub(s.startedAt) < reachableFor:
+		return 1, startJoined
+	}
+	s.hasStarted = true
+	if s.wantsLevels {
+		return reached, startJoined
 	}
+	return reached, hasStarted
 }
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -347,6 +347,32 @@
 	}
 }
 
+// TestInstancesThatStartOneAfterAnotherKnowLevels restarts all instances within half a second. None of them may take levels over
+// that another one has not heard either, nor be charged what others use of their own parts.
+func TestInstancesThatStartOneAfterAnotherKnowLevels(t *testing.T) {
+	const rate = 100_000.0
+	f := newTestFleet(30)
+	f.run(time.Second)
+	for _, s := range f.sharers {
+		f.dead[s.Self.Name] = true
+	}
+	f.flood(time.Second, rate, 2)
+	for n, s := range f.sharers {
+		f.restart(n)
+		delete(f.dead, s.Self.Name)
+		if n%30 == 29 {
+			f.flood(200*time.Millisecond, rate, 2)
+		}
+	}
+	for range 10 {
+		f.flood(100*time.Millisecond, rate, 2)
+		for _, s := range f.sharers {
+			level := s.Limiter.Levels(f.now)["school"]
+			requireEqual(t, fmt.Sprintf("%s has a level of %.0f", s.Self.Name, level), level > -rate/2, true)
+		}
+	}
+}
+
 // TestRestartedInstanceKeepsTheRate restarts one instance after the other while an account asks for five times its rate.
 func TestRestartedInstanceKeepsTheRate(t *testing.T) {
 	const rate, overage = 100_000.0, 1.1
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -22,6 +22,8 @@
 	heard  map[string]float64
 	// isFull makes buckets start full, since no instance has used anything yet.
 	isFull bool
+	// isApart tells that the instance uses its own part alone, so that the use of others is not charged.
+	isApart bool
 }
 
 type sharedAccount struct {
@@ -44,6 +46,7 @@
 func (s *Shared) SetShare(now time.Time, share float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.isApart = false
 	if share == s.share || share <= 0 {
 		return
 	}
@@ -60,10 +63,12 @@
 }
 
 // StartWith sets the part of all limits that this instance may use while it has not heard what is left in the buckets. What is
-// left in its own ones stays as it is: nobody brings what the others have.
-func (s *Shared) StartWith(now time.Time, share float64) {
+// left in its own ones stays as it is: nobody brings what the others have. What others use is not charged to an instance that is
+// apart, since each of them has a part of its own.
+func (s *Shared) StartWith(now time.Time, share float64, isApart bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.isApart = isApart
 	if share == s.share || share <= 0 {
 		return
 	}
@@ -169,7 +174,7 @@
 	defer s.mutex.Unlock()
 	before, isNew := s.heard, s.source != source || s.heard == nil
 	s.source, s.heard = source, maps.Clone(used)
-	if isNew {
+	if isNew || s.isApart {
 		return
 	}
 	for name, total := range used {
