--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -247,8 +247,9 @@
 		c.Source, c.Fetched = from.engine, from.tokens-cached
 		c.Missing -= c.Fetched
 	}
-	if rank == 0 {
-		// The home holds more than this instance knows, since other instances send there too.
+	if rank == 0 && engine.OutdatedFor == 0 {
+		// The home holds more than this instance knows, since other instances send there too. An engine of old weights may
+		// have to turn down what takes longer than expected.
 		c.Missing = min(c.Missing, request.Tokens-int(homeShare*float64(sharedTokens(runs))))
 	}
 	load := b.load(engine.ID)
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -8,11 +8,7 @@
 
 const (
 	// beliefLife is how long an engine is believed to keep a part that was not used again.
-<<<<<<< Updated upstream
 	beliefLife = 9 * time.Second
-=======
-	beliefLife = 11 * time.Second
->>>>>>> Stashed changes
 	// tellAgainAfter is the time after which others are told of a part again when it is used: they believe in it only for
 	// beliefLife.
 	tellAgainAfter = 4 * time.Second
