--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -36,8 +36,9 @@
 }
 
 const (
-	// outageFrom is the time without a reading by any instance from which on missing entries may have lapsed.
-	outageFrom = 800 * time.Millisecond
+	// outageFrom is the time without a reading by any instance from which on missing entries may have lapsed. It is longer than
+	// it takes until another instance reads in place of one that has died.
+	outageFrom = 1800 * time.Millisecond
 	// watchSlack is how long the answer to a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
 	// retryBase and retryMax space calls that the platform does not answer.
@@ -225,17 +226,21 @@
 	f.noteRead(now, now.Add(-age))
 }
 
-// noteRead takes in that an instance has read the feed. Entries may have lapsed if the platform has not answered here and
-// nobody is known to have read the feed for a while: it was out of reach of more than this instance. The mutex must be held.
+// noteRead takes in that an instance has read the feed. The mutex must be held.
 func (f *Follower[T]) noteRead(now, at time.Time) {
 	if !at.After(f.freshAt) {
 		return
 	}
-	isOutage := !f.failingSince.IsZero() && at.Sub(f.freshAt) > outageFrom
-	if isOutage {
+	f.noteOutage(now, at)
+	f.freshAt = at
+}
+
+// noteOutage begins the grace for entries that may have lapsed, if nobody is known to have read the feed for long until the given
+// time: the platform was out of reach of more than this instance. The mutex must be held.
+func (f *Follower[T]) noteOutage(now, until time.Time) {
+	if !f.freshAt.IsZero() && until.Sub(f.freshAt) > outageFrom {
 		f.backAt = now
 	}
-	f.freshAt = at
 }
 
 // Replace takes in a whole list that the platform has just answered.
@@ -266,6 +271,7 @@
 		f.mutex.Unlock()
 		return false
 	}
+	f.noteOutage(now, now)
 	f.latest = changes.Latest
 	changes.Revision = 0
 	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -347,3 +347,30 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestEntryLapsedForAnInstanceThatWaitedForItsTurn is believed in by an instance that has made no call in the outage and first
+// hears of its end with the list of another one.
+func TestEntryLapsedForAnInstanceThatWaitedForItsTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := lapsing(now, "a", "b")
+	changes := 0
+	f.onChange = func(time.Time, map[string]string) { changes++ }
+	now = now.Add(3 * time.Second)
+	f.Adopt(now, listOf(11, "a"))
+	f.Adopt(now.Add(100*time.Millisecond), listOf(12, "a"))
+	f.NoteReadAge(now.Add(100*time.Millisecond), 50*time.Millisecond)
+	f.Expire(now.Add(time.Second))
+	requireEqual(t, "changes within the grace", changes, 0)
+	f.Expire(now.Add(3 * time.Second))
+	requireEqual(t, "known after it", known(f), "a")
+	requireEqual(t, "changes after it", changes, 1)
+}
+
+// TestEntryRemovedAfterAReaderDied is gone at once, although it took a moment until the next instance read the list.
+func TestEntryRemovedAfterAReaderDied(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := lapsing(now, "a", "b")
+	now = now.Add(1500 * time.Millisecond)
+	f.Adopt(now, listOf(11, "a"))
+	requireEqual(t, "known", known(f), "a")
+}
