--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -127,7 +127,7 @@
 		return choice, lrfleet.Server{}, false
 	}
 	r.choice = choice
-	p.Log.Info().Str("request", r.ID).Str("acc", r.account.Name).Str("route", r.route.Name).Interface("parts", r.Parts).Str("src", choice.Source).Int("fetched", choice.Fetched).Int64("ver", choice.Engine.Version).Str("server", choice.Engine.ID).Int("rank", choice.Rank).Int("missing", choice.Missing).
+	p.Log.Debug().Str("request", r.ID).Str("server", choice.Engine.ID).Int("rank", choice.Rank).Int("missing", choice.Missing).
 		Dur("wait", choice.Wait).Int("candidates", choice.Candidates).Msg("request: placed")
 	return choice, byID[choice.Engine.ID], true
 }
