--- a/internal/lredge/budgets.go
+++ b/internal/lredge/budgets.go
@@ -12,12 +12,14 @@
 type budgets struct {
 	settings  lrsettings.Retries
 	instances func() int
-	mutex     sync.Mutex
-	services  map[string]*lrretry.WindowBudget
+	// count notes each question and its answer.
+	count    func(service string, granted bool)
+	mutex    sync.Mutex
+	services map[string]*lrretry.WindowBudget
 }
 
-func newBudgets(settings lrsettings.Retries, instances func() int) *budgets {
-	return &budgets{settings: settings, instances: instances, services: map[string]*lrretry.WindowBudget{}}
+func newBudgets(settings lrsettings.Retries, instances func() int, count func(service string, granted bool)) *budgets {
+	return &budgets{settings: settings, instances: instances, count: count, services: map[string]*lrretry.WindowBudget{}}
 }
 
 func (b *budgets) of(service string) *lrretry.WindowBudget {
@@ -39,5 +41,7 @@
 
 // Spend takes one repeat and reports whether there was one.
 func (b *budgets) Spend(now time.Time, service string) bool {
-	return b.of(service).Spend(now, float64(b.settings.Extra)/float64(b.instances()+1))
+	granted := b.of(service).Spend(now, float64(b.settings.Extra)/float64(b.instances()+1))
+	b.count(service, granted)
+	return granted
 }
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -118,6 +118,7 @@
 	d.wireWeights()
 	d.wireSharer()
 	d.wirePipeline()
+	d.registerGauges()
 	d.metrics.registry.MustRegister(ports.Collectors...)
 	for name, duty := range ports.Duties {
 		d.supervisor.Add(name, duty)
@@ -175,7 +176,7 @@
 	d.weights = lrweights.NewDuty(lrweights.Parts{
 		Instance: d.settings.Instance.Name, Keeper: d.keeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
 		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter},
-		LeaseClock: lrclock.Boot, Log: d.log,
+		LeaseClock: lrclock.Boot, Observer: d.metrics, Log: d.log,
 		Tell: func(now time.Time, note lrfleet.WeightsNote) { d.sharer.TellWeights(now, note) },
 	})
 	d.supervisor.Add("keepLease", lrsupervise.Every(contendPause, d.keepLease))
@@ -202,8 +203,7 @@
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerParts{
 		Self:      d.self(),
 		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Crashes: d.crashes, Rollout: d.weights, Pool: d.pool,
-		Feeds: map[string]lrfleet.Relayed{feedTables: d.tables, feedServers: d.servers, feedWanted: d.wanted, feedInstances: d.instances},
-		Clock: d.clock, Log: d.log,
+		Feeds: d.feeds(), Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
 		d.log.Error().Str("method", method).Str("panic", fmt.Sprint(value)).Msg("peers: call failed")
@@ -259,7 +259,7 @@
 func (d *Daemon) wirePipeline() {
 	d.pipeline = lrpipeline.New(lrpipeline.Parts{
 		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
-		Budgets: newBudgets(d.settings.Retries, d.sharer.Instances), SilentZones: d.sharer.SilentZones,
+		Budgets: newBudgets(d.settings.Retries, d.sharer.Instances, d.metrics.repeated), SilentZones: d.sharer.SilentZones,
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
 		}),
--- /dev/null
+++ b/internal/lredge/gauges.go
@@ -0,0 +1,45 @@
+package lredge
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
+)
+
+// registerGauges registers what the instance believes at the moment of the question.
+func (d *Daemon) registerGauges() {
+	gauge := func(name, help string, value func() float64) {
+		d.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("lavenderrouter_edge_table_version", "Version of the routing table in force, 0 before the first.", func() float64 {
+		table := d.directory.Table()
+		if table == nil {
+			return 0
+		}
+		return float64(table.Version())
+	})
+	gauge("lavenderrouter_edge_servers", "Backend servers that are listed and do not leave.", func() float64 {
+		return float64(len(d.directory.All()))
+	})
+	gauge("lavenderrouter_edge_instances", "Instances that are listed, this one included.", func() float64 {
+		return float64(d.sharer.Instances())
+	})
+	gauge("lavenderrouter_edge_instances_reached", "Instances within reach, this one included.", func() float64 {
+		return float64(d.sharer.Reached(d.clock()))
+	})
+	gauge("lavenderrouter_edge_allowance_share", "Part of all allowances that the instances within reach may use.", d.limiter.Share)
+	gauge("lavenderrouter_edge_outdated_seconds", "How long the engine that is furthest behind has lacked newer weights.", func() float64 {
+		return d.directory.LongestOutdated(d.clock()).Seconds()
+	})
+	for name, f := range d.feeds() {
+		d.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "lavenderrouter_edge_feed_age_seconds", Help: "Time since any instance is known to have read the feed.",
+			ConstLabels: prometheus.Labels{"feed": name},
+		}, func() float64 { return f.ReadAge(d.clock()).Seconds() }))
+	}
+}
+
+// feeds returns what other instances can read from this one.
+func (d *Daemon) feeds() map[string]lrfleet.Relayed {
+	return map[string]lrfleet.Relayed{feedTables: d.tables, feedServers: d.servers, feedWanted: d.wanted, feedInstances: d.instances}
+}
--- a/internal/lredge/metrics.go
+++ b/internal/lredge/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 )
 
 // metrics count what happens to requests.
@@ -15,6 +17,10 @@
 	attempts   *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
 	ended      *prometheus.HistogramVec
+	prompts    *prometheus.CounterVec
+	repeats    *prometheus.CounterVec
+	orders     *prometheus.CounterVec
+	leases     *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of the histograms, in seconds.
@@ -37,11 +43,27 @@
 		ended: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lavenderrouter_edge_request_seconds", Help: "Time of whole requests, by outcome.", Buckets: latencyBuckets(),
 		}, []string{"route", "outcome"}),
+		prompts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lavenderrouter_edge_prompt_tokens_total",
+			Help: "Prompt tokens of answered requests, by where they were expected to come from: computed, fetched or kept.",
+		}, []string{"from"}),
+		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lavenderrouter_edge_repeats_total", Help: "Repeats asked of the retry budget of a service, by answer.",
+		}, []string{"service", "answer"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lavenderrouter_edge_orders_total", Help: "Orders for new weights, by result.",
+		}, []string{"result"}),
+		leases: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lavenderrouter_edge_lease_changes_total", Help: "Changes of the right to give orders, by what it changed to.",
+		}, []string{"to"}),
 	}
-	m.registry.MustRegister(m.refused, m.attempts, m.firstEvent, m.ended)
+	m.registry.MustRegister(m.refused, m.attempts, m.firstEvent, m.ended, m.prompts, m.repeats, m.orders, m.leases)
 	return m
 }
 
+// Registry returns the metrics of the instance and of its ports.
+func (d *Daemon) Registry() *prometheus.Registry { return d.metrics.registry }
+
 // Refused counts a refusal.
 func (m *metrics) Refused(route, reason string) { m.refused.WithLabelValues(route, reason).Inc() }
 
@@ -58,6 +80,39 @@
 	m.ended.WithLabelValues(route, outcome).Observe(after.Seconds())
 }
 
+// Prompted counts the tokens of an answered prompt by where they were expected to come from.
+func (m *metrics) Prompted(computed, fetched, kept int) {
+	m.prompts.WithLabelValues("computed").Add(float64(computed))
+	m.prompts.WithLabelValues("fetched").Add(float64(fetched))
+	m.prompts.WithLabelValues("kept").Add(float64(kept))
+}
+
+// repeated counts a question to the retry budget.
+func (m *metrics) repeated(service string, granted bool) {
+	answer := "denied"
+	if granted {
+		answer = "granted"
+	}
+	m.repeats.WithLabelValues(service, answer).Inc()
+}
+
+// Ordered counts an order for new weights. An order without an answer has no result.
+func (m *metrics) Ordered(result lrweights.Result) {
+	if result == "" {
+		result = "unknown"
+	}
+	m.orders.WithLabelValues(string(result)).Inc()
+}
+
+// LeaseChanged counts that the right to give orders was won or lost.
+func (m *metrics) LeaseChanged(held bool) {
+	to := "lost"
+	if held {
+		to = "held"
+	}
+	m.leases.WithLabelValues(to).Inc()
+}
+
 // adminHandler serves readiness and metrics.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -185,6 +185,17 @@
 	return 0
 }
 
+// LongestOutdated returns how long the server that is furthest behind has lacked newer weights.
+func (d *Directory) LongestOutdated(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range d.All() {
+		for model, version := range s.Versions {
+			longest = max(longest, d.OutdatedFor(now, model, version))
+		}
+	}
+	return longest
+}
+
 // WantedVersions returns the wanted version of each model.
 func (d *Directory) WantedVersions() map[string]int64 {
 	d.mutex.Lock()
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -120,6 +120,7 @@
 func (silentObserver) Attempted(string)                    {}
 func (silentObserver) FirstEvent(string, time.Duration)    {}
 func (silentObserver) Ended(string, string, time.Duration) {}
+func (silentObserver) Prompted(int, int, int)              {}
 
 // testBudget allows a number of repeats.
 type testBudget struct{ left int }
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -67,6 +67,8 @@
 	Refused(route, reason string)
 	Attempted(outcome string)
 	FirstEvent(route string, after time.Duration)
+	// Prompted notes where the tokens of an answered prompt were expected to come from.
+	Prompted(computed, fetched, kept int)
 	Ended(route, outcome string, after time.Duration)
 }
 
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -316,6 +316,7 @@
 	p := r.pipeline
 	took := p.Clock().Sub(r.Received)
 	p.Observer.Ended(r.route.Name, outcome, took)
+	p.Observer.Prompted(r.choice.Missing, r.choice.Fetched, max(r.PromptTokens-r.choice.Missing-r.choice.Fetched, 0))
 	r.logAttempt(zerolog.InfoLevel, server, outcome).Dur("took", took).Uint64("table", r.table).Int64("weights", server.Versions[r.Model]).
 		Int("missing", r.choice.Missing).Int("fetched", r.choice.Fetched).Int("rank", r.choice.Rank).Dur("expectedWait", r.choice.Wait).
 		Int("candidates", r.choice.Candidates).Msg("request: ended")
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -94,9 +94,18 @@
 	Tell func(now time.Time, note lrfleet.WeightsNote)
 	// LeaseClock is the clock of the lease, which counts time in suspension.
 	LeaseClock func() time.Time
+	Observer   Observer
 	Log        zerolog.Logger
 }
 
+// An Observer counts what becomes of orders.
+type Observer interface {
+	// Ordered notes the result of an order. It is empty where there was no answer.
+	Ordered(result Result)
+	// LeaseChanged notes that the right to give orders was won or lost.
+	LeaseChanged(held bool)
+}
+
 // A Duty keeps engines at the weights that are wanted. It is safe for use by several goroutines.
 type Duty struct {
 	Parts
@@ -158,6 +167,7 @@
 		return
 	}
 	d.wasHeld = held
+	d.Observer.LeaseChanged(held)
 	d.Log.Info().Bool("held", held).Uint64("fence", grant.Fence).Msg("weights: lease")
 }
 
@@ -289,6 +299,7 @@
 	defer cancel()
 	result, err := d.Engines.Order(ctx, server, order)
 	d.noteElsewhere(server, err)
+	d.Observer.Ordered(result)
 	d.Log.Info().Err(err).Str("server", server.ID).Str("model", order.Model).Int64("version", order.Version).
 		Uint64("fence", order.Fence).Int64("accepted", order.Accepted).Str("result", string(result)).Msg("weights: order")
 	return result
--- a/internal/lrweights/duty_test.go
+++ b/internal/lrweights/duty_test.go
@@ -138,6 +138,7 @@
 	for n := range duties {
 		name := fmt.Sprint("edge-", n)
 		r.duties = append(r.duties, NewDuty(Parts{
+			Observer: silentObserver{},
 			Instance: name, Keeper: lrlease.NewKeeper(store, "rollout", name, testValidity, time.Now), Engines: engines,
 			Directory: r.directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
 			Options: lrrollout.Options{MinAtOnce: 2, Share: 0.34}, Tell: func(time.Time, lrfleet.WeightsNote) {},
@@ -246,3 +247,9 @@
 		t.Fatalf("got %v, want %v", got, want)
 	}
 }
+
+// silentObserver counts nothing.
+type silentObserver struct{}
+
+func (silentObserver) Ordered(Result)    {}
+func (silentObserver) LeaseChanged(bool) {}
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -62,6 +62,13 @@
 	s.share = share
 }
 
+// Share returns the part of all limits that this instance and those it reaches may use.
+func (s *Shared) Share() float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.share
+}
+
 // StartWith sets the part of all limits that this instance may use while it has not heard what is left in the buckets. What is
 // left in its own ones stays as it is: nobody brings what the others have. What others use is not charged to an instance that is
 // apart, since each of them has a part of its own.
