Tell nobody of prompt parts that an engine has not computed; read a request's candidates in one look

The pipeline asked the directory under its mutex three times for each engine. Change: run.noteComputed after the first event; Balancer.End drops what was not computed; Directory.Candidates. Three tests, the first two failed first.

--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -177,6 +177,11 @@
 func (d *Directory) OutdatedFor(now time.Time, model string, version int64) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	return d.outdatedFor(now, model, version)
+}
+
+// outdatedFor must be called with the mutex held.
+func (d *Directory) outdatedFor(now time.Time, model string, version int64) time.Duration {
 	for _, w := range d.wanted[model] {
 		if w.version > version {
 			return now.Sub(w.since)
@@ -227,25 +232,33 @@
 	}
 }
 
-// IsClosing reports whether the server is about to change its weights.
-func (d *Directory) IsClosing(server string) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.closing[server]
+// A Candidate is a server that a request may go to.
+type Candidate struct {
+	Server
+	// IsClosing tells that it is about to change its weights.
+	IsClosing bool
+	// OutdatedFor is how long newer weights of the request's model have been wanted.
+	OutdatedFor time.Duration
 }
 
-// Servers returns the servers of the service, ordered by identity. Those that leave are left out.
-func (d *Directory) Servers(service string) []Server {
+// Candidates returns the servers of the service with what matters to a request for the model, ordered by identity. Those that
+// leave are left out.
+func (d *Directory) Candidates(now time.Time, service, model string) []Candidate {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var servers []Server
+	candidates := make([]Candidate, 0, len(d.servers))
 	for _, s := range d.servers {
-		if s.Service == service && !s.IsLeaving && !d.displaced[s.ID] {
-			servers = append(servers, s)
+		if s.Service != service || s.IsLeaving || d.displaced[s.ID] {
+			continue
+		}
+		c := Candidate{Server: s, IsClosing: d.closing[s.ID]}
+		if model != "" {
+			c.OutdatedFor = d.outdatedFor(now, model, s.Versions[model])
 		}
+		candidates = append(candidates, c)
 	}
-	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
-	return servers
+	slices.SortFunc(candidates, func(a, b Candidate) int { return strings.Compare(a.ID, b.ID) })
+	return candidates
 }
 
 // All returns all servers that do not leave.
--- a/internal/lrfleet/directory_test.go
+++ b/internal/lrfleet/directory_test.go
@@ -53,9 +53,29 @@
 	d := NewDirectory(zerolog.Nop())
 	d.SetServers(map[string]Server{"e": {ID: "e", Service: "s", Born: 1}})
 	d.Displaced("e")
-	requireEqual(t, "servers", len(d.Servers("s")), 0)
+	requireEqual(t, "servers", len(d.Candidates(time.Unix(1000, 0), "s", "")), 0)
 	d.SetServers(map[string]Server{"e": {ID: "e", Service: "s", Born: 1, Slots: 2}})
-	requireEqual(t, "servers", len(d.Servers("s")), 0)
+	requireEqual(t, "servers", len(d.Candidates(time.Unix(1000, 0), "s", "")), 0)
 	d.SetServers(map[string]Server{"e": {ID: "e", Service: "s", Born: 2}})
-	requireEqual(t, "servers", len(d.Servers("s")), 1)
+	requireEqual(t, "servers", len(d.Candidates(time.Unix(1000, 0), "s", "")), 1)
+}
+
+// TestCandidatesTellWhatMattersToARequest reads closing and outdated servers in one look.
+func TestCandidatesTellWhatMattersToARequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(zerolog.Nop())
+	d.SetServers(map[string]Server{
+		"a": {ID: "a", Service: "s", Versions: map[string]int64{"m": 1}},
+		"b": {ID: "b", Service: "s", Versions: map[string]int64{"m": 2}},
+		"c": {ID: "c", Service: "s", IsLeaving: true},
+		"d": {ID: "d", Service: "other"},
+	})
+	d.SetWanted(now, "m", 2)
+	d.SetClosing([]string{"b"})
+	candidates := d.Candidates(now.Add(time.Second), "s", "m")
+	requireEqual(t, "candidates", len(candidates), 2)
+	requireEqual(t, "a is outdated for", candidates[0].OutdatedFor, time.Second)
+	requireEqual(t, "a is closing", candidates[0].IsClosing, false)
+	requireEqual(t, "b is outdated for", candidates[1].OutdatedFor, 0)
+	requireEqual(t, "b is closing", candidates[1].IsClosing, true)
 }
--- a/internal/lrpipeline/pipeline_test.go
+++ b/internal/lrpipeline/pipeline_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 )
 
@@ -205,3 +206,28 @@
 		t.Fatalf("got %v, want %v", got, want)
 	}
 }
+
+// TestPromptOfABrokenStreamIsNotComputed tells nobody of parts that an engine may not hold: the stream broke before its first
+// event.
+func TestPromptOfABrokenStreamIsNotComputed(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps []step
+		told  int
+	}{
+		{"before the first event", []step{{broken: true}}, 0},
+		{"after it", []step{{events: []string{"1"}, broken: true}}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, c.steps...)
+			request, caller := w.request("stream"), &recorded{}
+			request.Model, request.PromptTokens = testModel, 300
+			request.Parts = []lrbalance.Part{{ID: "shared", Tokens: 200}, {ID: "own", Tokens: 100}}
+			w.pipeline.Serve(context.Background(), request, caller)
+			news, _ := w.pipeline.Balancer.News(w.pipeline.Clock(), lrbalance.Cursors{}, true)
+			requireEqual(t, len(news), c.told)
+			requireEqual(t, len(w.pipeline.Balancer.Own()), 0)
+		})
+	}
+}
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -48,6 +48,8 @@
 	runs  int
 	// unsent tells that no byte of the last sending has left.
 	unsent bool
+	// computed tells that the last attempt has computed the prompt.
+	computed bool
 	// begun tells that the caller has the head of the stream, and lastEvent is the last event that it got.
 	begun     bool
 	lastEvent string
@@ -100,7 +102,7 @@
 func (r *run) choose() (lrbalance.Choice, lrfleet.Server, bool) {
 	p := r.pipeline
 	now := p.Clock()
-	servers := p.Directory.Servers(r.service.Name)
+	servers := p.Directory.Candidates(now, r.service.Name, r.Model)
 	engines := make([]lrbalance.Engine, 0, len(servers))
 	byID := make(map[string]lrfleet.Server, len(servers))
 	ejected := p.Ejector.Ejected(now)
@@ -115,8 +117,11 @@
 	}
 	silent := p.SilentZones(now)
 	for _, s := range servers {
-		byID[s.ID] = s
-		engines = append(engines, r.engine(now, s, silent[s.Zone]))
+		byID[s.ID] = s.Server
+		engines = append(engines, lrbalance.Engine{
+			ID: s.ID, Zone: s.Zone, Slots: s.Slots, Version: s.Versions[r.Model], OutdatedFor: s.OutdatedFor,
+			IsClosing: s.IsClosing, IsDoubtful: silent[s.Zone],
+		})
 	}
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
@@ -132,23 +137,12 @@
 	return choice, byID[choice.Engine.ID], true
 }
 
-func (r *run) engine(now time.Time, server lrfleet.Server, isDoubtful bool) lrbalance.Engine {
-	e := lrbalance.Engine{
-		ID: server.ID, Zone: server.Zone, Slots: server.Slots, Version: server.Versions[r.Model], IsDoubtful: isDoubtful,
-		IsClosing: r.pipeline.Directory.IsClosing(server.ID),
-	}
-	if r.Model != "" {
-		e.OutdatedFor = r.pipeline.Directory.OutdatedFor(now, r.Model, e.Version)
-	}
-	return e
-}
-
 // attempt sends the request to the server and passes the answer on where that settles the request.
 func (r *run) attempt(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server) verdict {
 	p := r.pipeline
 	began := p.Clock()
-	computed := false
-	defer func() { p.Balancer.End(choice, computed) }()
+	r.computed = false
+	defer func() { p.Balancer.End(choice, r.computed) }()
 	r.sends++
 	p.Ejector.Started(began, server.ID)
 	reply, err := p.Backend.Send(ctx, Attempt{
@@ -179,7 +173,6 @@
 		p.Observer.Attempted("refused")
 		return mayRepeat
 	}
-	computed = true
 	if r.route.Kind == lrtable.Streaming && reply.IsSuccess() {
 		return r.relayStream(ctx, choice, server, reply)
 	}
@@ -227,7 +220,7 @@
 // relayAnswer passes a whole answer on. A failure is kept, since another server may do better.
 func (r *run) relayAnswer(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
 	p := r.pipeline
-	p.Balancer.FirstEvent(p.Clock(), choice)
+	r.noteComputed(choice)
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
 		return r.broken(ctx, server, lrconn.ErrBroken.Wrap(err))
@@ -256,17 +249,12 @@
 	first := true
 	for {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			if first {
-				p.Balancer.FirstEvent(p.Clock(), choice)
-			}
-			return r.completeStream(server, reply)
-		}
-		if first {
-			p.Balancer.FirstEvent(p.Clock(), choice)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return r.broken(ctx, server, lrconn.ErrBroken.Wrap(err))
 		}
+		r.noteComputed(choice)
 		if err != nil {
-			return r.broken(ctx, server, lrconn.ErrBroken.Wrap(err))
+			return r.completeStream(server, reply)
 		}
 		if first {
 			first = false
@@ -280,6 +268,15 @@
 	}
 }
 
+// noteComputed tells the balancer once that the prompt of the attempt is computed.
+func (r *run) noteComputed(choice lrbalance.Choice) {
+	if r.computed {
+		return
+	}
+	r.computed = true
+	r.pipeline.Balancer.FirstEvent(r.pipeline.Clock(), choice)
+}
+
 // passOn gives the caller one event, after the head of the stream where it is the first.
 func (r *run) passOn(reply *Reply, event Event) error {
 	if !r.begun {
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -327,6 +327,7 @@
 	load := Load{Running: -1}
 	if !computed {
 		load.Waiting = -choice.work
+		b.beliefs.abandon(choice.Engine.ID, choice.runs)
 	}
 	b.count(choice.Engine.ID, load)
 }
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -197,6 +197,17 @@
 	requireEqual(t, other.Fetched, 0)
 }
 
+// TestRefusedRequestLeavesNoBelief expects nothing of an engine that did not compute the file.
+func TestRefusedRequestLeavesNoBelief(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(1)
+	b := newTestBalancer(1)
+	first, _ := b.Choose(now, newTestRequest("file", "x"), engines)
+	b.End(first, false)
+	second, _ := b.Choose(now, newTestRequest("file", "y"), engines)
+	requireEqual(t, second.Missing, first.Missing)
+}
+
 // TestNothingIsFetchedAfterARestart forgets what an engine held before.
 func TestNothingIsFetchedAfterARestart(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// abandon notes that the engine has not computed what it lacked of the runs.
+func (b *beliefs) abandon(engine string, runs []prefix) {
+	held := b.engines[engine]
+	for _, r := range runs {
+		if h, ok := held[r.key]; ok && !h.isReady {
+			delete(held, r.key)
+		}
+	}
+}
+
 // ready notes that the engine has computed the runs.
 func (b *beliefs) ready(now time.Time, engine string, runs []prefix) {
 	for _, r := range runs {
