Use one hash for the homes of prompts and the owners of engines

All homes change once; lrlimit's own score stays, since instances of two versions would disagree about homes of grants during an upgrade.

--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
 )
 
 // Options describe the backend servers.
@@ -191,7 +192,7 @@
 		return order
 	}
 	for n, e := range engines {
-		order[n].score = score(home, e.ID)
+		order[n].score = lrhash.Pair(home, e.ID)
 		if isKnown && e.Zone != b.options.Zone {
 			order[n].isFar = 1
 		}
@@ -225,20 +226,6 @@
 	return key.String()
 }
 
-func score(key, engine string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(engine))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(key))
-	// The last bytes hardly change the high bits of this hash, so they are mixed once more.
-	x := hash.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 func (b *Balancer) estimate(now time.Time, request Request, engine Engine, rank int, runs []prefix, from source) Choice {
 	c := Choice{Engine: engine, Rank: rank, runs: runs}
 	cached := b.beliefs.cached(now, engine.ID, runs)
--- /dev/null
+++ b/pkg/lrhash/pair_test.go
@@ -0,0 +1,56 @@
+package lrhash
+
+import (
+	"fmt"
+	"testing"
+)
+
+// best returns the number of the member with the highest score.
+func best(key string, members int) int {
+	best, bestScore := -1, uint64(0)
+	for m := range members {
+		s := Pair(key, fmt.Sprint("i-", m))
+		if best < 0 || s > bestScore {
+			best, bestScore = m, s
+		}
+	}
+	return best
+}
+
+// TestKeysSpread gives each of twelve members its part of 12,000 similar keys.
+func TestKeysSpread(t *testing.T) {
+	counts := make([]int, 12)
+	for n := range 12_000 {
+		counts[best(fmt.Sprint("file", n), len(counts))]++
+	}
+	for m, c := range counts {
+		if c < 850 || c > 1150 {
+			t.Errorf("member %d has %d of 12,000 keys", m, c)
+		}
+	}
+}
+
+// TestFewKeysMove adds one member to twelve.
+func TestFewKeysMove(t *testing.T) {
+	moved := 0
+	for n := range 12_000 {
+		key := fmt.Sprint("file", n)
+		before, after := best(key, 12), best(key, 13)
+		if before != after {
+			moved++
+		}
+		if before != after && after != 12 {
+			t.Errorf("%s moves between members that stay", key)
+		}
+	}
+	if moved > 1200 {
+		t.Errorf("%d of 12,000 keys move, want about 923", moved)
+	}
+}
+
+// TestBorderCounts keeps key and member apart.
+func TestBorderCounts(t *testing.T) {
+	if Pair("ab", "c") == Pair("a", "bc") {
+		t.Error("the border between key and member does not count")
+	}
+}
