--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -3,6 +3,7 @@
 package lredge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -215,7 +216,8 @@
 
 func (d *Daemon) self() lrfleet.Instance {
 	i := d.settings.Instance
-	return lrfleet.Instance{Name: i.Name, Zone: i.Zone, PeerAddress: i.PeerAddress, Process: d.process, Strength: i.Strength}
+	address := cmp.Or(i.PeerAdvertised, i.PeerAddress)
+	return lrfleet.Instance{Name: i.Name, Zone: i.Zone, PeerAddress: address, Process: d.process, Strength: i.Strength}
 }
 
 // register tells the other instances of this one, through the store.
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -32,6 +32,8 @@
 	AdminAddress string
 	// PeerAddress is where the other instances are served, as IP:port.
 	PeerAddress string
+	// PeerAdvertised is where the other instances call this one, as IP:port. Empty means PeerAddress.
+	PeerAdvertised string
 	// MetricsAddress is a further address of the metrics, as IP:port. Empty means that there is none.
 	MetricsAddress string
 	// FirstStart tells that the deployment starts for the first time, so that no allowance has been used.
