Count sendings that did not leave apart from those that did

Change: up to 16 servers to which a request cannot be sent, and 6 sendings that leave (4 before), each within the retry budget. The test names the pattern; two of its four cases failed first.

--- a/internal/lrpipeline/pipeline_test.go
+++ b/internal/lrpipeline/pipeline_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 )
@@ -207,6 +210,36 @@
 	}
 }
 
+// TestManyServersAreGone answers a request although many servers have just crashed or come back as others, as when a third of a large
+// service restarts at once. Sendings that did not leave cost nothing; those that were refused are bounded.
+func TestManyServersAreGone(t *testing.T) {
+	unsent, elsewhere := step{err: errTestUnsent}, step{refusal: RefusedElsewhere, status: 421}
+	cases := []struct {
+		name   string
+		steps  []step
+		status int
+	}{
+		{"eight do not listen", append(repeated(unsent, 8), step{body: "ok"}), 200},
+		{"five do not listen and four are others", append(append(repeated(unsent, 5), repeated(elsewhere, 4)...), step{body: "ok"}), 200},
+		{"all are others", repeated(elsewhere, 30), 503},
+		{"none listens", repeated(unsent, 30), 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, c.steps...)
+			servers := map[string]lrfleet.Server{}
+			for n := range 30 {
+				id := fmt.Sprint("s", n)
+				servers[id] = lrfleet.Server{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: "a"}
+			}
+			w.pipeline.Directory.SetServers(servers)
+			requireEqual(t, w.serve("pay").status, c.status)
+		})
+	}
+}
+
+func repeated(s step, times int) []step { return slices.Repeat([]step{s}, times) }
+
 // TestPromptOfABrokenStreamIsNotComputed tells nobody of parts that an engine may not hold: the stream broke before its first
 // event.
 func TestPromptOfABrokenStreamIsNotComputed(t *testing.T) {
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -18,7 +18,10 @@
 
 const (
 	// maxSends bounds how often one request is sent, refusals of backend servers included.
-	maxSends = 4
+	maxSends = 6
+	// maxUnsent bounds how often a request meets a server to which it cannot be sent. It is soon over, since nobody listens there,
+	// and each such server is ejected.
+	maxUnsent = 16
 	// maxAnswerBytes bounds a whole answer that is kept until it is complete.
 	maxAnswerBytes = 16 << 20
 )
@@ -43,9 +46,10 @@
 	excluded map[string]bool
 	// choice is the last placement.
 	choice lrbalance.Choice
-	// sends counts attempts, runs those that may have run.
-	sends int
-	runs  int
+	// sends counts attempts, runs those that may have run, and unsents those of which no byte has left.
+	sends   int
+	runs    int
+	unsents int
 	// unsent tells that no byte of the last sending has left.
 	unsent bool
 	// computed tells that the last attempt has computed the prompt.
@@ -92,7 +96,7 @@
 // mayRepeat reports whether one more sending is allowed. It is taken from the budget of the service, unless the last
 // one did not leave.
 func (r *run) mayRepeat() bool {
-	if r.sends >= maxSends || r.runs >= max(r.route.MaxAttempts, 1) {
+	if r.sends-r.unsents >= maxSends || r.unsents >= maxUnsent || r.runs >= max(r.route.MaxAttempts, 1) {
 		return false
 	}
 	return r.unsent || r.pipeline.Budgets.Spend(r.pipeline.Clock(), r.service.Name)
@@ -151,7 +155,10 @@
 		Version: server.Versions[r.Model], FetchFrom: r.source(choice),
 	})
 	r.unsent = lrconn.ErrNotSent.Has(err)
-	if err == nil && reply.Refusal == Accepted || err != nil && !r.unsent {
+	switch {
+	case r.unsent:
+		r.unsents++
+	case err != nil || reply.Refusal == Accepted:
 		r.runs++
 	}
 	if err != nil {
