Let many instances compare only some engines, so that they do not swamp an idle one

Change: beyond 16 instances each compares the first three engines by hash, those that hold the prompt and three by chance; all of them where none of these can take the request. Test: 88 instances before 59 busy engines and an idle one sent it 264 of 264 requests, at most 32 are right; the only usable engine is found; plain calls spread.

--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -129,7 +129,7 @@
 	}
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
-		Target: r.route.TargetLatency - now.Sub(r.Received),
+		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -22,6 +22,11 @@
 }
 
 const (
+	// fewInstances hear of one another fast enough that each may compare all engines. More compare the first by hash and as many by
+	// chance.
+	fewInstances   = 16
+	firstCompared  = 3
+	chanceCompared = 3
 	// decodeSlowdown is the time that each running request adds to the first token of another one.
 	decodeSlowdown = 500 * time.Microsecond
 	// workWeight counts computed tokens beside the time that the caller waits, since they keep others waiting too.
@@ -83,20 +88,12 @@
 		}
 	}
 	sources := b.sources(now, request, engines, runs)
-	best, bestCost := Choice{}, time.Duration(0)
 	order := b.ranked(request, usable, b.isKnown(now, engines, runs))
-	for rank, candidate := range order {
-		e := candidate.engine
-		c := b.estimate(now, request, e, rank, runs[e.Version], sources[e.Version])
-		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > oldVersionEnd {
-			continue
-		}
-		cost := b.cost(request, c)
-		if best.Engine.ID == "" || cost < bestCost {
-			best, bestCost = c, cost
-		}
+	best, ok := b.cheapest(now, request, order, b.compared(now, request, order, runs), runs, sources)
+	if !ok {
+		best, ok = b.cheapest(now, request, order, nil, runs, sources)
 	}
-	if best.Engine.ID == "" {
+	if !ok {
 		return Choice{}, false
 	}
 	best.Candidates = len(usable)
@@ -109,6 +106,48 @@
 	return best, true
 }
 
+// cheapest returns the engine of the least cost among those that are compared, or among all without a choice of them.
+func (b *Balancer) cheapest(now time.Time, request Request, order []candidate, compared []bool, runs map[int64][]prefix, sources map[int64]source) (Choice, bool) {
+	best, bestCost, found := Choice{}, time.Duration(0), false
+	for rank, candidate := range order {
+		if compared != nil && !compared[rank] {
+			continue
+		}
+		e := candidate.engine
+		c := b.estimate(now, request, e, rank, runs[e.Version], sources[e.Version])
+		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > oldVersionEnd {
+			continue
+		}
+		cost := b.cost(request, c)
+		if !found || cost < bestCost {
+			best, bestCost, found = c, cost, true
+		}
+	}
+	return best, found
+}
+
+// compared returns which of the ranked engines are compared, or nil for all. Few instances compare all. Many would all find the same
+// idle engine before they hear of one another and swamp it: they compare the first by hash, those that hold the prompt, and some by
+// chance.
+func (b *Balancer) compared(now time.Time, request Request, order []candidate, runs map[int64][]prefix) []bool {
+	if request.Instances <= fewInstances || len(order) <= firstCompared+chanceCompared {
+		return nil
+	}
+	compared := make([]bool, len(order))
+	for rank, c := range order {
+		shared := runs[c.engine.Version]
+		if len(shared) == 0 {
+			continue
+		}
+		isHolder := b.beliefs.cached(now, c.engine.ID, shared) == sharedTokens(shared)
+		compared[rank] = isHolder || rank < firstCompared
+	}
+	for range chanceCompared {
+		compared[b.random.IntN(len(order))] = true
+	}
+	return compared
+}
+
 // secondSource names an engine to ask for what the chosen one may have evicted: another one that is known to hold the
 // shared parts, or else the one that the other availability zones, or the instances before a restart, chose by the same
 // hash. Nothing moves while the chosen engine holds the parts, and a wrong guess costs a millisecond.
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -66,6 +66,68 @@
 	requireEqual(t, len(used) > 3, true)
 }
 
+// TestFreshEngineIsNotSwamped has 88 instances find an idle engine among busy ones before they hear of one another, as when an engine
+// has just taken new weights while a third of all is down. Two rounds of its slots are as much as it can compute in time.
+func TestFreshEngineIsNotSwamped(t *testing.T) {
+	const instances, perInstance, slots = 88, 3, 16
+	now := time.Unix(1000, 0)
+	engines := newTestEngines(60)
+	loads := map[string]Load{}
+	for n := range engines {
+		engines[n].Slots = slots
+		loads[engines[n].ID] = Load{Waiting: 40_000, Running: slots}
+	}
+	delete(loads, "e7")
+	sent := 0
+	for n := range instances {
+		b := newTestBalancer(uint64(n))
+		b.SetOthers(loads)
+		for k := range perInstance {
+			request := newTestRequest(fmt.Sprint("file", n, "-", k), "x")
+			request.Instances = instances
+			choice, _ := b.Choose(now, request, engines)
+			if choice.Engine.ID == "e7" {
+				sent++
+			}
+		}
+	}
+	requireEqual(t, fmt.Sprint(sent, " requests at the idle engine are few: ", sent <= 2*slots), fmt.Sprint(sent, " requests at the idle engine are few: true"))
+	requireEqual(t, sent > 0, true)
+}
+
+// TestOnlyUsableEngineIsFound takes the one engine that can still begin in time, though it is none of those that are compared first.
+func TestOnlyUsableEngineIsFound(t *testing.T) {
+	engines := newTestEngines(60)
+	loads := map[string]Load{}
+	for n := range engines {
+		engines[n].OutdatedFor = 4900 * time.Millisecond
+		loads[engines[n].ID] = Load{Waiting: 100_000}
+	}
+	engines[33].Version, engines[33].OutdatedFor = 2, 0
+	for seed := range uint64(20) {
+		b := newTestBalancer(seed)
+		b.SetOthers(loads)
+		request := newTestRequest(fmt.Sprint("file", seed), "x")
+		request.Instances = 88
+		choice, ok := b.Choose(time.Unix(1000, 0), request, engines)
+		requireEqual(t, ok, true)
+		requireEqual(t, choice.Engine.ID, "e33")
+	}
+}
+
+// TestPlainCallsSpread has many instances call one of many plain servers, whose order says nothing.
+func TestPlainCallsSpread(t *testing.T) {
+	engines := newTestEngines(60)
+	used := map[string]int{}
+	for n := range 600 {
+		choice, _ := newTestBalancer(uint64(n)).Choose(time.Unix(1000, 0), Request{Scope: "s", Instances: 88}, engines)
+		used[choice.Engine.ID]++
+	}
+	for id, c := range used {
+		requireEqual(t, fmt.Sprint(id, c < 60), fmt.Sprint(id, true))
+	}
+}
+
 // TestLoadOfOthersCounts keeps new work away from an engine that another instance has filled.
 func TestLoadOfOthersCounts(t *testing.T) {
 	b := newTestBalancer(1)
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -37,6 +37,8 @@
 	Tokens int
 	// Target is the time within which the caller wants the first event. Zero means that it does not say.
 	Target time.Duration
+	// Instances is the number of instances that choose among the same backend servers.
+	Instances int
 	// Excluded are backend servers that have failed this request.
 	Excluded map[string]bool
 }
