Leave the lease alone while draining, and let the first instance of each zone stand by

Version 5, named at 19 s, waited for a holder twice. In the cut of zone gs-a all three that stood by were in that zone. Ruled out: the release itself (HandedBack), the engines. Change: keepLease does nothing while draining; the first instance of each zone stands by instead of the first three of all; place holds what decides.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -184,9 +184,17 @@
 	d.supervisor.Add("rollOut", lrsupervise.Every(rolloutPause, d.weights.Step))
 }
 
-// keepLease renews the lease, or contends for it while no other instance is known to hold it.
+// keepLease renews the lease, or contends for it while no other instance is known to hold it. An instance that is about to end leaves
+// it to others.
 func (d *Daemon) keepLease(ctx context.Context, now time.Time) {
-	if d.looks.isDue(now, d.sharer.Rank(now), d.weights.IsHolder(now), d.sharer.HolderHeard(now), d.turnDelay()) {
+	if d.draining.Load() {
+		return
+	}
+	p := place{
+		rank: d.sharer.Rank(now), delay: d.turnDelay(), standsBy: d.sharer.IsFirstOfZone(),
+		isHolder: d.weights.IsHolder(now), hearsHolder: d.sharer.HolderHeard(now),
+	}
+	if d.looks.isDue(now, p) {
 		d.stepLease(ctx)
 	}
 }
--- a/internal/lredge/turns.go
+++ b/internal/lredge/turns.go
@@ -7,10 +7,10 @@
 	turnMax = 900 * time.Millisecond
 	// turnSpread keeps those that have waited so long from going at the same moment.
 	turnSpread = 20 * time.Millisecond
-	// standbys is the number of instances that look at the lease all the time, so that one of them takes over as soon as it
-	// has lapsed, and standbyPause the time between two looks.
-	standbys     = 3
+	// standbyPause is the time between two looks at the lease of an instance that stands by. rareAfter further instances look half
+	// as often when nobody holds it, and so on.
 	standbyPause = 500 * time.Millisecond
+	rareAfter    = 3
 )
 
 // turnDelay returns how much longer than others an instance waits with what one instance is enough for. Each one waits for
@@ -26,15 +26,30 @@
 	lookedAt time.Time
 }
 
-// isDue reports whether the instance shall look at the lease now. The holder does so all the time. The first instances by rank
-// stand by, the others look once nobody is known to hold the lease, the rarer the further behind they are.
-func (l *leaseLooks) isDue(now time.Time, rank int, isHolder, isHolderHeard bool, delay time.Duration) bool {
-	if isHolderHeard || l.heardAt.IsZero() {
+// place is where an instance stands among those of which one holds the lease.
+type place struct {
+	// rank is the number of instances that go before it, delay how much longer than they it waits.
+	rank  int
+	delay time.Duration
+	// standsBy is set for the first instance of each availability zone, so that one is left when a zone is cut off.
+	standsBy bool
+	isHolder bool
+	// hearsHolder tells that another instance is known to hold the lease.
+	hearsHolder bool
+}
+
+// isDue reports whether the instance shall look at the lease now. The holder does so all the time, and those that stand by so often
+// that they take over as soon as it has lapsed. The others look once nobody is known to hold it, the rarer the further behind they are.
+func (l *leaseLooks) isDue(now time.Time, p place) bool {
+	if p.hearsHolder || l.heardAt.IsZero() {
 		l.heardAt = now
 	}
-	pause := standbyPause + standbyPause*time.Duration(rank/standbys)
-	isMissing := now.Sub(l.heardAt) > delay
-	isDue := isHolder || (rank < standbys || isMissing) && now.Sub(l.lookedAt) >= pause
+	pause := standbyPause
+	if !p.standsBy {
+		pause += standbyPause * time.Duration(p.rank/rareAfter)
+	}
+	isMissing := now.Sub(l.heardAt) > p.delay
+	isDue := p.isHolder || (p.standsBy || isMissing) && now.Sub(l.lookedAt) >= pause
 	if isDue {
 		l.lookedAt = now
 	}
--- a/internal/lredge/turns_test.go
+++ b/internal/lredge/turns_test.go
@@ -14,7 +14,8 @@
 	own := 0
 	for now := start; now.Sub(start) < length; now = now.Add(contendPause) {
 		for r := range states {
-			if !states[r].isDue(now, r, false, false, turnDelay(r, 500*time.Millisecond)) {
+			p := place{rank: r, delay: turnDelay(r, 500*time.Millisecond), standsBy: r < 3}
+			if !states[r].isDue(now, p) {
 				continue
 			}
 			count++
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -169,6 +169,18 @@
 	return rank
 }
 
+// IsFirstOfZone reports whether no other instance of the availability zone goes before this one.
+func (s *Sharer) IsFirstOfZone() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, p := range s.peers {
+		if p.Zone == s.Self.Zone && precedes(p.Instance, s.Self) {
+			return false
+		}
+	}
+	return true
+}
+
 // NewsDelay returns how long news take from any instance to any other one: to the relay of its zone, on to that of another
 // zone, and to the instance there.
 func (s *Sharer) NewsDelay() time.Duration {
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -195,6 +195,21 @@
 	}
 }
 
+// TestOneInstanceOfEachZoneIsFirst leaves one that stands by in each zone when another zone is cut off, and lets the ranks of the others
+// begin there.
+func TestOneInstanceOfEachZoneIsFirst(t *testing.T) {
+	f := newTestFleet(3)
+	f.run(2 * time.Second)
+	for _, s := range f.sharers {
+		requireEqual(t, s.Self.Name, s.IsFirstOfZone(), s.Self.Name[1:] == "0")
+	}
+	requireEqual(t, "rank of b0", f.find("b0").Rank(f.now), 3)
+	f.isCut = func(a, b string) bool { return (a == "a") != (b == "a") }
+	f.run(2 * time.Second)
+	requireEqual(t, "rank of b0 when zone a is cut off", f.find("b0").Rank(f.now), 0)
+	requireEqual(t, "rank of a0", f.find("a0").Rank(f.now), 0)
+}
+
 // TestStrongestInstanceIsTheRelay lets an instance with more of a processor speak for its zone.
 func TestStrongestInstanceIsTheRelay(t *testing.T) {
 	strong, weak := Instance{Name: "z", Strength: 0.8}, Instance{Name: "a", Strength: 0.2}
