--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -122,7 +122,7 @@
 	return b.Delay(failures, rand.Float64())
 }
 
-// retryDelay spaces the calls of instances that read in turn.
+// retryDelay spaces the calls of instances that read in turn, so that an outage is not met by all at the same moment.
 func (f *Follower[T]) retryDelay(listed bool) time.Duration {
 	if !listed || !f.options.IsChanging {
 		return 0
@@ -130,13 +130,6 @@
 	return f.options.Delay()
 }
 
-// freshFor returns how long ago any instance is known to have read the feed.
-func (f *Follower[T]) freshFor(now time.Time) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return now.Sub(f.freshAt)
-}
-
 // awaitTurn waits until it is time to read and no other instance has. It reports false when the context has ended.
 func (f *Follower[T]) awaitTurn(ctx context.Context) bool {
 	for ctx.Err() == nil {
@@ -149,16 +142,6 @@
 	return false
 }
 
-func (f *Follower[T]) noteFailure(now time.Time, err error) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if !f.failingSince.IsZero() {
-		return
-	}
-	f.failingSince = now
-	f.log.Warn().Err(err).Str("feed", f.options.Name).Msg("fleet: platform lost")
-}
-
 func (f *Follower[T]) step(ctx context.Context, listed bool) error {
 	if !listed {
 		return f.list(ctx)
@@ -175,13 +158,6 @@
 	return nil
 }
 
-// noteWatch notes that a watch has begun, or ended with the zero time.
-func (f *Follower[T]) noteWatch(since time.Time) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.watchingSince = since
-}
-
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -207,42 +183,6 @@
 	return nil
 }
 
-// ReadAge returns how long ago any instance is known to have read the feed. A watch of this instance that still waits reads it
-// all the time, unless the platform did not answer the call before or is late with the answer.
-func (f *Follower[T]) ReadAge(now time.Time) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	isWatching := f.options.IsChanging && f.failingSince.IsZero() && now.Sub(f.watchingSince) <= f.options.Wait
-	if isWatching {
-		return 0
-	}
-	return now.Sub(f.freshAt)
-}
-
-// NoteReadAge takes in how long ago another instance knows the feed to have been read.
-func (f *Follower[T]) NoteReadAge(now time.Time, age time.Duration) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.noteRead(now, now.Add(-age))
-}
-
-// noteRead takes in that an instance has read the feed. The mutex must be held.
-func (f *Follower[T]) noteRead(now, at time.Time) {
-	if !at.After(f.freshAt) {
-		return
-	}
-	f.noteOutage(now, at)
-	f.freshAt = at
-}
-
-// noteOutage begins the grace for entries that may have lapsed, if nobody is known to have read the feed for long until the given
-// time: the platform was out of reach of more than this instance. The mutex must be held.
-func (f *Follower[T]) noteOutage(now, until time.Time) {
-	if !f.freshAt.IsZero() && until.Sub(f.freshAt) > outageFrom {
-		f.backAt = now
-	}
-}
-
 // Replace takes in a whole list that the platform has just answered.
 func (f *Follower[T]) Replace(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
@@ -291,16 +231,6 @@
 	return missing
 }
 
-// noteContact must be called with the mutex held.
-func (f *Follower[T]) noteContact(now time.Time) {
-	if f.failingSince.IsZero() {
-		return
-	}
-	silence := now.Sub(f.failingSince)
-	f.failingSince = time.Time{}
-	f.log.Info().Str("feed", f.options.Name).Dur("silence", silence).Msg("fleet: platform regained")
-}
-
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	entries := maps.Clone(f.entries)
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -375,46 +375,6 @@
 	} else {
 		s.Limiter.Lost()
 	}
-	switch start {
-	case startAlone:
-		s.Limiter.StartWith(now, share, true)
-	case startJoined:
-		s.Limiter.StartWith(now, share, false)
-	default:
-		s.Limiter.SetShare(now, share)
-	}
+	s.setShare(now, share, start)
 	s.Directory.SetClosing(closing)
 }
-
-// startState tells how an instance stands to the others' use of allowances.
-type startState int
-
-const (
-	// hasStarted instances have asked the others for long enough to tell which are out of reach.
-	hasStarted startState = iota
-	// startAlone instances have heard no levels: they started together with the others, and each uses its own part until all have
-	// heard one another, since what callers sent meanwhile arrives faster than the news of it.
-	startAlone
-	// startJoined instances use the whole from now on, with what is left in their own buckets.
-	startJoined
-)
-
-// share returns the part of the allowances that this instance and those it reaches may use. It must be called with the mutex
-// held.
-func (s *Sharer) share(now time.Time, others tally) (float64, startState) {
-	known := float64(len(s.peers) + 1)
-	reached := min(float64(others.reached+1)/known, 1)
-	switch {
-	case s.hasStarted:
-		return reached, hasStarted
-	case now.Sub(s.startedAt) < reachableFor && s.wantsLevels:
-		return 1 / known, startAlone
-	case now.Sub(s.startedAt) < reachableFor:
-		return 1, startJoined
-	}
-	s.hasStarted = true
-	if s.wantsLevels {
-		return reached, startJoined
-	}
-	return reached, hasStarted
-}
--- a/internal/lrgrant/limiter.go
+++ b/internal/lrgrant/limiter.go
@@ -188,6 +188,7 @@
 	return max(time.Duration(missing/request.Rate*float64(time.Second)), minRetryDelay)
 }
 
+// stopWaiting notes that a request has its tokens or has given up.
 func (a *account) stopWaiting() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
