Count no use of a cut that a report held up by it would bring

A report that was sent at the beginning of the cut lay in the connection until its end. It was taken for the first word after the silence, and the next one brought all that had been used in six seconds, which had come from the sender's own part. Ruled out: the division of the allowances (shares 0.33 and 0.66 in the cut, 0.99 after), the restart at 42 s (the refusals began at 39.9). Change: reports tell the sender's uptime; where it has gone on far more than the own time between two reports, the one before was held up, and counting begins anew. A test with two reports held up, which failed first (872 more used in place of 2).

--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -66,7 +66,8 @@
 	isNear := p.Zone == s.Self.Zone
 	s.mutex.Lock()
 	state := &lrpeerpb.FleetState{
-		Name: s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
+		UptimeMillis: uint64(max(now.Sub(s.startedAt).Milliseconds(), 0)),
+		Name:         s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
 		Revisions: map[string]uint64{},
 		ReadAges:  map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsFor,
 		HeardNear: p.heard.Near, HeardFar: p.heard.Far, HeardProcess: p.heardProcess, SilentZones: s.silentZones(now), Rollout: s.rolloutState(now),
@@ -160,6 +161,7 @@
 func (s *Sharer) hear(now time.Time, state *lrpeerpb.FleetState, isAnswer bool) {
 	sum := newTally()
 	sum.used, sum.reached = state.GetUsed(), int(state.GetReached())
+	sum.uptime = time.Duration(state.GetUptimeMillis()) * time.Millisecond
 	for _, l := range state.GetLoads() {
 		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
 	}
--- a/internal/lrfleet/tally.go
+++ b/internal/lrfleet/tally.go
@@ -11,6 +11,8 @@
 	loads   map[string]lrbalance.Load
 	used    map[string]float64
 	reached int
+	// uptime is how long the sender had run when it told this.
+	uptime time.Duration
 }
 
 func newTally() tally {
@@ -47,7 +49,10 @@
 func (t *tallies) set(now time.Time, sender, process string, sum tally) {
 	before, ok := t.reports[sender]
 	r := report{tally: sum, process: process, at: now, offset: before.offset}
-	if !ok || before.process != process || now.Sub(before.at) > reachableFor {
+	// What is sent at the beginning of a cut may be held up until its end. It comes first then, and all that was used in the cut with the
+	// next report: the sender's time has gone on far more between the two than ours.
+	wasHeldUp := sum.uptime-before.uptime-now.Sub(before.at) > reachableFor
+	if !ok || before.process != process || now.Sub(before.at) > reachableFor || wasHeldUp {
 		r.offset = map[string]float64{}
 		for account, used := range before.used {
 			r.offset[account] = used + before.offset[account]
--- a/internal/lrfleet/tally_test.go
+++ b/internal/lrfleet/tally_test.go
@@ -64,3 +64,31 @@
 		t.Fatalf("%s: got %v, want %v", what, got, want)
 	}
 }
+
+// TestReportsHeldUpByACutChargeNothing hears at the end of a cut first what was sent at its beginning and held up on the way, then the
+// present. What the sender used meanwhile came from its own part of the allowances.
+func TestReportsHeldUpByACutChargeNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sums := newTallies()
+	steps := []struct {
+		name   string
+		after  time.Duration
+		uptime time.Duration
+		used   float64
+		want   float64
+	}{
+		{"first word", 0, time.Minute, 500, 0},
+		{"use counts", SharePeriod, time.Minute + SharePeriod, 520, 20},
+		{"held up for six seconds", 6 * time.Second, time.Minute + 2*SharePeriod, 525, 20},
+		{"held up as well", time.Millisecond, time.Minute + 3*SharePeriod, 527, 22},
+		{"present", 5 * time.Millisecond, time.Minute + 6*time.Second + SharePeriod, 900, 22},
+		{"use counts again", SharePeriod, time.Minute + 6*time.Second + 2*SharePeriod, 910, 32},
+	}
+	for _, s := range steps {
+		now = now.Add(s.after)
+		sum := usedTally(s.used)
+		sum.uptime = s.uptime
+		sums.set(now, "c", "1", sum)
+		requireEqual(t, s.name, sums.sum("").used["school"], s.want)
+	}
+}
