--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -39,11 +39,17 @@
 	}
 }
 
+// rankedFirst returns the engine that goes before all others by hash.
+func rankedFirst(b *Balancer, request Request, engines []Engine, isKnown bool) Engine {
+	_, candidates := b.look(time.Unix(1000, 0), request, engines)
+	return b.ranked(request, candidates, isKnown)[0].engine
+}
+
 func TestHomesSpread(t *testing.T) {
 	engines := newTestEngines(12)
 	counts := map[string]int{}
 	for n := range 1200 {
-		home := newTestBalancer(1).ranked(newTestRequest(fmt.Sprint("file", n), "x"), engines, true)[0].engine
+		home := rankedFirst(newTestBalancer(1), newTestRequest(fmt.Sprint("file", n), "x"), engines, true)
 		requireEqual(t, home.Zone, "a")
 		counts[home.ID]++
 	}
@@ -134,7 +140,7 @@
 	engines := newTestEngines(3)
 	now := time.Unix(1000, 0)
 	request := newTestRequest("file", "x")
-	home := b.ranked(request, engines, false)[0].engine.ID
+	home := rankedFirst(b, request, engines, false).ID
 	b.SetOthers(map[string]Load{home: {Waiting: 200_000, Running: 40}})
 	choice, _ := b.Choose(now, request, engines)
 	requireEqual(t, choice.Engine.ID == home, false)
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -28,14 +28,15 @@
 
 // prefixes returns the leading runs of shared parts under the version, the shortest first.
 func prefixes(request Request, version int64) []prefix {
-	if len(request.Parts) < 2 {
+	parts := sharedParts(request)
+	if len(parts) == 0 {
 		return nil
 	}
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(request.Scope))
 	_, _ = hash.Write(binary.LittleEndian.AppendUint64([]byte{0}, uint64(version)))
-	runs := make([]prefix, 0, len(request.Parts)-1)
-	for _, p := range request.Parts[:len(request.Parts)-1] {
+	runs := make([]prefix, 0, len(parts))
+	for _, p := range parts {
 		_, _ = hash.Write([]byte{'/'})
 		_, _ = hash.Write([]byte(p.ID))
 		runs = append(runs, prefix{key: Key(hash.Sum64()), tokens: p.Tokens})
