Count the rank once for a look at the lease

Cause: found in the last read: keepLease walked over all instances twice, each 250 ms, since turnDelay counts the rank again. Change: one rank for both. No behaviour; the tests of the package and the linter passed.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -190,8 +190,9 @@
 	if d.draining.Load() {
 		return
 	}
+	rank := d.sharer.Rank(now)
 	p := place{
-		rank: d.sharer.Rank(now), delay: d.turnDelay(), standsBy: d.sharer.IsFirstOfZone(),
+		rank: rank, delay: turnDelay(rank, d.sharer.NewsDelay()), standsBy: d.sharer.IsFirstOfZone(),
 		isHolder: d.weights.IsHolder(now), hearsHolder: d.sharer.HolderHeard(now),
 	}
 	if d.looks.isDue(now, p) {
