Bound the heads of answers in bytes and in time from their first byte on

Cause: lrconn read heads with no bound. Test first, on: a status line, a header line, header lines, folded lines and bytes that are no answer, each without end, made the process allocate 1.1 to 5.4 GB within the two seconds of the request, and a head that dripped held it to its end. Ruled out, since the library's own bounds hold: chunk extensions, trailers, answers to others (the tests pass before and after). A server may think as long as the route allows before the first byte. After: less than 16 MiB and well under a second for each case; the connection is given up as broken.

--- a/internal/lrconn/conn.go
+++ b/internal/lrconn/conn.go
@@ -16,6 +16,8 @@
 const (
 	// readBufferBytes is the size of the buffer of each connection.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the heads that are read until the one of the answer has come, interim ones included.
+	maxHeadBytes = 64 << 10
 	// maxForeign is the most answers to other requests that are dropped before the connection is given up.
 	maxForeign = 4
 	// maxForeignBytes bounds the body of an answer that is dropped.
@@ -26,7 +28,10 @@
 	defaultIdle = 10 * time.Second
 )
 
-var errForeign = errors.New("the answer belongs to another request")
+var (
+	errForeign     = errors.New("the answer belongs to another request")
+	errHeadTooLong = errors.New("the head of the answer has no end")
+)
 
 // conn is one connection to a backend server.
 type conn struct {
@@ -35,10 +40,28 @@
 	// idleFor is how long the backend server keeps the connection without a request.
 	idleFor   time.Duration
 	idleSince time.Time
+	// inHead tells that a head is read, of which headLeft more bytes are taken.
+	inHead   bool
+	headLeft int
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw, idleFor: defaultIdle}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleFor: defaultIdle}
+// Read reads from the backend server. While a head is read it ends with an error at the bound on heads.
+func (c *conn) Read(data []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(data)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(data[:min(len(data), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // isUsable reports whether the idle connection is open and has brought nothing that nobody asked for.
@@ -69,16 +92,15 @@
 	return err == nil && quiet
 }
 
-// readAnswer reads the head of the answer to the request. Answers to other requests are dropped.
-func (c *conn) readAnswer(request Request, idHeader string) (*Answer, error) {
+// readAnswer reads the head of the answer to the request. Answers to other requests are dropped. The server may take its time before
+// the first byte of each head, and the given time from there to its end.
+func (c *conn) readAnswer(request Request, idHeader string, headTimeout time.Duration) (*Answer, error) {
+	c.headLeft = maxHeadBytes
 	for range maxForeign {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // Answer.Close ends it with the connection.
+		response, err := c.readHead(request.Method, headTimeout) //nolint:bodyclose // Answer.Close ends it with the connection.
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		id := response.Header.Get(idHeader)
 		if request.ID == "" || id == request.ID {
 			c.noteKeepAlive(response)
@@ -92,6 +114,35 @@
 	return nil, errForeign
 }
 
+// readHead reads the head of the next answer. Interim answers before it are dropped.
+func (c *conn) readHead(method string, timeout time.Duration) (*http.Response, error) {
+	c.inHead = true
+	defer func() { c.inHead = false }()
+	for {
+		err := c.awaitHead(timeout)
+		if err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		err = c.SetReadDeadline(time.Time{})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
+// awaitHead waits for the first byte of a head, and bounds the time of the rest.
+func (c *conn) awaitHead(timeout time.Duration) error {
+	_, err := c.reader.Peek(1)
+	if err != nil || timeout <= 0 {
+		return err
+	}
+	return c.SetReadDeadline(time.Now().Add(timeout))
+}
+
 // drop reads an answer to another request to its end.
 func drop(response *http.Response) error {
 	if response.Close {
--- /dev/null
+++ b/internal/lrconn/endless_test.go
@@ -0,0 +1,129 @@
+package lrconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// maxAllocated bounds what one server without end may make an instance allocate. The smallest machines have 112 MB.
+const maxAllocated = 16 << 20
+
+// endlessServer answers each request with the beginning, and then with the text again and again until the connection closes.
+func endlessServer(t *testing.T, beginning, again string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go pour(c, beginning, again)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func pour(c net.Conn, beginning, again string) {
+	defer func() { _ = c.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, err = io.WriteString(c, strings.ReplaceAll(beginning, "$ID", request.Header.Get("Test-Id")))
+	for err == nil {
+		_, err = io.WriteString(c, again)
+	}
+}
+
+func allocated() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.TotalAlloc
+}
+
+// TestAnswersWithoutEndAreBounded meets bytes that never end wherever an answer may hold any number of them.
+func TestAnswersWithoutEndAreBounded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTest-Id: $ID\r\n"
+	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+	filling := strings.Repeat("x", 32<<10)
+	cases := []struct{ name, beginning, again string }{
+		{"a status line", "HTTP/1.1 200 ", filling},
+		{"a header line", head + "Field: ", filling},
+		{"header lines", head, strings.Repeat("Field: value\r\n", 2000)},
+		{"folded header lines", head + "Field: a\r\n", strings.Repeat(" folded\r\n", 2000)},
+		{"interim answers", "", strings.Repeat("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", 1000)},
+		{"a chunk extension", chunked + "5;a=", filling},
+		{"a trailer", chunked + "2\r\nok\r\n0\r\n", strings.Repeat("Field: value\r\n", 2000)},
+		{"bytes that are no answer", "", strings.Repeat("\x00garbage", 4000)},
+		{"answers to others", "", strings.Repeat("HTTP/1.1 200 OK\r\nTest-Id: other\r\nContent-Length: 2\r\n\r\nno", 1000)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address := endlessServer(t, c.beginning, c.again)
+			p := newTestPool()
+			before, began := allocated(), time.Now()
+			_, err := do(t, p, address, "1")
+			requireTrue(t, err != nil, "an answer without end is taken for whole")
+			requireTrue(t, allocated()-before < maxAllocated, "allocated %d bytes, at most %d", allocated()-before, maxAllocated)
+			requireTrue(t, time.Since(began) < time.Second, "gave up after %s", time.Since(began))
+			requireEqual(t, len(p.idle[address]), 0)
+		})
+	}
+}
+
+// TestHeadThatDripsEnds sends a byte of the head now and then. The time between the first byte and the end of a head is bounded, and a
+// server that thinks long before the first byte is not cut.
+func TestHeadThatDripsEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	requireEqual(t, err, nil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		for {
+			_, err = io.WriteString(c, "H")
+			if err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	p := NewPool(Options{IDHeader: "Test-Id", DialTimeout: time.Second, SilenceTimeout: time.Second, HeadTimeout: 50 * time.Millisecond}, time.Now)
+	began := time.Now()
+	_, err = do(t, p, l.Addr().String(), "1")
+	requireEqual(t, ErrBroken.Has(err), true)
+	requireTrue(t, time.Since(began) < time.Second, "gave up after %s", time.Since(began))
+}
+
+// TestSlowHeadIsAwaited answers long after the bound on the head's own time.
+func TestSlowHeadIsAwaited(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	requireEqual(t, err, nil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		time.Sleep(120 * time.Millisecond)
+		_, _ = io.WriteString(c, strings.ReplaceAll(whole, "$ID", "1"))
+	}()
+	p := NewPool(Options{IDHeader: "Test-Id", DialTimeout: time.Second, SilenceTimeout: time.Second, HeadTimeout: 50 * time.Millisecond}, time.Now)
+	body, err := do(t, p, l.Addr().String(), "1")
+	requireEqual(t, err, nil)
+	requireEqual(t, body, "ok")
+}
--- a/internal/lrconn/pool.go
+++ b/internal/lrconn/pool.go
@@ -34,6 +34,8 @@
 	DialTimeout time.Duration
 	// SilenceTimeout bounds how long a connection may leave sent bytes without confirmation.
 	SilenceTimeout time.Duration
+	// HeadTimeout bounds how long the head of an answer may take from its first byte on. Zero means no bound.
+	HeadTimeout time.Duration
 }
 
 // A Pool keeps connections to backend servers. It is safe for use by several goroutines.
@@ -91,7 +93,7 @@
 	_, err = buffers.WriteTo(c)
 	var answer *Answer
 	if err == nil {
-		answer, err = c.readAnswer(request, p.options.IDHeader)
+		answer, err = c.readAnswer(request, p.options.IDHeader, p.options.HeadTimeout)
 	}
 	if err != nil {
 		stop()
--- a/internal/lrconn/pool_test.go
+++ b/internal/lrconn/pool_test.go
@@ -189,3 +189,10 @@
 		t.Fatalf("got %v, want %v", got, want)
 	}
 }
+
+func requireTrue(t *testing.T, condition bool, format string, args ...any) {
+	t.Helper()
+	if !condition {
+		t.Fatalf(format, args...)
+	}
+}
