Let engines fetch shared parts from the kept store, and save them there once

Cause: the store of kept KV cache was not decoded. Chosen: an engine that lacks shared parts of 400 tokens or more under the newest weights saves them unless the store is known to have got them in the last nine seconds; instances tell one another so with the news of engines. A part comes from an engine that used it in the last 2.5 s, else from the store, which is asked also when nobody knows what it holds. Open: a store that is down or back empty is not noticed yet.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -269,7 +269,7 @@
 
 func (d *Daemon) wirePipeline() {
 	d.pipeline = lrpipeline.New(lrpipeline.Parts{
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
+		Zone: d.settings.Instance.Zone, Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
 		Budgets: newBudgets(d.settings.Retries, d.sharer.Instances, d.metrics.repeated), SilentZones: d.sharer.SilentZones,
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -46,6 +46,8 @@
 
 // Parts are what a Pipeline works with.
 type Parts struct {
+	// Zone is the availability zone of the instance.
+	Zone      string
 	Directory *lrfleet.Directory
 	Balancer  *lrbalance.Balancer
 	Limiter   *lrlimit.Shared
@@ -83,9 +85,11 @@
 	*Request
 	route lrtable.Route
 	// table is the version of the routing table that decided.
-	table    uint64
-	account  lrtable.Account
-	service  lrtable.Service
+	table   uint64
+	account lrtable.Account
+	service lrtable.Service
+	// store is the kept store, if there is one.
+	store    lrtable.KeptStore
 	deadline time.Time
 	// tokens is what the request counts against the account's allowance.
 	tokens float64
@@ -122,6 +126,7 @@
 		}
 	}
 	a.service, _ = table.Service(route.Target(request.ID))
+	a.store, _ = table.KeptStore(p.Zone)
 	a.deadline = deadline(request, route)
 	a.tokens = cost(request, a.account)
 	return a, nil
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -56,8 +56,10 @@
 	TimeLeft time.Duration
 	// Version is the version of the weights that the server must have. Zero accepts any.
 	Version int64
-	// FetchFrom is the address of a server that holds a part of the prompt under the same cache scope.
+	// FetchFrom is the address of a server or kept store that holds a part of the prompt under the same cache scope.
 	FetchFrom string
+	// SaveTo is the address of the store to which the server sends what it computes of the prompt. It is empty when nothing is saved.
+	SaveTo string
 	// ResumeAfter is the last event that the caller has got. Empty means that the stream begins.
 	ResumeAfter string
 }
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -130,6 +130,7 @@
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
 		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
+		Store: r.keptStore(),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
@@ -152,7 +153,7 @@
 	reply, err := p.Backend.Send(ctx, Attempt{
 		Request: r.Request, Server: server, Connections: r.connections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
 		Urgency: r.route.PriorityOf(r.account), TimeLeft: r.deadline.Sub(began), ResumeAfter: r.lastEvent,
-		Version: server.Versions[r.Model], FetchFrom: r.source(choice),
+		Version: server.Versions[r.Model], FetchFrom: r.source(choice), SaveTo: r.saveTo(choice),
 	})
 	r.unsent = lrconn.ErrNotSent.Has(err)
 	switch {
@@ -188,6 +189,9 @@
 
 // source returns the address of the server from which a part of the prompt can be fetched.
 func (r *run) source(choice lrbalance.Choice) string {
+	if choice.FromStore {
+		return r.store.Address
+	}
 	if choice.Source == "" {
 		return ""
 	}
@@ -198,6 +202,22 @@
 	return s.Address
 }
 
+// saveTo returns the address of the kept store to which the server shall send what it computes of the prompt.
+func (r *run) saveTo(choice lrbalance.Choice) string {
+	if !choice.IsSaved {
+		return ""
+	}
+	return r.store.Address
+}
+
+// keptStore returns the kept store for requests with a model.
+func (r *run) keptStore() lrbalance.Store {
+	if r.Model == "" {
+		return lrbalance.Store{}
+	}
+	return lrbalance.Store{Address: r.store.Address, Zone: r.store.Zone, TokensPerMilli: r.store.TokensPerMilli}
+}
+
 // broken deals with an attempt that brought no answer.
 func (r *run) broken(ctx context.Context, server lrfleet.Server, err error) verdict {
 	p := r.pipeline
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -77,12 +77,21 @@
 		return Choice{}, false
 	}
 	best.Candidates = len(order)
-	if best.Source == "" {
+	best.IsSaved = p.isWorthSaving(now, best, best.cached)
+	switch {
+	case best.Source != "" || best.FromStore:
+	case request.Store.exists() && len(best.runs) > 0:
+		// It holds more than this instance has heard of, and a miss costs a millisecond.
+		best.FromStore = true
+	default:
 		best.Source = p.secondSource(order, best)
 	}
 	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
 	b.beliefs.begin(now, best.Engine.ID, best.runs)
+	if best.IsSaved {
+		b.beliefs.begin(now, request.Store.name(), best.runs)
+	}
 	return best, true
 }
 
@@ -134,6 +143,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.beliefs.ready(now, choice.Engine.ID, choice.runs)
+	if choice.IsSaved {
+		b.beliefs.ready(now, choice.store.name(), choice.runs)
+	}
 	b.count(choice.Engine.ID, Load{Waiting: -choice.work})
 }
 
@@ -145,6 +157,9 @@
 	if !computed {
 		load.Waiting = -choice.work
 		b.beliefs.abandon(choice.Engine.ID, choice.runs)
+		if choice.IsSaved {
+			b.beliefs.abandon(choice.store.name(), choice.runs)
+		}
 	}
 	b.count(choice.Engine.ID, load)
 }
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -121,7 +121,7 @@
 
 func dropStale(now time.Time, held map[Key]belief) {
 	for k, h := range held {
-		if now.Sub(h.usedAt) > beliefLife {
+		if now.Sub(h.usedAt) > keptLife {
 			delete(held, k)
 		}
 	}
@@ -129,20 +129,20 @@
 
 // cached returns the tokens of the runs that the engine is believed to hold or to be computing.
 func (b *beliefs) cached(now time.Time, engine string, runs []prefix) int {
-	return b.sum(now, engine, runs, false)
+	return b.sum(now, engine, runs, beliefLife, false)
 }
 
-// fetchable returns the tokens of the runs that other engines may fetch from the engine.
-func (b *beliefs) fetchable(now time.Time, engine string, runs []prefix) int {
-	return b.sum(now, engine, runs, true)
+// fetchable returns the tokens of the runs that other engines may fetch from the engine, if it used them within the life.
+func (b *beliefs) fetchable(now time.Time, engine string, runs []prefix, life time.Duration) int {
+	return b.sum(now, engine, runs, life, true)
 }
 
-func (b *beliefs) sum(now time.Time, engine string, runs []prefix, onlyReady bool) int {
+func (b *beliefs) sum(now time.Time, engine string, runs []prefix, life time.Duration, onlyReady bool) int {
 	held := b.engines[engine]
 	tokens := 0
 	for _, r := range runs {
 		h, ok := held[r.key]
-		if !ok || now.Sub(h.usedAt) > beliefLife || onlyReady && !h.isReady {
+		if !ok || now.Sub(h.usedAt) > life || onlyReady && !h.isReady {
 			return tokens
 		}
 		tokens += r.tokens
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -39,6 +39,8 @@
 	Target time.Duration
 	// Instances is the number of instances that choose among the same backend servers.
 	Instances int
+	// Store is the kept store that engines may use for the request.
+	Store Store
 	// Excluded are backend servers that have failed this request.
 	Excluded map[string]bool
 }
@@ -69,9 +71,15 @@
 	Candidates int
 	// Source is the engine from which the chosen one can fetch a part of the prompt. It is empty when there is none.
 	Source string
+	// FromStore tells that the chosen engine shall fetch from the kept store, and IsSaved that it shall save the shared parts there.
+	FromStore bool
+	IsSaved   bool
 	// Fetched are the prompt tokens that come from there.
 	Fetched int
 	// work is the time of the computation, in tokens of a short prompt.
 	work int
-	runs []prefix
+	// cached are the tokens that the engine holds or is computing.
+	cached int
+	store  Store
+	runs   []prefix
 }
--- /dev/null
+++ b/pkg/lrbalance/kept_store_test.go
@@ -0,0 +1,144 @@
+package lrbalance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func newTestStore() Store { return Store{Address: "10.0.9.9:80", Zone: "a", TokensPerMilli: 190} }
+
+// storeRequest is a request of which engines may save and fetch the shared parts.
+func storeRequest(shared, own string) Request {
+	request := newTestRequest(shared, own)
+	request.Store = newTestStore()
+	return request
+}
+
+// answered chooses an engine for the request, lets it compute the prompt and ends the request.
+func answered(t *testing.T, b *Balancer, now time.Time, request Request, engines []Engine) Choice {
+	t.Helper()
+	choice, ok := b.Choose(now, request, engines)
+	requireEqual(t, ok, true)
+	b.FirstEvent(now, choice)
+	b.End(choice, true)
+	return choice
+}
+
+// TestPartsAreSavedOnce saves shared parts when an engine lacks them and the store is not known to have got them.
+func TestPartsAreSavedOnce(t *testing.T) {
+	b, now, engines := newTestBalancer(1), time.Unix(1000, 0), newTestEngines(12)
+	first := answered(t, b, now, storeRequest("file", "x"), engines)
+	requireEqual(t, first.IsSaved, true)
+	lacking := engines[:0:0]
+	for _, e := range engines {
+		if e.ID != first.Engine.ID {
+			lacking = append(lacking, e)
+		}
+	}
+	requireEqual(t, answered(t, b, now.Add(5*time.Second), storeRequest("file", "y"), lacking[:1]).IsSaved, false)
+	requireEqual(t, answered(t, b, now.Add(beliefLife+time.Second), storeRequest("file", "z"), lacking[1:2]).IsSaved, true)
+}
+
+// TestWhatIsNotSaved leaves out parts that the store would keep in vain.
+func TestWhatIsNotSaved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := Engine{ID: "e", Zone: "a", Slots: 32, Version: 1, OutdatedFor: time.Second}
+	fresh := Engine{ID: "e", Zone: "a", Slots: 32, Version: 1}
+	short := storeRequest("file", "x")
+	short.Parts = []Part{{ID: "rules", Tokens: minSaved - 1}, {ID: "x", Tokens: 5000}}
+	alone := storeRequest("file", "x")
+	alone.Parts = alone.Parts[2:]
+	cases := []struct {
+		name    string
+		engine  Engine
+		request Request
+	}{
+		{"parts under old weights", old, storeRequest("file", "x")},
+		{"short parts", fresh, short},
+		{"the part of one request alone", fresh, alone},
+		{"parts where there is no store", fresh, newTestRequest("file", "x")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			choice, ok := newTestBalancer(1).Choose(now, c.request, []Engine{c.engine})
+			requireEqual(t, ok, true)
+			requireEqual(t, choice.IsSaved, false)
+		})
+	}
+}
+
+// TestSaveOfABrokenRequestIsTriedAgain ends the first request before its prompt was computed.
+func TestSaveOfABrokenRequestIsTriedAgain(t *testing.T) {
+	b, now, engines := newTestBalancer(1), time.Unix(1000, 0), newTestEngines(1)
+	first, _ := b.Choose(now, storeRequest("file", "x"), engines)
+	requireEqual(t, first.IsSaved, true)
+	b.End(first, false)
+	second, _ := b.Choose(now, storeRequest("file", "y"), engines)
+	requireEqual(t, second.IsSaved, true)
+}
+
+// TestFreshHolderGoesBeforeTheStore asks an engine whose use of the parts is fresh, since its link is faster.
+func TestFreshHolderGoesBeforeTheStore(t *testing.T) {
+	now, engines := time.Unix(1000, 0), newTestEngines(2)
+	cases := []struct {
+		after     time.Duration
+		fromStore bool
+	}{{time.Second, false}, {freshLife + time.Second, true}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint("after ", c.after), func(t *testing.T) {
+			b := newTestBalancer(1)
+			answered(t, b, now, storeRequest("file", "x"), engines[:1])
+			busy := map[string]Load{engines[0].ID: {Waiting: 500_000, Running: 32}}
+			b.SetOthers(busy)
+			choice, ok := b.Choose(now.Add(c.after), storeRequest("file", "y"), engines)
+			requireEqual(t, ok, true)
+			requireEqual(t, choice.Engine.ID, engines[1].ID)
+			requireEqual(t, choice.FromStore, c.fromStore)
+			requireEqual(t, choice.Source == engines[0].ID, !c.fromStore)
+			requireEqual(t, choice.Fetched, 5000)
+		})
+	}
+}
+
+// TestUnknownPartsAreAskedForAtTheStore asks the store for parts that this instance has not heard of, and expects nothing of it.
+func TestUnknownPartsAreAskedForAtTheStore(t *testing.T) {
+	choice, _ := newTestBalancer(1).Choose(time.Unix(1000, 0), storeRequest("file", "x"), newTestEngines(3))
+	requireEqual(t, choice.FromStore, true)
+	requireEqual(t, choice.Fetched, 0)
+}
+
+// TestStoreIsWalled believes nothing of the store under another scope or other weights.
+func TestStoreIsWalled(t *testing.T) {
+	now, engines := time.Unix(1000, 0), newTestEngines(2)
+	other := storeRequest("file", "y")
+	other.Scope = "hall/m"
+	newer := []Engine{{ID: "n", Zone: "a", Slots: 32, Version: 2}}
+	cases := []struct {
+		name    string
+		request Request
+		engines []Engine
+	}{{"another account", other, engines[1:]}, {"other weights", storeRequest("file", "y"), newer}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(1)
+			answered(t, b, now, storeRequest("file", "x"), engines[:1])
+			choice, _ := b.Choose(now, c.request, c.engines)
+			requireEqual(t, choice.Fetched, 0)
+			requireEqual(t, choice.IsSaved, true)
+		})
+	}
+}
+
+// TestSavesAreToldToOthers hears of a save from another instance, and neither saves nor computes the parts again.
+func TestSavesAreToldToOthers(t *testing.T) {
+	now, engines := time.Unix(1000, 0), newTestEngines(2)
+	teller, hearer := newTestBalancer(1), newTestBalancer(2)
+	answered(t, teller, now, storeRequest("file", "x"), engines[:1])
+	news, _ := teller.News(now, Cursors{}, true)
+	hearer.Heard(now, news, false)
+	choice, _ := hearer.Choose(now.Add(freshLife+time.Second), storeRequest("file", "y"), engines[1:])
+	requireEqual(t, choice.FromStore, true)
+	requireEqual(t, choice.Fetched, 5000)
+	requireEqual(t, choice.IsSaved, false)
+}
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -19,6 +19,8 @@
 	shared int
 	// sources are the best sources for each version of the weights. Engines that failed the request are left out.
 	sources map[int64]source
+	// kept are the tokens of the shared parts that the kept store is believed to hold under each version of the weights.
+	kept map[int64]int
 	// isKnown tells that some engine is believed to hold all shared parts or to be computing them.
 	isKnown bool
 }
@@ -31,16 +33,17 @@
 
 // look returns the placement of the request and the engines as its candidates.
 func (b *Balancer) look(now time.Time, request Request, engines []Engine) (placement, []candidate) {
-	p := placement{balancer: b, request: request, shared: sharedTokens(request), sources: map[int64]source{}}
+	p := placement{balancer: b, request: request, shared: sharedTokens(request), sources: map[int64]source{}, kept: map[int64]int{}}
 	candidates := make([]candidate, len(engines))
 	runs := map[int64][]prefix{}
 	for n, e := range engines {
 		if _, ok := runs[e.Version]; !ok {
 			runs[e.Version] = prefixes(request, e.Version)
+			p.kept[e.Version] = p.keptTokens(now, runs[e.Version])
 		}
 		c := candidate{engine: e, runs: runs[e.Version]}
 		c.cached = b.beliefs.cached(now, e.ID, c.runs)
-		c.ready = b.beliefs.fetchable(now, e.ID, c.runs)
+		c.ready = b.beliefs.fetchable(now, e.ID, c.runs, p.sourceLife(e.Version))
 		candidates[n] = c
 		p.isKnown = p.isKnown || c.cached == p.shared
 		if !request.Excluded[e.ID] && c.ready > p.sources[e.Version].tokens {
@@ -50,6 +53,23 @@
 	return p, candidates
 }
 
+// keptTokens returns the tokens of the runs that the kept store is believed to hold.
+func (p placement) keptTokens(now time.Time, runs []prefix) int {
+	if !p.request.Store.exists() {
+		return 0
+	}
+	return p.balancer.beliefs.fetchable(now, p.request.Store.name(), runs, keptLife)
+}
+
+// sourceLife returns how long after its last use a part is looked for at an engine: shorter where the kept store has it too, since
+// the engine may have evicted it.
+func (p placement) sourceLife(version int64) time.Duration {
+	if p.shared > 0 && p.kept[version] == p.shared {
+		return freshLife
+	}
+	return beliefLife
+}
+
 func sharedTokens(request Request) int {
 	tokens := 0
 	for _, part := range sharedParts(request) {
@@ -95,6 +115,23 @@
 	return compared
 }
 
+// fetch returns from where the candidate would fetch what it lacks: the engine or the kept store with which it begins first.
+func (p placement) fetch(candidate candidate) (from source, fromStore bool, took time.Duration) {
+	b, engine := p.balancer, candidate.engine
+	best := b.prefill(p.shared - candidate.cached)
+	holder := p.sources[engine.Version]
+	lacking := holder.tokens - candidate.cached
+	if holder.engine != engine.ID && lacking > 0 {
+		from, took = source{engine: holder.engine, tokens: lacking}, time.Duration(lacking)*fetchPerToken
+		best = took + b.prefill(p.shared-holder.tokens)
+	}
+	kept := p.kept[engine.Version] - candidate.cached
+	if kept > 0 && p.request.Store.transfer(kept)+b.prefill(p.shared-p.kept[engine.Version]) < best {
+		return source{tokens: kept}, true, p.request.Store.transfer(kept)
+	}
+	return from, false, took
+}
+
 // secondSource names an engine to ask for what the chosen one may have evicted: another one that is known to hold the
 // shared parts, or else the one that the other availability zones, or the instances before a restart, chose by the same
 // hash. Nothing moves while the chosen engine holds the parts, and a wrong guess costs a millisecond.
@@ -118,19 +155,17 @@
 // estimate returns what the request would find at the candidate of the rank.
 func (p placement) estimate(candidate candidate, rank int) Choice {
 	b, engine := p.balancer, candidate.engine
-	from := p.sources[engine.Version]
-	c := Choice{Engine: engine, Rank: rank, runs: candidate.runs, Missing: p.request.Tokens - candidate.cached}
-	if from.engine != engine.ID && from.tokens > candidate.cached {
-		c.Source, c.Fetched = from.engine, from.tokens-candidate.cached
-		c.Missing -= c.Fetched
-	}
+	c := Choice{Engine: engine, Rank: rank, runs: candidate.runs, cached: candidate.cached, store: p.request.Store}
+	from, fromStore, transfer := p.fetch(candidate)
+	c.Source, c.FromStore, c.Fetched = from.engine, fromStore, from.tokens
+	c.Missing = p.request.Tokens - candidate.cached - c.Fetched
 	if rank == 0 && engine.OutdatedFor == 0 {
 		// The home holds more than this instance knows, since other instances send there too. An engine of old weights may
 		// have to turn down what takes longer than expected.
 		c.Missing = min(c.Missing, p.request.Tokens-int(homeShare*float64(p.shared)))
 	}
 	load := b.load(engine.ID)
-	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens) + time.Duration(c.Fetched)*fetchPerToken +
+	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens) + transfer +
 		time.Duration(load.Running)*decodeSlowdown
 	if engine.Slots > 0 && load.Running >= engine.Slots {
 		c.Wait += time.Duration(load.Running-engine.Slots+1) * slotCost
--- a/pkg/lrtable/spec.go
+++ b/pkg/lrtable/spec.go
@@ -22,8 +22,10 @@
 	Version  uint64    `json:"version"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
-	Accounts []Account `json:"accounts"`
-	Limits   Limits    `json:"limits"`
+	// KeptStores keep KV cache beside the engines. They take no requests of callers.
+	KeptStores []KeptStore `json:"keptStores,omitempty"`
+	Accounts   []Account   `json:"accounts"`
+	Limits     Limits      `json:"limits"`
 }
 
 // A Route leads the requests of a host and a path to services.
@@ -65,6 +67,15 @@
 	Models []string `json:"models"`
 }
 
+// A KeptStore keeps KV cache of prompts, from which engines fetch what they lack and to which they save what they have computed.
+type KeptStore struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// TokensPerMilli is the number of tokens that its link moves in a millisecond. Zero means that it is not known.
+	TokensPerMilli float64 `json:"tokensPerMilli"`
+}
+
 // An Account is a client account with its keys and its allowance.
 type Account struct {
 	Name string   `json:"name"`
