--- a/internal/lrconn/conn.go
+++ b/internal/lrconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -143,6 +144,12 @@
 	return c.SetReadDeadline(time.Now().Add(timeout))
 }
 
+// endsWithLastChunk reports whether the buffered bytes end as a body of chunks does.
+func (c *conn) endsWithLastChunk(buffered int) bool {
+	data, err := c.reader.Peek(buffered)
+	return err == nil && bytes.HasSuffix(data, []byte("0\r\n\r\n"))
+}
+
 // drop reads an answer to another request to its end.
 func drop(response *http.Response) error {
 	if response.Close {
--- a/internal/lrconn/pool.go
+++ b/internal/lrconn/pool.go
@@ -122,8 +122,27 @@
 	return n, err
 }
 
-// Close gives the connection back if the whole answer was read, and closes it otherwise.
+// Length returns the number of bytes of the body, or a negative number where its head does not tell.
+func (a *Answer) Length() int64 { return a.response.ContentLength }
+
+// readPresent reads the rest of the answer if all of it has come already, without waiting.
+func (a *Answer) readPresent() {
+	present := a.conn.reader.Buffered()
+	switch {
+	case a.whole:
+		return
+	case a.response.ContentLength >= 0 && a.response.ContentLength <= int64(present):
+	case len(a.response.TransferEncoding) > 0 && a.conn.endsWithLastChunk(present):
+	default:
+		return
+	}
+	// What cannot be read does not become whole.
+	_, _ = io.Copy(io.Discard, a.Body)
+}
+
+// Close gives the connection back if the whole answer was read or has come, and closes it otherwise.
 func (a *Answer) Close() {
+	a.readPresent()
 	cancelled := !a.stop()
 	if cancelled || !a.whole || a.response.Close || a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
 		a.pool.discard(a.address, a.conn)
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrheld"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrrollout"
@@ -274,7 +275,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
 		}),
-		Crashes: d.crashes, Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Crashes: d.crashes, Held: lrheld.NewRoom(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainPause, func(context.Context, time.Time) {
 		addresses := map[string]bool{}
--- a/internal/lrframe/listener.go
+++ b/internal/lrframe/listener.go
@@ -56,23 +56,37 @@
 	return half.CloseWrite()
 }
 
-// ConnContext keeps the inspection of the connection in the context of its requests. It fits http.Server.
+// ConnContext keeps the connection in the context of its requests. It fits http.Server.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	inspected, ok := c.(*conn)
 	if !ok {
 		return ctx
 	}
-	return context.WithValue(ctx, contextKey{}, &inspected.inspector)
+	return context.WithValue(ctx, contextKey{}, inspected)
 }
 
 // Violation returns the first fault of the framing on the connection of the request, or an empty text. A connection
 // whose next request is already known to be faulty counts as faulty.
 func Violation(ctx context.Context) string {
-	i, ok := ctx.Value(contextKey{}).(*inspector)
+	c, ok := ctx.Value(contextKey{}).(*conn)
 	if !ok {
 		return ""
 	}
-	return i.violation()
+	return c.inspector.violation()
+}
+
+// ResetOnClose makes the connection of the request end with a reset. A caller of HTTP/1.0 takes any other end of an answer without a
+// length for its proper one.
+func ResetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	if !ok {
+		return
+	}
+	lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if ok {
+		// A connection that cannot be reset any more has ended already.
+		_ = lingering.SetLinger(0)
+	}
 }
 
 // CloseAfterChunked returns a handler that ends the connection after a chunked request. Such a request is the last one
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -14,12 +14,16 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrheld"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
-const testModel = "m"
+const (
+	testModel = "m"
+	testRoom  = 4 << 20
+)
 
 // scripted answers attempts one after the other.
 type scripted struct {
@@ -36,6 +40,7 @@
 	// broken makes the stream or body end with an error.
 	broken bool
 	body   string
+	length int64
 }
 
 func (s *scripted) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
@@ -49,7 +54,7 @@
 	if next.err != nil {
 		return nil, next.err
 	}
-	reply := &Reply{Refusal: next.refusal, Status: max(next.status, 200), Body: bytes.NewBufferString(next.body), Close: func() {}}
+	reply := &Reply{Refusal: next.refusal, Status: max(next.status, 200), Body: bytes.NewBufferString(next.body), Length: next.length, Close: func() {}}
 	if next.broken {
 		reply.Body = io.MultiReader(reply.Body, brokenReader{})
 	}
@@ -91,6 +96,8 @@
 	body    string
 	heads   int
 	aborted bool
+	// length is the length that the head of an answer was passed on with.
+	length int64
 }
 
 func (r *recorded) Refuse(refusal *lrerror.Error) {
@@ -102,8 +109,8 @@
 	return nil
 }
 
-func (r *recorded) Begin(reply *Reply) error {
-	r.status = reply.Status
+func (r *recorded) Begin(reply *Reply, length int64) error {
+	r.status, r.length = reply.Status, length
 	r.heads++
 	return nil
 }
@@ -152,6 +159,7 @@
 	directory.SetServers(testServers())
 	w.pipeline = New(Parts{
 		Directory: directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: 1}),
+		Held:    lrheld.NewRoom(testRoom),
 		Limiter: w.limiter, Budgets: w.budget, Crashes: w.crashes, Backend: w.backend, Observer: silentObserver{},
 		Ejector:     lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
 		SilentZones: func(time.Time) map[string]bool { return nil },
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -10,6 +10,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrheld"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
@@ -54,7 +55,9 @@
 	Budgets   Budgets
 	Ejector   *lrretry.Ejector
 	Crashes   Crashes
-	Backend   Backend
+	// Held bounds the bytes of bodies and answers that are held at a time.
+	Held    *lrheld.Room
+	Backend Backend
 	// SilentZones returns the availability zones of which nothing is heard.
 	SilentZones func(now time.Time) map[string]bool
 	// Instances returns how many instances share the backend servers.
@@ -168,7 +171,8 @@
 		return
 	}
 	p.Budgets.Earn(now, a.service.Name)
-	run := &run{pipeline: p, admitted: a, caller: caller, excluded: map[string]bool{}}
+	run := &run{pipeline: p, admitted: a, caller: caller, excluded: map[string]bool{}, hold: p.Held.Hold()}
+	defer run.hold.Release()
 	run.serve(ctx)
 }
 
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -89,6 +89,8 @@
 	Head any
 	// Body ends with io.EOF only when the answer is whole.
 	Body io.Reader
+	// Length is the number of bytes of the body, or negative where it is not known before its end.
+	Length int64
 	// Version is the version of the weights that the answer was made on, or zero.
 	Version int64
 	// Close must be called when the reply has been read or is given up.
@@ -123,9 +125,9 @@
 	Refuse(refusal *lrerror.Error)
 	// Answer passes a whole answer of a backend server on.
 	Answer(reply *Reply, body []byte) error
-	// Begin passes the head of a stream on.
-	Begin(reply *Reply) error
-	// Event passes an event on.
+	// Begin passes the head of an answer on that is passed on as it comes. A length that is not negative must be kept to.
+	Begin(reply *Reply, length int64) error
+	// Event passes an event on, or a piece of another answer.
 	Event(event Event) error
 	// Abort ends the answer so that the caller sees that it is not whole.
 	Abort()
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -1,6 +1,7 @@
 package lrpipeline
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +14,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrheld"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
@@ -22,8 +24,12 @@
 	// maxUnsent bounds how often a request meets a server to which it cannot be sent. It is soon over, since nobody listens there,
 	// and each such server is ejected.
 	maxUnsent = 16
-	// maxAnswerBytes bounds a whole answer that is kept until it is complete.
-	maxAnswerBytes = 16 << 20
+	// maxHeldAnswer bounds an answer that is held until it is whole, in bytes. A larger one is passed on as it comes.
+	maxHeldAnswer = 1 << 20
+	// pieceBytes is the size of the pieces in which a large answer is passed on.
+	pieceBytes = 32 << 10
+	// unknownLength is the length of an answer that ends when it ends.
+	unknownLength = -1
 )
 
 // A verdict says what becomes of a request after an attempt.
@@ -59,6 +65,8 @@
 	lastEvent string
 	// wasBounced tells that a server had other weights than expected. It may be asked again once, with what it has shown.
 	wasBounced bool
+	// hold is what the request holds of answers.
+	hold *lrheld.Hold
 	// failure is the last failure that a backend server answered with.
 	failure     *Reply
 	failureBody []byte
@@ -248,10 +256,13 @@
 func (r *run) relayAnswer(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
 	p := r.pipeline
 	r.noteComputed(choice)
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	body, isWhole, err := r.hold.ReadAll(reply.Body, maxHeldAnswer)
 	if err != nil {
 		return r.broken(ctx, server, lrconn.ErrBroken.Wrap(err))
 	}
+	if !isWhole {
+		return r.passOnLarge(ctx, server, reply, body)
+	}
 	if !reply.IsSuccess() {
 		p.Observer.Attempted("failure")
 		r.logAttempt(zerolog.WarnLevel, server, "failure").Int("status", reply.Status).Msg("request: sent")
@@ -269,6 +280,32 @@
 	return isOver
 }
 
+// passOnLarge passes an answer on as it comes, since it is too large to be held until it is whole. It cannot be repeated any more: when
+// it breaks, the caller sees that it is not whole.
+func (r *run) passOnLarge(ctx context.Context, server lrfleet.Server, reply *Reply, held []byte) verdict {
+	err := r.caller.Begin(reply, reply.Length)
+	r.begun = true
+	rest := io.MultiReader(bytes.NewReader(held), reply.Body)
+	piece := make([]byte, pieceBytes)
+	for err == nil {
+		n, readErr := rest.Read(piece)
+		if n > 0 {
+			err = r.caller.Event(Event{Bytes: piece[:n]})
+		}
+		switch {
+		case err != nil:
+		case errors.Is(readErr, io.EOF):
+			r.finish(server, "served")
+			return isOver
+		case readErr != nil:
+			r.broken(ctx, server, lrconn.ErrBroken.Wrap(readErr))
+			return mustEnd
+		}
+	}
+	r.finish(server, outcomeOf(err))
+	return isOver
+}
+
 // relayStream passes events on as they come. When the stream breaks it may go on at another server.
 func (r *run) relayStream(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
 	p := r.pipeline
@@ -307,7 +344,7 @@
 // passOn gives the caller one event, after the head of the stream where it is the first.
 func (r *run) passOn(reply *Reply, event Event) error {
 	if !r.begun {
-		err := r.caller.Begin(reply)
+		err := r.caller.Begin(reply, unknownLength)
 		if err != nil {
 			return err
 		}
@@ -323,7 +360,7 @@
 	r.pipeline.Ejector.Succeeded(server.ID)
 	r.pipeline.Observer.Attempted("success")
 	if !r.begun {
-		_ = r.caller.Begin(reply)
+		_ = r.caller.Begin(reply, unknownLength)
 	}
 	r.finish(server, "served")
 	return isOver
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -78,6 +78,8 @@
 type Server struct {
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// MaxHeldBytes bounds the bodies and answers that an instance on the platform holds at a time.
+	MaxHeldBytes int
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes int
 	// HeaderTimeout bounds how long the header of a request may take to arrive.
@@ -217,7 +219,7 @@
 		},
 		Peers: Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
-			MaxBodyBytes: 16 << 20, MaxHeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second,
+			MaxBodyBytes: 16 << 20, MaxHeldBytes: 16 << 20, MaxHeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second,
 			BodyTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, StreamTimeout: 10 * time.Minute, WriteTimeout: 10 * time.Second,
 			DrainDelay: 2 * time.Second, DrainTimeout: time.Minute, MaxConnectionsPerAccount: 512,
 		},
