Start goroutines in one place that survives a panic

Cause: exchanges and readings of the fleet, orders to engines, paid actions, cancellations and servers ran in bare go statements, so a panic there (a malformed message, an unexpected answer) took the process down. Change: lrsupervise.Go and Supervisor.Go log the panic with its stack and count it; duties log their stacks too. An exchange and a change of weights that end so leave nothing locked.

--- a/internal/lrcommand/edge.go
+++ b/internal/lrcommand/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lredge"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrlog"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 	"github.com/lavenderrouter/lavenderrouter/platform"
 )
@@ -41,7 +42,7 @@
 		log = log.With().Str("instance", settings.Instance.Name).Logger()
 		ports := platform.New(settings.Platform.URL, time.Now, log)
 		daemon := lredge.New(settings, ports, time.Now, log)
-		go noteReloads(daemon.Done(), path, settings, log)
+		lrsupervise.Go(log, "noteReloads", func() { noteReloads(daemon.Done(), path, settings, log) })
 		return daemon.Run(c.Context())
 	}
 	return command
--- a/internal/lrcommand/serve.go
+++ b/internal/lrcommand/serve.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lavenderrouter/lavenderrouter"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
@@ -35,7 +36,7 @@
 		}
 		log = log.With().Str("instance", settings.Instance.Name).Logger()
 		router := lavenderrouter.New(lavenderrouter.WithSettings(settings), lavenderrouter.WithLog(log))
-		go hurryAtSecondSignal(router)
+		lrsupervise.Go(log, "hurryAtSecondSignal", func() { hurryAtSecondSignal(router) })
 		return router.Run(c.Context())
 	}
 	return command
--- a/internal/lrdaemon/drain.go
+++ b/internal/lrdaemon/drain.go
@@ -25,13 +25,13 @@
 	d.awaitBalancer()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Server.DrainTimeout)
 	defer cancel()
-	go func() {
+	d.supervisor.Go("hurry", func() {
 		select {
 		case <-d.hurry:
 			cancel()
 		case <-ctx.Done():
 		}
-	}()
+	})
 	err := server.Shutdown(ctx)
 	cut := d.gateway.Running()
 	if err == nil || cut == 0 {
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -178,7 +178,7 @@
 	d.weights = lrweights.NewDuty(lrweights.Parts{
 		Instance: d.settings.Instance.Name, Keeper: d.keeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
 		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter},
-		LeaseClock: lrclock.Boot, Observer: d.metrics, Log: d.log,
+		LeaseClock: lrclock.Boot, Observer: d.metrics, Go: d.supervisor.Go, Log: d.log,
 		Tell: func(now time.Time, note lrfleet.WeightsNote) { d.sharer.TellWeights(now, note) },
 	})
 	d.supervisor.Add("keepLease", lrsupervise.Every(contendPause, d.keepLease))
@@ -214,7 +214,7 @@
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerParts{
 		Self:      d.self(),
 		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Crashes: d.crashes, Rollout: d.weights, Pool: d.pool,
-		Feeds: d.feeds(), Clock: d.clock, Log: d.log,
+		Feeds: d.feeds(), Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
 		d.log.Error().Str("method", method).Str("panic", fmt.Sprint(value)).Msg("peers: call failed")
@@ -311,16 +311,16 @@
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go func() { _ = d.supervisor.Run(duties) }()
-	go func() { _ = d.peers.Serve(l.peers) }()
+	d.supervisor.Go("run", func() { _ = d.supervisor.Run(duties) })
+	d.supervisor.Go("servePeers", func() { _ = d.peers.Serve(l.peers) })
 	admin := &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: d.settings.Server.HeaderTimeout}
-	go func() { _ = admin.Serve(l.admin) }()
+	d.supervisor.Go("serveAdmin", func() { _ = admin.Serve(l.admin) })
 	if l.metrics != nil {
-		go func() { _ = admin.Serve(l.metrics) }()
+		d.supervisor.Go("serveMetrics", func() { _ = admin.Serve(l.metrics) })
 	}
 	server := d.callerServer()
 	callers := lrframe.NewListener(l.callers, d.settings.Server.MaxHeaderBytes)
-	go func() { _ = server.Serve(callers) }()
+	d.supervisor.Go("serveCallers", func() { _ = server.Serve(callers) })
 	d.log.Info().Str("address", d.settings.Instance.Address).Str("process", d.process).Msg("edge: started")
 	<-ctx.Done()
 	d.drain(callers)
--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -31,6 +31,9 @@
 	gauge("lavenderrouter_edge_outdated_seconds", "How long the engine that is furthest behind has lacked newer weights.", func() float64 {
 		return d.directory.LongestOutdated(d.clock()).Seconds()
 	})
+	d.metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "lavenderrouter_edge_panics_total", Help: "Duties and other work that ended with a panic.",
+	}, func() float64 { return float64(d.supervisor.Panics()) }))
 	for name, f := range d.feeds() {
 		d.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "lavenderrouter_edge_feed_age_seconds", Help: "Time since any instance is known to have read the feed.",
--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		s.fetching = true
-		go s.fetch(ctx, p.Name, p.PeerAddress, feed)
+		s.Go("fetch", func() { s.fetch(ctx, p.Name, p.PeerAddress, feed) })
 		return
 	}
 }
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -18,11 +18,11 @@
 func (s *Sharer) exchange(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
+	defer s.endCall(p)
 	request, cursors := s.stateFor(s.Clock(), p)
 	state, err := s.call(ctx, p, request)
 	now := s.Clock()
 	s.mutex.Lock()
-	p.calling = false
 	if err != nil {
 		p.failedAt = now
 		s.mutex.Unlock()
@@ -34,6 +34,13 @@
 	s.hear(now, state, true)
 }
 
+// endCall lets the peer be called again.
+func (s *Sharer) endCall(p *peer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p.calling = false
+}
+
 func (s *Sharer) call(ctx context.Context, p *peer, state *lrpeerpb.FleetState) (*lrpeerpb.FleetState, error) {
 	connection, err := s.Pool.Connection(p.PeerAddress)
 	if err != nil {
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -64,8 +64,10 @@
 	Rollout   Rollout
 	Pool      *lrpeer.Pool
 	Feeds     map[string]Relayed
-	Clock     func() time.Time
-	Log       zerolog.Logger
+	// Go runs work beside the duty.
+	Go    func(name string, work func())
+	Clock func() time.Time
+	Log   zerolog.Logger
 }
 
 // A Sharer exchanges state with the other instances. It is safe for use by several goroutines.
@@ -315,7 +317,7 @@
 // Step begins the exchanges that are due and draws the conclusions from what was heard.
 func (s *Sharer) Step(ctx context.Context, now time.Time) {
 	for _, p := range s.due(now) {
-		go s.exchange(ctx, p)
+		s.Go("exchange", func() { s.exchange(ctx, p) })
 	}
 	s.conclude(now)
 	s.catchUp(ctx, now)
--- a/internal/lrledger/ledger.go
+++ b/internal/lrledger/ledger.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrservice"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrpaid"
 )
@@ -84,7 +85,7 @@
 			"this instance has too many paid actions under way, or is stopping; send the request again with the same idempotency key")
 	}
 	a := newAction(l, request)
-	go a.run(context.WithoutCancel(ctx))
+	lrsupervise.Go(l.Log, "paidAction", func() { a.run(context.WithoutCancel(ctx)) })
 	select {
 	case <-a.done:
 		return a.response, a.err
--- a/internal/lrstream/source.go
+++ b/internal/lrstream/source.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
 )
@@ -132,12 +133,12 @@
 		return
 	}
 	id := s.attempt.ID
-	go func() {
+	lrsupervise.Go(s.generation.runner.log, "cancelRequest", func() {
 		defer func() { <-cancels }()
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		_ = engine.Cancel(ctx, id)
-	}()
+	})
 }
 
 // causeOr returns the silence of the engine if it ended the context, and err otherwise.
--- a/internal/lrsupervise/supervisor.go
+++ b/internal/lrsupervise/supervisor.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +26,7 @@
 	log    zerolog.Logger
 	duties []namedDuty
 	done   chan struct{}
+	panics atomic.Int64
 }
 
 type namedDuty struct {
@@ -59,7 +62,7 @@
 	delay := firstRestartDelay
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := runProtected(ctx, d.duty)
+		err := s.runProtected(ctx, d)
 		if ctx.Err() != nil {
 			return
 		}
@@ -72,12 +75,13 @@
 	}
 }
 
-func runProtected(ctx context.Context, duty Duty) (err error) {
+func (s *Supervisor) runProtected(ctx context.Context, d namedDuty) (err error) {
 	defer func() {
 		value := recover()
 		if value != nil {
-			err = fmt.Errorf("panic: %v", value)
+			s.panics.Add(1)
+			err = fmt.Errorf("panic: %v\n%s", value, debug.Stack())
 		}
 	}()
-	return duty(ctx)
+	return d.duty(ctx)
 }
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -95,7 +95,9 @@
 	// LeaseClock is the clock of the lease, which counts time in suspension.
 	LeaseClock func() time.Time
 	Observer   Observer
-	Log        zerolog.Logger
+	// Go runs work beside the duty.
+	Go  func(name string, work func())
+	Log zerolog.Logger
 }
 
 // An Observer counts what becomes of orders.
@@ -156,7 +158,7 @@
 		d.mutex.Lock()
 		d.busy[step.Engine] = true
 		d.mutex.Unlock()
-		go d.change(ctx, server, step)
+		d.Go("changeWeights", func() { d.change(ctx, server, step) })
 	}
 }
 
@@ -201,15 +203,9 @@
 func (d *Duty) change(ctx context.Context, server lrfleet.Server, step lrrollout.Step) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	began := time.Now()
-	done := d.bring(ctx, server, step)
-	d.mutex.Lock()
-	delete(d.busy, server.ID)
-	delete(d.closing, server.ID)
-	if !done {
-		d.failedAt[server.ID] = time.Now()
-	}
-	d.mutex.Unlock()
+	began, done := time.Now(), false
+	defer func() { d.endChange(server.ID, done) }()
+	done = d.bring(ctx, server, step)
 	if done {
 		d.Directory.NoteVersion(server.ID, step.Model, step.Version)
 		d.Tell(time.Now(), lrfleet.WeightsNote{Server: server.ID, Model: step.Model, Version: step.Version})
@@ -218,6 +214,17 @@
 		Dur("took", time.Since(began)).Msg("weights: engine")
 }
 
+// endChange lets the engine take requests again, and further orders after a while if the change has failed.
+func (d *Duty) endChange(id string, done bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.busy, id)
+	delete(d.closing, id)
+	if !done {
+		d.failedAt[id] = time.Now()
+	}
+}
+
 // bring asks the engine for its state, keeps new requests away from it, and gives the order. An engine that does not
 // answer loses no request.
 func (d *Duty) bring(ctx context.Context, server lrfleet.Server, step lrrollout.Step) bool {
--- a/internal/lrweights/duty_test.go
+++ b/internal/lrweights/duty_test.go
@@ -142,7 +142,7 @@
 			Instance: name, Keeper: lrlease.NewKeeper(store, "rollout", name, testValidity, time.Now), Engines: engines,
 			Directory: r.directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
 			Options: lrrollout.Options{MinAtOnce: 2, Share: 0.34}, Tell: func(time.Time, lrfleet.WeightsNote) {},
-			LeaseClock: time.Now, Log: zerolog.Nop(),
+			LeaseClock: time.Now, Log: zerolog.Nop(), Go: func(_ string, work func()) { go work() },
 		}))
 	}
 	return r
