Watch the kept store from each zone, so that no engine waits for a dead one

Cause: engines wait some hundred ms for a store that does not answer, and all requests with shared parts ask it. Weighed: learning from late first events (load makes them late too), a look by each instance (95 of them; the store serves 12 callers), cache events read all the time (each call that returns at once is priced as a probe as well). Chosen: the first instance of each zone looks three times a second, and all hear of it with the exchanges, newest finding first; a new epoch makes beliefs end.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -82,6 +82,7 @@
 	limiter   *lrlimit.Shared
 	crashes   *lrfleet.Crashes
 	sharer    *lrfleet.Sharer
+	kept      *lrfleet.KeptWatch
 	keeper    *lrlease.Keeper
 	weights   *lrweights.Duty
 	pipeline  *lrpipeline.Pipeline
@@ -118,6 +119,7 @@
 	d.directory.OnRestart(d.balancer.Forget)
 	d.wireFeeds()
 	d.wireWeights()
+	d.wireKept()
 	d.wireSharer()
 	d.wirePipeline()
 	d.registerGauges()
@@ -210,10 +212,28 @@
 	}
 }
 
+func (d *Daemon) wireKept() {
+	d.kept = lrfleet.NewKeptWatch(lrfleet.KeptParts{
+		Prober: d.ports.Kept, Address: d.keptStore, IsWatcher: func() bool { return d.sharer.IsFirstOfZone() },
+		OnRestart: d.balancer.ForgetStore, Clock: d.clock, Log: d.log,
+	})
+	d.supervisor.Add("watchKeptStore", lrsupervise.Every(lrfleet.KeptProbePeriod, d.kept.Step))
+}
+
+// keptStore returns the address of the kept store in use, or an empty text.
+func (d *Daemon) keptStore() string {
+	table := d.directory.Table()
+	if table == nil {
+		return ""
+	}
+	store, _ := table.KeptStore(d.settings.Instance.Zone)
+	return store.Address
+}
+
 func (d *Daemon) wireSharer() {
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerParts{
 		Self:      d.self(),
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Crashes: d.crashes, Rollout: d.weights, Pool: d.pool,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Crashes: d.crashes, Kept: d.kept, Rollout: d.weights, Pool: d.pool,
 		Feeds: d.feeds(), Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
@@ -275,7 +295,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
 		}),
-		Crashes: d.crashes, Held: lrheld.NewRoom(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Crashes: d.crashes, Kept: d.kept, Held: lrheld.NewRoom(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainPause, func(context.Context, time.Time) {
 		addresses := map[string]bool{}
--- a/internal/lredge/ports.go
+++ b/internal/lredge/ports.go
@@ -28,6 +28,7 @@
 	Backend       lrpipeline.Backend
 	Engines       lrweights.Engines
 	Connections   *lrconn.Pool
+	Kept          lrfleet.KeptProber
 	// Collectors are metrics of the ports, and Duties work that they do in the background.
 	Collectors []prometheus.Collector
 	Duties     map[string]lrsupervise.Duty
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -105,6 +105,11 @@
 	for _, c := range s.Crashes.News(now) {
 		state.Crashes = append(state.Crashes, &lrpeerpb.CrashNote{Digest: c.Digest, Server: c.Server})
 	}
+	s.Kept.News(now, func(note KeptNote, age time.Duration) {
+		state.Kept = append(state.Kept, &lrpeerpb.KeptNote{
+			Address: note.Address, Epoch: note.Epoch, IsDown: note.IsDown, AgeMillis: uint32(age.Milliseconds()),
+		})
+	})
 	holdings, next := s.Balancer.News(now, sent, isNear)
 	state.Holdings = encodeHoldings(holdings)
 	state.NextNear, state.NextFar = next.Near, next.Far
@@ -196,6 +201,10 @@
 	for _, c := range state.GetCrashes() {
 		s.Crashes.Heard(now, Crash{Digest: c.GetDigest(), Server: c.GetServer()})
 	}
+	for _, k := range state.GetKept() {
+		note := KeptNote{Address: k.GetAddress(), Epoch: k.GetEpoch(), IsDown: k.GetIsDown()}
+		s.Kept.Heard(now, note, time.Duration(k.GetAgeMillis())*time.Millisecond)
+	}
 	s.Balancer.Heard(now, decodeHoldings(state.GetHoldings()), state.GetZone() != s.Self.Zone)
 }
 
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -61,6 +61,7 @@
 	Balancer  *lrbalance.Balancer
 	Limiter   *lrlimit.Shared
 	Crashes   *Crashes
+	Kept      *KeptWatch
 	Rollout   Rollout
 	Pool      *lrpeer.Pool
 	Feeds     map[string]Relayed
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -51,7 +51,7 @@
 	return NewSharer(SharerParts{
 		Self: self, Directory: NewDirectory(zerolog.Nop()), Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
 		Limiter: lrlimit.NewShared(true), Crashes: NewCrashes(), Rollout: noRollout{}, Feeds: map[string]Relayed{},
-		Clock: func() time.Time { return f.now }, Log: zerolog.Nop(), Go: func(_ string, work func()) { go work() },
+		Clock: func() time.Time { return f.now }, Log: zerolog.Nop(), Kept: NewKeptWatch(KeptParts{Log: zerolog.Nop()}), Go: func(_ string, work func()) { go work() },
 	}, false)
 }
 
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -146,8 +146,15 @@
 	crashes  *lrfleet.Crashes
 	pipeline *Pipeline
 	now      time.Time
+	kept     testKept
 }
 
+// testKept tells of one kept store whether it answers.
+type testKept struct{ isDown bool }
+
+// IsUsable reports whether the store answers.
+func (k *testKept) IsUsable(time.Time, string) bool { return !k.isDown }
+
 func newWorld(t *testing.T, steps ...step) *world {
 	t.Helper()
 	w := &world{
@@ -159,6 +166,7 @@
 	directory.SetServers(testServers())
 	w.pipeline = New(Parts{
 		Directory: directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: 1}),
+		Kept:    &w.kept,
 		Held:    lrheld.NewRoom(testRoom),
 		Limiter: w.limiter, Budgets: w.budget, Crashes: w.crashes, Backend: w.backend, Observer: silentObserver{},
 		Ejector:     lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -45,6 +45,11 @@
 	Spend(now time.Time, service string) bool
 }
 
+// KeptStores tells which kept stores answer.
+type KeptStores interface {
+	IsUsable(now time.Time, address string) bool
+}
+
 // Parts are what a Pipeline works with.
 type Parts struct {
 	// Zone is the availability zone of the instance.
@@ -58,6 +63,7 @@
 	// Held bounds the bytes of bodies and answers that are held at a time.
 	Held    *lrheld.Room
 	Backend Backend
+	Kept    KeptStores
 	// SilentZones returns the availability zones of which nothing is heard.
 	SilentZones func(now time.Time) map[string]bool
 	// Instances returns how many instances share the backend servers.
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -138,7 +138,7 @@
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
 		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
-		Store: r.keptStore(),
+		Store: r.keptStore(now),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
@@ -218,9 +218,9 @@
 	return r.store.Address
 }
 
-// keptStore returns the kept store for requests with a model.
-func (r *run) keptStore() lrbalance.Store {
-	if r.Model == "" {
+// keptStore returns the kept store for requests with a model, if it answers.
+func (r *run) keptStore(now time.Time) lrbalance.Store {
+	if r.Model == "" || r.store.Address == "" || !r.pipeline.Kept.IsUsable(now, r.store.Address) {
 		return lrbalance.Store{}
 	}
 	return lrbalance.Store{Address: r.store.Address, Zone: r.store.Zone, TokensPerMilli: r.store.TokensPerMilli}
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -224,6 +224,9 @@
 	}
 }
 
+// ForgetStore drops what is believed of a kept store, since it has lost what it held.
+func (b *Balancer) ForgetStore(address string) { b.Forget(Store{Address: address}.name()) }
+
 // Forget drops what is believed of an engine's cache, since it restarted or changed its weights.
 func (b *Balancer) Forget(engine string) {
 	b.mutex.Lock()
