Hold back what a pause has made too late, and take no late copy for an answer

Cause, shown by tests that failed before: a request that an engine has refused may go to it once more under the same identity, and a late second copy of the refusal on that connection was taken for its answer, while it ran; a call of our own took the late answer to a request for its own. Nothing was asked between the decision and the first byte: a process that was suspended meanwhile sent requests whose time was over and orders under a lease that had lapsed (the steady clock does not count that time). Change: a connection carries no identity twice in a row; calls without identity drop answers that bear one; the connection asks a last time before the first byte leaves: the end of the context, the request's time and the age of its choice (one second) on the clock that counts pauses, the lease with its fencing number for orders. A held back request has not run: it is placed again, or refused as not run. Ruled out by tests that pass before and after: copies with the same bytes, in chunks, twice, without identity, as interim answers, glued to the first answer; answers that break off, in each framing, closed and reset.

--- a/internal/lrconn/conn.go
+++ b/internal/lrconn/conn.go
@@ -41,6 +41,8 @@
 	// idleFor is how long the backend server keeps the connection without a request.
 	idleFor   time.Duration
 	idleSince time.Time
+	// lastID is the identity of the last request.
+	lastID string
 	// inHead tells that a head is read, of which headLeft more bytes are taken.
 	inHead   bool
 	headLeft int
@@ -103,7 +105,7 @@
 			return nil, err
 		}
 		id := response.Header.Get(idHeader)
-		if request.ID == "" || id == request.ID {
+		if id == request.ID {
 			c.noteKeepAlive(response)
 			return newAnswer(response), nil
 		}
--- a/internal/lrconn/endless_test.go
+++ b/internal/lrconn/endless_test.go
@@ -127,3 +127,25 @@
 	requireEqual(t, err, nil)
 	requireEqual(t, body, "ok")
 }
+
+// TestSlowBodyIsKept sends a body in pieces over longer than the bound on heads.
+func TestSlowBodyIsKept(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	requireEqual(t, err, nil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 5\r\n\r\n")
+		for range 5 {
+			time.Sleep(40 * time.Millisecond)
+			_, _ = io.WriteString(c, "x")
+		}
+	}()
+	p := NewPool(Options{IDHeader: "Test-Id", DialTimeout: time.Second, SilenceTimeout: time.Second, HeadTimeout: 50 * time.Millisecond}, time.Now)
+	body, err := do(t, p, l.Addr().String(), "1")
+	requireEqual(t, err, nil)
+	requireEqual(t, body, "xxxxx")
+}
--- a/internal/lrconn/pool.go
+++ b/internal/lrconn/pool.go
@@ -20,6 +20,9 @@
 // ErrRefused means that nobody listens at the address. It is an ErrNotSent too.
 var ErrRefused = errs.Class("nobody listens at the address of the backend server")
 
+// ErrHeldBack means that the permission to send the request ran out before its first byte left. It is an ErrNotSent too.
+var ErrHeldBack = errs.Class("request was held back, ask for permission again")
+
 // ErrBroken means that the connection broke after the request was sent. It may have run.
 var ErrBroken = errs.Class("connection to the backend server broke, the request may have run")
 
@@ -84,10 +87,16 @@
 // Do sends the request to the address and waits for the head of the answer. The end of the context closes the
 // connection. A positive limit bounds the connections to the address.
 func (p *Pool) Do(ctx context.Context, address string, limit int, request Request) (*Answer, error) {
-	c, err := p.take(ctx, address, limit)
+	c, err := p.take(ctx, address, limit, request.ID)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
+	err = request.mayLeave(ctx)
+	if err != nil {
+		p.put(address, c)
+		return nil, ErrNotSent.Wrap(ErrHeldBack.Wrap(err))
+	}
+	c.lastID = request.ID
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	buffers := request.buffers()
 	_, err = buffers.WriteTo(c)
@@ -151,14 +160,16 @@
 	a.pool.put(a.address, a.conn)
 }
 
-func (p *Pool) take(ctx context.Context, address string, limit int) (*conn, error) {
+// take returns a connection for the request of the identity. One that has carried a request of the same identity before is not used
+// again: a second copy of its answer would be taken for the answer to this one.
+func (p *Pool) take(ctx context.Context, address string, limit int, id string) (*conn, error) {
 	now := p.clock()
 	for {
 		c, ok := p.pop(address)
 		if !ok {
 			break
 		}
-		if c.isUsable(now) {
+		if c.isUsable(now) && (id == "" || c.lastID != id) {
 			return c, nil
 		}
 		p.discard(address, c)
--- a/internal/lrconn/request.go
+++ b/internal/lrconn/request.go
@@ -3,9 +3,11 @@
 package lrconn
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // A Field is one header line.
@@ -22,8 +24,27 @@
 	Host   string
 	Header []Field
 	Body   []byte
-	// ID is the identity that the answer must bear. An empty ID accepts any answer.
+	// ID is the identity that the answer must bear. A request without one takes no answer that bears any.
 	ID string
+	// MayLeave is asked last before the first byte leaves. An error holds the request back: the process may have been paused since the
+	// request was allowed. Nil allows it.
+	MayLeave func() error
+}
+
+// mayLeave returns why the request must not leave any more, or nil.
+func (r Request) mayLeave(ctx context.Context) error {
+	// The timer of a context may not have fired yet when a process goes on after a pause.
+	end, bounded := ctx.Deadline()
+	switch {
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case bounded && !time.Now().Before(end):
+		return context.DeadlineExceeded
+	case r.MayLeave == nil:
+		return nil
+	default:
+		return r.MayLeave()
+	}
 }
 
 // buffers returns the bytes of the request.
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -296,6 +296,7 @@
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
 		}),
 		Crashes: d.crashes, Kept: d.kept, Held: lrheld.NewRoom(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		PauseClock: lrclock.Boot,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainPause, func(context.Context, time.Time) {
 		addresses := map[string]bool{}
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -29,6 +29,10 @@
 type scripted struct {
 	steps    []step
 	attempts []Attempt
+	// beforeLeaving is called between the choice of a server and the last question before an attempt leaves, and left are the attempts
+	// that have left.
+	beforeLeaving func()
+	left          []Attempt
 }
 
 // step is what becomes of one attempt.
@@ -45,6 +49,14 @@
 
 func (s *scripted) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
 	s.attempts = append(s.attempts, attempt)
+	if s.beforeLeaving != nil {
+		s.beforeLeaving()
+	}
+	err := attempt.MayLeave()
+	if err != nil {
+		return nil, lrconn.ErrNotSent.Wrap(lrconn.ErrHeldBack.Wrap(err))
+	}
+	s.left = append(s.left, attempt)
 	if len(s.steps) == 0 {
 		<-ctx.Done()
 		return nil, lrconn.ErrBroken.Wrap(ctx.Err())
@@ -147,6 +159,8 @@
 	pipeline *Pipeline
 	now      time.Time
 	kept     testKept
+	// paused is how long the process has been suspended.
+	paused time.Duration
 }
 
 // testKept tells of one kept store whether it answers.
@@ -172,6 +186,7 @@
 		Ejector:     lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
 		SilentZones: func(time.Time) map[string]bool { return nil },
 		Instances:   func() int { return 8 }, Log: zerolog.Nop(), Clock: func() time.Time { return w.now },
+		PauseClock: func() time.Time { return w.now.Add(w.paused) },
 	})
 	return w
 }
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -71,6 +71,8 @@
 	Observer  Observer
 	Log       zerolog.Logger
 	Clock     func() time.Time
+	// PauseClock goes on while the machine is suspended. Its times are comparable with one another alone.
+	PauseClock func() time.Time
 }
 
 // An Observer counts what happens to requests.
@@ -100,6 +102,8 @@
 	// store is the kept store, if there is one.
 	store    lrtable.KeptStore
 	deadline time.Time
+	// pauseDeadline is the deadline on the clock that counts pauses.
+	pauseDeadline time.Time
 	// tokens is what the request counts against the account's allowance.
 	tokens float64
 }
@@ -137,6 +141,7 @@
 	a.service, _ = table.Service(route.Target(request.ID))
 	a.store, _ = table.KeptStore(p.Zone)
 	a.deadline = deadline(request, route)
+	a.pauseDeadline = p.PauseClock().Add(a.deadline.Sub(p.Clock()))
 	a.tokens = cost(request, a.account)
 	return a, nil
 }
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -60,6 +60,8 @@
 	FetchFrom string
 	// SaveTo is the address of the store to which the server sends what it computes of the prompt. It is empty when nothing is saved.
 	SaveTo string
+	// MayLeave is asked last before the first byte leaves. An error holds the attempt back.
+	MayLeave func() error
 	// ResumeAfter is the last event that the caller has got. Empty means that the stream begins.
 	ResumeAfter string
 }
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -28,6 +28,8 @@
 	maxHeldAnswer = 1 << 20
 	// pieceBytes is the size of the pieces in which a large answer is passed on.
 	pieceBytes = 32 << 10
+	// choiceLife is how long after the choice of a server a request may still leave for it. Connecting takes less.
+	choiceLife = time.Second
 	// unknownLength is the length of an answer that ends when it ends.
 	unknownLength = -1
 )
@@ -99,7 +101,10 @@
 	}
 }
 
-var errRouteTimeout = errors.New("the time of the request is over")
+var (
+	errRouteTimeout = errors.New("the time of the request is over")
+	errOldChoice    = errors.New("the choice of the backend server is too old")
+)
 
 // mayRepeat reports whether one more sending is allowed. It is taken from the budget of the service, unless the last
 // one did not leave.
@@ -161,8 +166,11 @@
 	reply, err := p.Backend.Send(ctx, Attempt{
 		Request: r.Request, Server: server, Connections: r.connections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
 		Urgency: r.route.PriorityOf(r.account), TimeLeft: r.deadline.Sub(began), ResumeAfter: r.lastEvent,
-		Version: server.Versions[r.Model], FetchFrom: r.source(choice), SaveTo: r.saveTo(choice),
+		Version: server.Versions[r.Model], MayLeave: r.mayLeave(), FetchFrom: r.source(choice), SaveTo: r.saveTo(choice),
 	})
+	if lrconn.ErrHeldBack.Has(err) {
+		return r.heldBack(ctx, server, err)
+	}
 	r.unsent = lrconn.ErrNotSent.Has(err)
 	switch {
 	case r.unsent:
@@ -195,6 +203,36 @@
 	return r.relayAnswer(ctx, choice, server, reply)
 }
 
+// mayLeave returns the last question before an attempt leaves: whether the request has time left and its choice is new, on a clock that
+// counts the time in which the process was paused.
+func (r *run) mayLeave() func() error {
+	p := r.pipeline
+	chosenAt := p.PauseClock()
+	return func() error {
+		now := p.PauseClock()
+		switch {
+		case now.After(r.pauseDeadline):
+			return errRouteTimeout
+		case now.Sub(chosenAt) > choiceLife:
+			return errOldChoice
+		default:
+			return nil
+		}
+	}
+}
+
+// heldBack deals with an attempt that did not leave, since this instance was paused meanwhile. The server has no part in it.
+func (r *run) heldBack(ctx context.Context, server lrfleet.Server, err error) verdict {
+	r.unsent = true
+	r.unsents++
+	r.pipeline.Observer.Attempted("heldBack")
+	r.logAttempt(zerolog.WarnLevel, server, "heldBack").Err(err).Msg("request: sent")
+	if ctx.Err() != nil || !errors.Is(err, errOldChoice) {
+		return mustEnd
+	}
+	return mayRepeat
+}
+
 // source returns the address of the server from which a part of the prompt can be fetched.
 func (r *run) source(choice lrbalance.Choice) string {
 	if choice.FromStore {
--- a/internal/lrweights/duty.go
+++ b/internal/lrweights/duty.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	Versions map[string]int64
 }
 
+var errLeaseLost = errors.New("the lease under which the order was decided is not held any more")
+
 // An Order tells an engine to take new weights.
 type Order struct {
 	Model   string
@@ -55,6 +58,8 @@
 	Accepted int64
 	// KeepsRuns makes the runs that are under way go on under the new weights at once, instead of finishing first.
 	KeepsRuns bool
+	// MayLeave is asked last before the first byte leaves. An error holds the order back.
+	MayLeave func() error
 }
 
 // Result is what an engine answers to an order.
@@ -272,7 +277,7 @@
 			}
 			result := d.give(ctx, server, Order{
 				Model: step.Model, Version: step.Version, Holder: d.Instance, Fence: grant.Fence, Accepted: state.Accepted,
-				KeepsRuns: step.IsLate,
+				KeepsRuns: step.IsLate, MayLeave: d.stillHeld(grant.Fence),
 			})
 			switch result {
 			case Fenced, Refused:
@@ -292,6 +297,18 @@
 	return false
 }
 
+// stillHeld returns the last question before an order leaves: whether the lease is held as it was when the order was decided. The process
+// may have been paused meanwhile, and another instance may hold it now.
+func (d *Duty) stillHeld(fence uint64) func() error {
+	return func() error {
+		grant, held := d.Keeper.Held(d.LeaseClock())
+		if !held || grant.Fence != fence {
+			return errLeaseLost
+		}
+		return nil
+	}
+}
+
 func (d *Duty) state(ctx context.Context, server lrfleet.Server) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
--- a/internal/lrweights/duty_test.go
+++ b/internal/lrweights/duty_test.go
@@ -253,3 +253,22 @@
 
 func (silentObserver) Ordered(Result)    {}
 func (silentObserver) LeaseChanged(bool) {}
+
+// TestOrderIsHeldBackWithoutTheLease pauses the holder between the decision on an order and its sending for longer than the lease lasts.
+func TestOrderIsHeldBackWithoutTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newRollout(newFakeEngines(1), 1).duties[0]
+		requireEqual(t, d.Keeper.Step(t.Context()), nil)
+		grant, held := d.Keeper.Held(time.Now())
+		requireEqual(t, held, true)
+		mayLeave := d.stillHeld(grant.Fence)
+		requireEqual(t, mayLeave(), nil)
+		time.Sleep(2 * testValidity)
+		requireEqual(t, mayLeave(), errLeaseLost)
+		requireEqual(t, d.Keeper.Step(t.Context()), nil)
+		next, held := d.Keeper.Held(time.Now())
+		requireEqual(t, held, true)
+		requireEqual(t, next.Fence > grant.Fence, true)
+		requireEqual(t, mayLeave(), errLeaseLost)
+	})
+}
