--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -46,12 +46,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return lrpeerpb.NewFleetClient(connection).Share(ctx, state)
+	reply, err := lrpeerpb.NewFleetClient(connection).Share(ctx, state)
+	if err != nil {
+		return nil, err
+	}
+	return reply, validate(reply)
 }
 
 // Share answers another instance.
 func (s *Sharer) Share(_ context.Context, state *lrpeerpb.FleetState) (*lrpeerpb.FleetState, error) {
 	now := s.Clock()
+	err := validate(state)
+	if err != nil {
+		s.Log.Warn().Err(err).Str("peer", state.GetName()).Msg("fleet: malformed message")
+		return nil, err
+	}
 	s.hear(now, state, false)
 	s.mutex.Lock()
 	p := s.peerOf(state)
