Spread shared parts over all kept stores of a deployment

Cause: each availability zone used its own store, or the first one, so that each store had to hold the shared parts of the whole deployment. Weighed: a store for each zone (near, but too small), and one by the hash of the shared parts (twice the time and some bytes between zones). Chosen: the hash, over the stores that answer; a far transfer counts twice. Every store is watched.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -214,20 +214,23 @@
 
 func (d *Daemon) wireKept() {
 	d.kept = lrfleet.NewKeptWatch(lrfleet.KeptParts{
-		Prober: d.ports.Kept, Address: d.keptStore, IsWatcher: func() bool { return d.sharer.IsFirstOfZone() },
-		OnRestart: d.balancer.ForgetStore, Clock: d.clock, Log: d.log,
+		Prober: d.ports.Kept, Addresses: d.keptStores, IsWatcher: func() bool { return d.sharer.IsFirstOfZone() },
+		OnRestart: d.balancer.ForgetStore, Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	})
 	d.supervisor.Add("watchKeptStore", lrsupervise.Every(lrfleet.KeptProbePeriod, d.kept.Step))
 }
 
-// keptStore returns the address of the kept store in use, or an empty text.
-func (d *Daemon) keptStore() string {
+// keptStores returns the addresses of the kept stores.
+func (d *Daemon) keptStores() []string {
 	table := d.directory.Table()
 	if table == nil {
-		return ""
+		return nil
 	}
-	store, _ := table.KeptStore(d.settings.Instance.Zone)
-	return store.Address
+	var addresses []string
+	for _, s := range table.KeptStores() {
+		addresses = append(addresses, s.Address)
+	}
+	return addresses
 }
 
 func (d *Daemon) wireSharer() {
@@ -290,7 +293,7 @@
 
 func (d *Daemon) wirePipeline() {
 	d.pipeline = lrpipeline.New(lrpipeline.Parts{
-		Zone: d.settings.Instance.Zone, Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
 		Budgets: newBudgets(d.settings.Retries, d.sharer.Instances, d.metrics.repeated), SilentZones: d.sharer.SilentZones,
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
--- a/internal/lrfleet/kept_watch.go
+++ b/internal/lrfleet/kept_watch.go
@@ -41,14 +41,16 @@
 // KeptParts are what a KeptWatch works with.
 type KeptParts struct {
 	Prober KeptProber
-	// Address returns the kept store in use. It is empty when there is none.
-	Address func() string
+	// Addresses returns the kept stores in use.
+	Addresses func() []string
 	// IsWatcher reports whether this instance looks for those of its availability zone.
 	IsWatcher func() bool
 	// OnRestart is told of a store that has lost what it held.
 	OnRestart func(address string)
-	Clock     func() time.Time
-	Log       zerolog.Logger
+	// Go runs work beside the duty.
+	Go    func(name string, work func())
+	Clock func() time.Time
+	Log   zerolog.Logger
 }
 
 // A KeptWatch knows which kept stores answer. One instance of each availability zone looks, and tells the others. It is safe for use by
@@ -74,12 +76,24 @@
 	return &KeptWatch{KeptParts: parts, found: map[string]keptFinding{}, next: map[string]uint64{}}
 }
 
-// Step looks at the kept store in use, if that is for this instance to do.
+// Step looks at the kept stores in use, if that is for this instance to do.
 func (k *KeptWatch) Step(ctx context.Context, _ time.Time) {
-	address := k.Address()
-	if address == "" || !k.IsWatcher() {
+	if !k.IsWatcher() {
 		return
 	}
+	var looks sync.WaitGroup
+	for _, address := range k.Addresses() {
+		looks.Add(1)
+		k.Go("lookAtKeptStore", func() {
+			defer looks.Done()
+			k.look(ctx, address)
+		})
+	}
+	looks.Wait()
+}
+
+// look looks at one kept store.
+func (k *KeptWatch) look(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, keptProbeTimeout)
 	defer cancel()
 	sign, err := k.Prober.ProbeKept(ctx, address, k.from(address))
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -52,8 +52,6 @@
 
 // Parts are what a Pipeline works with.
 type Parts struct {
-	// Zone is the availability zone of the instance.
-	Zone      string
 	Directory *lrfleet.Directory
 	Balancer  *lrbalance.Balancer
 	Limiter   *lrlimit.Shared
@@ -96,11 +94,10 @@
 	*Request
 	route lrtable.Route
 	// table is the version of the routing table that decided.
-	table   uint64
-	account lrtable.Account
-	service lrtable.Service
-	// store is the kept store, if there is one.
-	store    lrtable.KeptStore
+	table    uint64
+	account  lrtable.Account
+	service  lrtable.Service
+	stores   []lrtable.KeptStore
 	deadline time.Time
 	// pauseDeadline is the deadline on the clock that counts pauses.
 	pauseDeadline time.Time
@@ -139,7 +136,7 @@
 		}
 	}
 	a.service, _ = table.Service(route.Target(request.ID))
-	a.store, _ = table.KeptStore(p.Zone)
+	a.stores = table.KeptStores()
 	a.deadline = deadline(request, route)
 	a.pauseDeadline = p.PauseClock().Add(a.deadline.Sub(p.Clock()))
 	a.tokens = cost(request, a.account)
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -143,7 +143,7 @@
 	request := lrbalance.Request{
 		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
 		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
-		Store: r.keptStore(now),
+		Stores: r.keptStores(now),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
 	if !ok {
@@ -236,7 +236,7 @@
 // source returns the address of the server from which a part of the prompt can be fetched.
 func (r *run) source(choice lrbalance.Choice) string {
 	if choice.FromStore {
-		return r.store.Address
+		return choice.Store.Address
 	}
 	if choice.Source == "" {
 		return ""
@@ -253,15 +253,21 @@
 	if !choice.IsSaved {
 		return ""
 	}
-	return r.store.Address
+	return choice.Store.Address
 }
 
-// keptStore returns the kept store for requests with a model, if it answers.
-func (r *run) keptStore(now time.Time) lrbalance.Store {
-	if r.Model == "" || r.store.Address == "" || !r.pipeline.Kept.IsUsable(now, r.store.Address) {
-		return lrbalance.Store{}
+// keptStores returns the kept stores that answer, for requests with a model.
+func (r *run) keptStores(now time.Time) []lrbalance.Store {
+	if r.Model == "" {
+		return nil
+	}
+	stores := make([]lrbalance.Store, 0, len(r.stores))
+	for _, s := range r.stores {
+		if r.pipeline.Kept.IsUsable(now, s.Address) {
+			stores = append(stores, lrbalance.Store{Address: s.Address, Zone: s.Zone, TokensPerMilli: s.TokensPerMilli})
+		}
 	}
-	return lrbalance.Store{Address: r.store.Address, Zone: r.store.Zone, TokensPerMilli: r.store.TokensPerMilli}
+	return stores
 }
 
 // broken deals with an attempt that brought no answer.
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -80,7 +80,7 @@
 	best.IsSaved = p.isWorthSaving(now, best, best.cached)
 	switch {
 	case best.Source != "" || best.FromStore:
-	case request.Store.exists() && len(best.runs) > 0:
+	case best.Store.exists() && len(best.runs) > 0:
 		// It holds more than this instance has heard of, and a miss costs a millisecond.
 		best.FromStore = true
 	default:
@@ -90,7 +90,7 @@
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
 	b.beliefs.begin(now, best.Engine.ID, best.runs)
 	if best.IsSaved {
-		b.beliefs.begin(now, request.Store.name(), best.runs)
+		b.beliefs.begin(now, best.Store.name(), best.runs)
 	}
 	return best, true
 }
@@ -144,7 +144,7 @@
 	defer b.mutex.Unlock()
 	b.beliefs.ready(now, choice.Engine.ID, choice.runs)
 	if choice.IsSaved {
-		b.beliefs.ready(now, choice.store.name(), choice.runs)
+		b.beliefs.ready(now, choice.Store.name(), choice.runs)
 	}
 	b.count(choice.Engine.ID, Load{Waiting: -choice.work})
 }
@@ -158,7 +158,7 @@
 		load.Waiting = -choice.work
 		b.beliefs.abandon(choice.Engine.ID, choice.runs)
 		if choice.IsSaved {
-			b.beliefs.abandon(choice.store.name(), choice.runs)
+			b.beliefs.abandon(choice.Store.name(), choice.runs)
 		}
 	}
 	b.count(choice.Engine.ID, load)
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -39,8 +39,8 @@
 	Target time.Duration
 	// Instances is the number of instances that choose among the same backend servers.
 	Instances int
-	// Store is the kept store that engines may use for the request.
-	Store Store
+	// Stores are the kept stores that engines may use.
+	Stores []Store
 	// Excluded are backend servers that have failed this request.
 	Excluded map[string]bool
 }
@@ -71,7 +71,9 @@
 	Candidates int
 	// Source is the engine from which the chosen one can fetch a part of the prompt. It is empty when there is none.
 	Source string
-	// FromStore tells that the chosen engine shall fetch from the kept store, and IsSaved that it shall save the shared parts there.
+	// Store is the kept store for the shared parts. FromStore tells that the chosen engine shall fetch from there, and IsSaved that it
+	// shall save the parts there.
+	Store     Store
 	FromStore bool
 	IsSaved   bool
 	// Fetched are the prompt tokens that come from there.
@@ -80,6 +82,5 @@
 	work int
 	// cached are the tokens that the engine holds or is computing.
 	cached int
-	store  Store
 	runs   []prefix
 }
--- a/pkg/lrbalance/kept_store.go
+++ b/pkg/lrbalance/kept_store.go
@@ -1,6 +1,10 @@
 package lrbalance
 
-import "time"
+import (
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
+)
 
 const (
 	// keptLife is how long a kept store is believed to hold a part that was saved there. It holds far more than an engine.
@@ -9,6 +13,8 @@
 	freshLife = 2500 * time.Millisecond
 	// minSaved is the least number of shared tokens that is worth a save.
 	minSaved = 400
+	// farTransfer is how many times as long a transfer to another availability zone takes.
+	farTransfer = 2
 	// keptStorePrefix sets the names of kept stores apart from those of engines where both are told.
 	keptStorePrefix = "keptStore/"
 )
@@ -27,19 +33,41 @@
 // exists reports whether there is a store.
 func (s Store) exists() bool { return s.Address != "" }
 
-// transfer returns how long the store takes to send the tokens.
-func (s Store) transfer(tokens int) time.Duration {
-	if s.TokensPerMilli <= 0 {
-		return time.Duration(tokens) * fetchPerToken
+// transfer returns how long the store takes to send the tokens to an engine of the availability zone.
+func (s Store) transfer(tokens int, zone string) time.Duration {
+	took := time.Duration(tokens) * fetchPerToken
+	if s.TokensPerMilli > 0 {
+		took = time.Duration(float64(tokens) / s.TokensPerMilli * float64(time.Millisecond))
+	}
+	if s.Zone != zone {
+		took *= farTransfer
+	}
+	return took
+}
+
+// storeOf returns the one of the stores that keeps the request's shared parts, on which all instances agree: together they hold more than
+// any of them. It is the zero Store where there is none.
+func storeOf(request Request) Store {
+	home := homeKey(request)
+	var best Store
+	if home == "" {
+		return best
+	}
+	bestScore := uint64(0)
+	for _, s := range request.Stores {
+		score := lrhash.Pair(home, s.Address)
+		if !best.exists() || score > bestScore {
+			best, bestScore = s, score
+		}
 	}
-	return time.Duration(float64(tokens) / s.TokensPerMilli * float64(time.Millisecond))
+	return best
 }
 
 // isWorthSaving reports whether the chosen engine shall send the shared parts to the store: it lacks some, and the store is not known
 // to have got them lately. What is made under old weights is soon of no more use.
 func (p placement) isWorthSaving(now time.Time, chosen Choice, cached int) bool {
-	if !p.request.Store.exists() || chosen.Engine.OutdatedFor > 0 || p.shared < minSaved || cached >= p.shared {
+	if !p.store.exists() || chosen.Engine.OutdatedFor > 0 || p.shared < minSaved || cached >= p.shared {
 		return false
 	}
-	return p.balancer.beliefs.cached(now, p.request.Store.name(), chosen.runs) < p.shared
+	return p.balancer.beliefs.cached(now, p.store.name(), chosen.runs) < p.shared
 }
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -15,6 +15,8 @@
 type placement struct {
 	balancer *Balancer
 	request  Request
+	// store is the kept store for the shared parts.
+	store Store
 	// shared are the tokens of the shared parts.
 	shared int
 	// sources are the best sources for each version of the weights. Engines that failed the request are left out.
@@ -33,7 +35,7 @@
 
 // look returns the placement of the request and the engines as its candidates.
 func (b *Balancer) look(now time.Time, request Request, engines []Engine) (placement, []candidate) {
-	p := placement{balancer: b, request: request, shared: sharedTokens(request), sources: map[int64]source{}, kept: map[int64]int{}}
+	p := placement{balancer: b, request: request, store: storeOf(request), shared: sharedTokens(request), sources: map[int64]source{}, kept: map[int64]int{}}
 	candidates := make([]candidate, len(engines))
 	runs := map[int64][]prefix{}
 	for n, e := range engines {
@@ -55,10 +57,10 @@
 
 // keptTokens returns the tokens of the runs that the kept store is believed to hold.
 func (p placement) keptTokens(now time.Time, runs []prefix) int {
-	if !p.request.Store.exists() {
+	if !p.store.exists() {
 		return 0
 	}
-	return p.balancer.beliefs.fetchable(now, p.request.Store.name(), runs, keptLife)
+	return p.balancer.beliefs.fetchable(now, p.store.name(), runs, keptLife)
 }
 
 // sourceLife returns how long after its last use a part is looked for at an engine: shorter where the kept store has it too, since
@@ -126,8 +128,8 @@
 		best = took + b.prefill(p.shared-holder.tokens)
 	}
 	kept := p.kept[engine.Version] - candidate.cached
-	if kept > 0 && p.request.Store.transfer(kept)+b.prefill(p.shared-p.kept[engine.Version]) < best {
-		return source{tokens: kept}, true, p.request.Store.transfer(kept)
+	if kept > 0 && p.store.transfer(kept, engine.Zone)+b.prefill(p.shared-p.kept[engine.Version]) < best {
+		return source{tokens: kept}, true, p.store.transfer(kept, engine.Zone)
 	}
 	return from, false, took
 }
@@ -155,7 +157,7 @@
 // estimate returns what the request would find at the candidate of the rank.
 func (p placement) estimate(candidate candidate, rank int) Choice {
 	b, engine := p.balancer, candidate.engine
-	c := Choice{Engine: engine, Rank: rank, runs: candidate.runs, cached: candidate.cached, store: p.request.Store}
+	c := Choice{Engine: engine, Rank: rank, runs: candidate.runs, cached: candidate.cached, Store: p.store}
 	from, fromStore, transfer := p.fetch(candidate)
 	c.Source, c.FromStore, c.Fetched = from.engine, fromStore, from.tokens
 	c.Missing = p.request.Tokens - candidate.cached - c.Fetched
--- a/pkg/lrtable/table.go
+++ b/pkg/lrtable/table.go
@@ -66,18 +66,8 @@
 	return s, ok
 }
 
-// KeptStore returns the kept store for the availability zone: one of its own, or else the first of any.
-func (t *Table) KeptStore(zone string) (KeptStore, bool) {
-	for _, s := range t.spec.KeptStores {
-		if s.Zone == zone {
-			return s, true
-		}
-	}
-	if len(t.spec.KeptStores) == 0 {
-		return KeptStore{}, false
-	}
-	return t.spec.KeptStores[0], true
-}
+// KeptStores returns the kept stores. They must not be changed.
+func (t *Table) KeptStores() []KeptStore { return t.spec.KeptStores }
 
 // Target returns the service for the request with the identity. Equal identities get the same service.
 func (r Route) Target(identity string) string {
