Count a watch as a reading only where it follows on an answer

Each instance that came to its turn began a watch, and told the others that it read the feed for as long as a watch may wait, though nothing answered: the outage looked 1.1 s long, and the grace begins at 1.8 s. Change: only a watch that began within its wait of an answer to the same instance counts. Tests: four instances whose watches hang in turn, and the next watch of a reader; both failed before.

--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -71,6 +71,8 @@
 	failingSince time.Time
 	// watchingSince is when the watch under way began. It is zero while there is none.
 	watchingSince time.Time
+	// answeredAt is when the platform last answered this instance.
+	answeredAt time.Time
 	// backAt is when the platform answered again after an outage.
 	backAt time.Time
 	// missing are entries that lapsed around an outage, with the time at which they count as gone.
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -374,3 +374,39 @@
 	f.Adopt(now, listOf(11, "a"))
 	requireEqual(t, "known", known(f), "a")
 }
+
+// TestHangingWatchesAreNoReadings has instances take turns with watches that a platform does not answer, as while it is cut off. None of
+// them reads the feed, so that entries that lapse meanwhile are believed in when the platform is back.
+func TestHangingWatchesAreNoReadings(t *testing.T) {
+	const turn = 600 * time.Millisecond
+	now := time.Unix(1000, 0)
+	followers := []*Follower[string]{lapsing(now, "a", "b"), lapsing(now, "a", "b"), lapsing(now, "a", "b"), lapsing(now, "a", "b")}
+	for _, f := range followers {
+		f.options.Wait = 800 * time.Millisecond
+	}
+	for n := range 6 {
+		reader := followers[n%len(followers)]
+		began := now.Add(time.Duration(n+2) * turn)
+		reader.noteWatch(began)
+		for _, f := range followers {
+			f.NoteReadAge(began.Add(turn/2), reader.ReadAge(began.Add(turn/2)))
+		}
+	}
+	back := now.Add(8 * turn)
+	for _, f := range followers {
+		f.Replace(back, listOf(11, "a"))
+		f.Expire(back.Add(time.Second))
+		requireEqual(t, "removed within the grace", strings.Join(slices.Sorted(maps.Keys(f.entries)), ","), "a,b")
+	}
+}
+
+// TestNextWatchOfAReaderIsAReading counts the watch that follows on an answer at once.
+func TestNextWatchOfAReaderIsAReading(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := lapsing(now, "a")
+	f.options.Wait = 800 * time.Millisecond
+	f.noteWatch(now.Add(400 * time.Millisecond))
+	requireEqual(t, "age in a watch that follows on an answer", f.ReadAge(now.Add(time.Second)), 0)
+	f.noteWatch(now.Add(2 * time.Second))
+	requireEqual(t, "age in a watch without an answer before it", f.ReadAge(now.Add(2100*time.Millisecond)), 2100*time.Millisecond)
+}
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -26,13 +26,14 @@
 	f.watchingSince = since
 }
 
-// ReadAge returns how long ago any instance is known to have read the feed. A watch of this instance that still waits reads it
-// all the time, unless the platform did not answer the call before or is late with the answer.
+// ReadAge returns how long ago any instance is known to have read the feed. A watch of this instance that still waits reads it all the
+// time, if it follows on an answer and its own is not late. One that began without an answer before may meet a platform that is gone.
 func (f *Follower[T]) ReadAge(now time.Time) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	isWatching := f.options.IsChanging && f.failingSince.IsZero() && now.Sub(f.watchingSince) <= f.options.Wait
-	if isWatching {
+	wait := f.options.Wait
+	isAnswered := f.failingSince.IsZero() && f.watchingSince.Sub(f.answeredAt) <= wait
+	if f.options.IsChanging && isAnswered && now.Sub(f.watchingSince) <= wait {
 		return 0
 	}
 	return now.Sub(f.freshAt)
@@ -64,6 +65,7 @@
 
 // noteContact must be called with the mutex held.
 func (f *Follower[T]) noteContact(now time.Time) {
+	f.answeredAt = now
 	if f.failingSince.IsZero() {
 		return
 	}
