Believe in a kept store for as long as it keeps parts, and let engines go first where that is short

Change: the watchers sum up what comes into a store, from the events that they read anyway; a save is believed in until 0.85 of the capacity has come in after it. A store that keeps parts for more than 6 s goes before engines that have not used a part for 2.5 s; else engines go first, and an engine is guessed where nothing is known. Metrics tell where prompts come from, and what is known of the stores.

--- a/internal/lrconn/endless_test.go
+++ b/internal/lrconn/endless_test.go
@@ -16,11 +16,15 @@
 
 // endlessServer answers each request with the beginning, and then with the text again and again until the connection closes.
 func endlessServer(t *testing.T, beginning, again string) string {
+	t.Helper()
+	return rawServer(t, func(c net.Conn) { pour(c, beginning, again) })
+}
+
+// rawServer serves each connection with the function.
+func rawServer(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	requireEqual(t, err, nil)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -28,7 +32,7 @@
 			if err != nil {
 				return
 			}
-			go pour(c, beginning, again)
+			go serve(c)
 		}
 	}()
 	return l.Addr().String()
@@ -86,66 +90,45 @@
 // TestHeadThatDripsEnds sends a byte of the head now and then. The time between the first byte and the end of a head is bounded, and a
 // server that thinks long before the first byte is not cut.
 func TestHeadThatDripsEnds(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	requireEqual(t, err, nil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	address := rawServer(t, func(c net.Conn) {
 		for {
-			_, err = io.WriteString(c, "H")
+			_, err := io.WriteString(c, "H")
 			if err != nil {
 				return
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
-	}()
+	})
 	p := NewPool(Options{IDHeader: "Test-Id", DialTimeout: time.Second, SilenceTimeout: time.Second, HeadTimeout: 50 * time.Millisecond}, time.Now)
 	began := time.Now()
-	_, err = do(t, p, l.Addr().String(), "1")
+	_, err := do(t, p, address, "1")
 	requireEqual(t, ErrBroken.Has(err), true)
 	requireTrue(t, time.Since(began) < time.Second, "gave up after %s", time.Since(began))
 }
 
 // TestSlowHeadIsAwaited answers long after the bound on the head's own time.
 func TestSlowHeadIsAwaited(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	requireEqual(t, err, nil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	address := rawServer(t, func(c net.Conn) {
 		time.Sleep(120 * time.Millisecond)
 		_, _ = io.WriteString(c, strings.ReplaceAll(whole, "$ID", "1"))
-	}()
+	})
 	p := NewPool(Options{IDHeader: "Test-Id", DialTimeout: time.Second, SilenceTimeout: time.Second, HeadTimeout: 50 * time.Millisecond}, time.Now)
-	body, err := do(t, p, l.Addr().String(), "1")
+	body, err := do(t, p, address, "1")
 	requireEqual(t, err, nil)
 	requireEqual(t, body, "ok")
 }
 
 // TestSlowBodyIsKept sends a body in pieces over longer than the bound on heads.
 func TestSlowBodyIsKept(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	requireEqual(t, err, nil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	address := rawServer(t, func(c net.Conn) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 5\r\n\r\n")
 		for range 5 {
 			time.Sleep(40 * time.Millisecond)
 			_, _ = io.WriteString(c, "x")
 		}
-	}()
+	})
 	p := NewPool(Options{IDHeader: "Test-Id", DialTimeout: time.Second, SilenceTimeout: time.Second, HeadTimeout: 50 * time.Millisecond}, time.Now)
-	body, err := do(t, p, l.Addr().String(), "1")
+	body, err := do(t, p, address, "1")
 	requireEqual(t, err, nil)
 	requireEqual(t, body, "xxxxx")
 }
--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -1,6 +1,8 @@
 package lredge
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
@@ -31,6 +33,25 @@
 	gauge("lavenderrouter_edge_outdated_seconds", "How long the engine that is furthest behind has lacked newer weights.", func() float64 {
 		return d.directory.LongestOutdated(d.clock()).Seconds()
 	})
+	gauge("lavenderrouter_edge_kept_stores_down", "Kept stores that do not answer.", func() float64 {
+		down := 0
+		for _, s := range d.keptStores() {
+			if !d.kept.IsUsable(d.clock(), s.Address) {
+				down++
+			}
+		}
+		return float64(down)
+	})
+	gauge("lavenderrouter_edge_kept_store_residency_seconds", "How long the kept store that keeps least keeps a part that nobody uses, 0 where it is not known.", func() float64 {
+		least := time.Duration(0)
+		for _, s := range d.keptStores() {
+			residency := d.kept.Residency(d.clock(), s.Address)
+			if least == 0 || residency > 0 && residency < least {
+				least = residency
+			}
+		}
+		return least.Seconds()
+	})
 	d.metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "lavenderrouter_edge_panics_total", Help: "Duties and other work that ended with a panic.",
 	}, func() float64 { return float64(d.supervisor.Panics()) }))
--- a/internal/lredge/metrics.go
+++ b/internal/lredge/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpipeline"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 )
 
@@ -45,7 +46,7 @@
 		}, []string{"route", "outcome"}),
 		prompts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lavenderrouter_edge_prompt_tokens_total",
-			Help: "Prompt tokens of answered requests, by where they were expected to come from: computed, fetched or kept.",
+			Help: "Prompt tokens of answered requests, by where they were expected to come from, and those that were sent to a kept store.",
 		}, []string{"from"}),
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lavenderrouter_edge_repeats_total", Help: "Repeats asked of the retry budget of a service, by answer.",
@@ -81,10 +82,12 @@
 }
 
 // Prompted counts the tokens of an answered prompt by where they were expected to come from.
-func (m *metrics) Prompted(computed, fetched, kept int) {
-	m.prompts.WithLabelValues("computed").Add(float64(computed))
-	m.prompts.WithLabelValues("fetched").Add(float64(fetched))
-	m.prompts.WithLabelValues("kept").Add(float64(kept))
+func (m *metrics) Prompted(tokens lrpipeline.PromptTokens) {
+	m.prompts.WithLabelValues("computed").Add(float64(tokens.Computed))
+	m.prompts.WithLabelValues("fetchedFromEngine").Add(float64(tokens.FromEngine))
+	m.prompts.WithLabelValues("fetchedFromStore").Add(float64(tokens.FromStore))
+	m.prompts.WithLabelValues("kept").Add(float64(tokens.Held))
+	m.prompts.WithLabelValues("saved").Add(float64(tokens.Saved))
 }
 
 // repeated counts a question to the retry budget.
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -117,6 +117,7 @@
 	s.Kept.News(now, func(note KeptNote, age time.Duration) {
 		state.Kept = append(state.Kept, &lrpeerpb.KeptNote{
 			Address: note.Address, Epoch: note.Epoch, IsDown: note.IsDown, AgeMillis: uint32(age.Milliseconds()),
+			ResidencyMillis: uint32(note.Residency.Milliseconds()),
 		})
 	})
 	holdings, next := s.Balancer.News(now, sent, isNear)
@@ -211,7 +212,10 @@
 		s.Crashes.Heard(now, Crash{Digest: c.GetDigest(), Server: c.GetServer()})
 	}
 	for _, k := range state.GetKept() {
-		note := KeptNote{Address: k.GetAddress(), Epoch: k.GetEpoch(), IsDown: k.GetIsDown()}
+		note := KeptNote{
+			Address: k.GetAddress(), Epoch: k.GetEpoch(), IsDown: k.GetIsDown(),
+			Residency: time.Duration(k.GetResidencyMillis()) * time.Millisecond,
+		}
 		s.Kept.Heard(now, note, time.Duration(k.GetAgeMillis())*time.Millisecond)
 	}
 	s.Balancer.Heard(now, decodeHoldings(state.GetHoldings()), state.GetZone() != s.Self.Zone)
--- a/internal/lrfleet/kept_watch.go
+++ b/internal/lrfleet/kept_watch.go
@@ -24,6 +24,8 @@
 	Epoch int64
 	// IsDown tells that the store did not answer. Engines that ask it wait in vain.
 	IsDown bool
+	// Residency is how long the store keeps a part that nobody uses, as far as what comes in tells. Zero means that it is not known.
+	Residency time.Duration
 }
 
 // A KeptSign is a kept store's sign of life.
@@ -31,6 +33,16 @@
 	Epoch int64
 	// Next is where to go on, so that the store need not tell again what has changed.
 	Next uint64
+	// Added are the tokens that were added since the last look, unless there is a gap in what it tells.
+	Added  int
+	HasGap bool
+}
+
+// A KeptStore is a store to look at.
+type KeptStore struct {
+	Address string
+	// Capacity is the number of tokens that it holds. Zero means that it is not known.
+	Capacity int
 }
 
 // A KeptProber asks kept stores for a sign of life.
@@ -41,8 +53,8 @@
 // KeptParts are what a KeptWatch works with.
 type KeptParts struct {
 	Prober KeptProber
-	// Addresses returns the kept stores in use.
-	Addresses func() []string
+	// Stores returns the kept stores in use.
+	Stores func() []KeptStore
 	// IsWatcher reports whether this instance looks for those of its availability zone.
 	IsWatcher func() bool
 	// OnRestart is told of a store that has lost what it held.
@@ -59,8 +71,8 @@
 	KeptParts
 	mutex sync.Mutex
 	found map[string]keptFinding
-	// next is where the own looks at each store go on.
-	next map[string]uint64
+	// looks are the own looks at each store.
+	looks map[string]keptLook
 }
 
 // keptFinding is the newest finding of any instance on one store.
@@ -73,7 +85,7 @@
 
 // NewKeptWatch returns a KeptWatch that has found nothing yet.
 func NewKeptWatch(parts KeptParts) *KeptWatch {
-	return &KeptWatch{KeptParts: parts, found: map[string]keptFinding{}, next: map[string]uint64{}}
+	return &KeptWatch{KeptParts: parts, found: map[string]keptFinding{}, looks: map[string]keptLook{}}
 }
 
 // Step looks at the kept stores in use, if that is for this instance to do.
@@ -82,37 +94,43 @@
 		return
 	}
 	var looks sync.WaitGroup
-	for _, address := range k.Addresses() {
+	for _, s := range k.Stores() {
 		looks.Add(1)
 		k.Go("lookAtKeptStore", func() {
 			defer looks.Done()
-			k.look(ctx, address)
+			k.look(ctx, s)
 		})
 	}
 	looks.Wait()
 }
 
 // look looks at one kept store.
-func (k *KeptWatch) look(ctx context.Context, address string) {
+func (k *KeptWatch) look(ctx context.Context, store KeptStore) {
 	ctx, cancel := context.WithTimeout(ctx, keptProbeTimeout)
 	defer cancel()
-	sign, err := k.Prober.ProbeKept(ctx, address, k.from(address))
+	sign, err := k.Prober.ProbeKept(ctx, store.Address, k.lookAt(store.Address).next)
+	now := k.Clock()
+	note := KeptNote{Address: store.Address, Epoch: sign.Epoch, IsDown: err != nil}
 	if err == nil {
-		k.goOn(address, sign.Next)
+		note.Residency = k.goOn(now, store, sign)
 	}
-	k.Heard(k.Clock(), KeptNote{Address: address, Epoch: sign.Epoch, IsDown: err != nil}, 0)
+	k.Heard(now, note, 0)
 }
 
-func (k *KeptWatch) from(address string) uint64 {
+func (k *KeptWatch) lookAt(address string) keptLook {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.next[address]
+	return k.looks[address]
 }
 
-func (k *KeptWatch) goOn(address string, next uint64) {
+// goOn takes in a sign of life and returns the residency that it tells.
+func (k *KeptWatch) goOn(now time.Time, store KeptStore, sign KeptSign) time.Duration {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.next[address] = next
+	capacity := int(sureShare * float64(store.Capacity))
+	look := k.looks[store.Address].withSign(now, capacity, sign, k.found[store.Address].Residency)
+	k.looks[store.Address] = look
+	return look.residency(now, capacity)
 }
 
 // Heard takes in what an instance has found the given time ago. An older finding changes nothing.
@@ -147,6 +165,18 @@
 	return !ok || !f.IsDown || now.Sub(f.at) > keptFor
 }
 
+// Residency returns how long ago the oldest part came into the kept store that nobody has used since and that is still there, or zero
+// where that is not known.
+func (k *KeptWatch) Residency(now time.Time, address string) time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	f := k.found[address]
+	if f.Residency == 0 {
+		return 0
+	}
+	return f.Residency + now.Sub(f.at)
+}
+
 // News calls the function with what other instances shall hear, and how long ago it was found.
 func (k *KeptWatch) News(now time.Time, tell func(note KeptNote, age time.Duration)) {
 	k.mutex.Lock()
--- a/internal/lrfleet/kept_watch_test.go
+++ b/internal/lrfleet/kept_watch_test.go
@@ -9,7 +9,11 @@
 	"github.com/rs/zerolog"
 )
 
-const testKept = "10.0.0.9:80"
+const (
+	testKept = "10.0.0.9:80"
+	// testCapacity is in tokens.
+	testCapacity = 1_000_000
+)
 
 // scriptedProber answers looks with its sign or its error.
 type scriptedProber struct {
@@ -37,7 +41,7 @@
 func newKeptWorld() *keptWorld {
 	w := &keptWorld{prober: &scriptedProber{sign: KeptSign{Epoch: 7, Next: 40}}, now: time.Unix(1000, 0), isFirst: true}
 	w.watch = NewKeptWatch(KeptParts{
-		Prober: w.prober, Addresses: func() []string { return []string{testKept} }, Go: func(_ string, work func()) { go work() }, IsWatcher: func() bool { return w.isFirst },
+		Prober: w.prober, Stores: func() []KeptStore { return []KeptStore{{Address: testKept, Capacity: testCapacity}} }, Go: func(_ string, work func()) { go work() }, IsWatcher: func() bool { return w.isFirst },
 		OnRestart: func(string) { w.restarts++ }, Clock: func() time.Time { return w.now }, Log: zerolog.Nop(),
 	})
 	return w
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -139,7 +139,7 @@
 func (silentObserver) Attempted(string)                    {}
 func (silentObserver) FirstEvent(string, time.Duration)    {}
 func (silentObserver) Ended(string, string, time.Duration) {}
-func (silentObserver) Prompted(int, int, int)              {}
+func (silentObserver) Prompted(PromptTokens)               {}
 
 // testBudget allows a number of repeats.
 type testBudget struct{ left int }
@@ -166,6 +166,9 @@
 // testKept tells of one kept store whether it answers.
 type testKept struct{ isDown bool }
 
+// Residency returns that of a store that keeps all.
+func (k *testKept) Residency(time.Time, string) time.Duration { return time.Minute }
+
 // IsUsable reports whether the store answers.
 func (k *testKept) IsUsable(time.Time, string) bool { return !k.isDown }
 
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -48,6 +48,8 @@
 // KeptStores tells which kept stores answer.
 type KeptStores interface {
 	IsUsable(now time.Time, address string) bool
+	// Residency returns how long the store keeps a part that nobody uses, or zero where that is not known.
+	Residency(now time.Time, address string) time.Duration
 }
 
 // Parts are what a Pipeline works with.
@@ -79,10 +81,21 @@
 	Attempted(outcome string)
 	FirstEvent(route string, after time.Duration)
 	// Prompted notes where the tokens of an answered prompt were expected to come from.
-	Prompted(computed, fetched, kept int)
+	Prompted(tokens PromptTokens)
 	Ended(route, outcome string, after time.Duration)
 }
 
+// PromptTokens are the tokens of a prompt by where they were expected to come from.
+type PromptTokens struct {
+	Computed   int
+	FromEngine int
+	FromStore  int
+	// Held were at the engine already.
+	Held int
+	// Saved are those of them that the engine was told to send to a kept store.
+	Saved int
+}
+
 // A Pipeline serves requests. It is safe for use by several goroutines.
 type Pipeline struct{ Parts }
 
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -264,7 +264,9 @@
 	stores := make([]lrbalance.Store, 0, len(r.stores))
 	for _, s := range r.stores {
 		if r.pipeline.Kept.IsUsable(now, s.Address) {
-			stores = append(stores, lrbalance.Store{Address: s.Address, Zone: s.Zone, TokensPerMilli: s.TokensPerMilli})
+			stores = append(stores, lrbalance.Store{
+				Address: s.Address, Zone: s.Zone, TokensPerMilli: s.TokensPerMilli, Residency: r.pipeline.Kept.Residency(now, s.Address),
+			})
 		}
 	}
 	return stores
@@ -421,12 +423,26 @@
 	p := r.pipeline
 	took := p.Clock().Sub(r.Received)
 	p.Observer.Ended(r.route.Name, outcome, took)
-	p.Observer.Prompted(r.choice.Missing, r.choice.Fetched, max(r.PromptTokens-r.choice.Missing-r.choice.Fetched, 0))
+	p.Observer.Prompted(r.promptTokens())
 	r.logAttempt(zerolog.InfoLevel, server, outcome).Dur("took", took).Uint64("table", r.table).Int64("weights", server.Versions[r.Model]).
-		Int("missing", r.choice.Missing).Int("fetched", r.choice.Fetched).Int("rank", r.choice.Rank).Dur("expectedWait", r.choice.Wait).
+		Int("missing", r.choice.Missing).Int("fetched", r.choice.Fetched).Bool("fromStore", r.choice.FromStore).Bool("saved", r.choice.IsSaved).Int("rank", r.choice.Rank).Dur("expectedWait", r.choice.Wait).
 		Int("candidates", r.choice.Candidates).Msg("request: ended")
 }
 
+func (r *run) promptTokens() PromptTokens {
+	c := r.choice
+	tokens := PromptTokens{Computed: c.Missing, Held: max(r.PromptTokens-c.Missing-c.Fetched, 0)}
+	if c.FromStore {
+		tokens.FromStore = c.Fetched
+	} else {
+		tokens.FromEngine = c.Fetched
+	}
+	if c.IsSaved {
+		tokens.Saved = r.PromptTokens
+	}
+	return tokens
+}
+
 // end gives a request that no backend server has answered its last answer.
 func (r *run) end(ctx context.Context, reason string) {
 	p := r.pipeline
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -80,7 +80,7 @@
 	best.IsSaved = p.isWorthSaving(now, best, best.cached)
 	switch {
 	case best.Source != "" || best.FromStore:
-	case best.Store.exists() && len(best.runs) > 0:
+	case best.Store.isLasting() && len(best.runs) > 0:
 		// It holds more than this instance has heard of, and a miss costs a millisecond.
 		best.FromStore = true
 	default:
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -121,7 +121,7 @@
 
 func dropStale(now time.Time, held map[Key]belief) {
 	for k, h := range held {
-		if now.Sub(h.usedAt) > keptLife {
+		if now.Sub(h.usedAt) > maxKeptLife {
 			delete(held, k)
 		}
 	}
--- a/pkg/lrbalance/kept_store_test.go
+++ b/pkg/lrbalance/kept_store_test.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-func newTestStore() Store { return Store{Address: "10.0.9.9:80", Zone: "a", TokensPerMilli: 190} }
+// newTestStore returns a lasting store.
+func newTestStore() Store {
+	return Store{Address: "10.0.9.9:80", Zone: "a", TokensPerMilli: 190, Residency: 25 * time.Second}
+}
 
 // storeRequest is a request of which engines may save and fetch the shared parts.
 func storeRequest(shared, own string) Request {
@@ -47,6 +50,8 @@
 	fresh := Engine{ID: "e", Zone: "a", Slots: 32, Version: 1}
 	short := storeRequest("file", "x")
 	short.Parts = []Part{{ID: "rules", Tokens: minSaved - 1}, {ID: "x", Tokens: 5000}}
+	unshared := storeRequest("file", "x")
+	unshared.Tokens = 40_000
 	alone := storeRequest("file", "x")
 	alone.Parts = alone.Parts[2:]
 	cases := []struct {
@@ -56,6 +61,7 @@
 	}{
 		{"parts under old weights", old, storeRequest("file", "x")},
 		{"short parts", fresh, short},
+		{"parts of a prompt that is shared little", fresh, unshared},
 		{"the part of one request alone", fresh, alone},
 		{"parts where there is no store", fresh, newTestRequest("file", "x")},
 	}
@@ -101,11 +107,32 @@
 	}
 }
 
-// TestUnknownPartsAreAskedForAtTheStore asks the store for parts that this instance has not heard of, and expects nothing of it.
+// TestUnknownPartsAreAskedForAtTheStore asks a lasting store for parts that this instance has not heard of, and expects nothing
+// of it. Otherwise it asks an engine that other instances may have chosen.
 func TestUnknownPartsAreAskedForAtTheStore(t *testing.T) {
-	choice, _ := newTestBalancer(1).Choose(time.Unix(1000, 0), storeRequest("file", "x"), newTestEngines(3))
-	requireEqual(t, choice.FromStore, true)
-	requireEqual(t, choice.Fetched, 0)
+	for _, residency := range []time.Duration{0, lastingFrom, 2 * lastingFrom} {
+		t.Run(fmt.Sprint("kept for ", residency), func(t *testing.T) {
+			request := storeRequest("file", "x")
+			request.Stores[0].Residency = residency
+			choice, _ := newTestBalancer(1).Choose(time.Unix(1000, 0), request, newTestEngines(3))
+			requireEqual(t, choice.FromStore, residency > lastingFrom)
+			requireEqual(t, choice.Source == "", choice.FromStore)
+			requireEqual(t, choice.Fetched, 0)
+		})
+	}
+}
+
+// TestEnginesGoBeforeAStoreThatKeepsLittle asks an engine as long as it is believed in, where much comes into the store.
+func TestEnginesGoBeforeAStoreThatKeepsLittle(t *testing.T) {
+	b, now, engines := newTestBalancer(1), time.Unix(1000, 0), newTestEngines(2)
+	request := storeRequest("file", "x")
+	request.Stores[0].Residency = lastingFrom
+	answered(t, b, now, request, engines[:1])
+	b.SetOthers(map[string]Load{engines[0].ID: {Waiting: 500_000, Running: 32}})
+	choice, _ := b.Choose(now.Add(freshLife+time.Second), request, engines)
+	requireEqual(t, choice.Engine.ID, engines[1].ID)
+	requireEqual(t, choice.Source, engines[0].ID)
+	requireEqual(t, choice.Fetched, 5000)
 }
 
 // TestStoreIsWalled believes nothing of the store under another scope or other weights.
@@ -176,3 +203,29 @@
 	requireEqual(t, s.transfer(1900, "b"), 2*s.transfer(1900, "a"))
 	requireEqual(t, s.transfer(1900, "a"), 10*time.Millisecond)
 }
+
+// TestStoreIsBelievedInAsLongAsItKeeps believes in a save for the time that the store keeps it.
+func TestStoreIsBelievedInAsLongAsItKeeps(t *testing.T) {
+	engines := newTestEngines(2)
+	cases := []struct {
+		name      string
+		residency time.Duration
+		after     time.Duration
+		want      int
+	}{
+		{"not known, soon", 0, keptLife - time.Second, 5000},
+		{"not known, later", 0, keptLife + time.Second, 0},
+		{"much comes in", 3 * time.Second, 3500 * time.Millisecond, 0},
+		{"little comes in", time.Minute, 25 * time.Second, 5000},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, now := newTestBalancer(1), time.Unix(1000, 0)
+			request := storeRequest("file", "x")
+			request.Stores[0].Residency = c.residency
+			answered(t, b, now, request, engines[:1])
+			choice, _ := b.Choose(now.Add(c.after), request, engines[1:])
+			requireEqual(t, choice.Fetched, c.want)
+		})
+	}
+}
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -60,13 +60,13 @@
 	if !p.store.exists() {
 		return 0
 	}
-	return p.balancer.beliefs.fetchable(now, p.store.name(), runs, keptLife)
+	return p.balancer.beliefs.fetchable(now, p.store.name(), runs, p.store.life())
 }
 
-// sourceLife returns how long after its last use a part is looked for at an engine: shorter where the kept store has it too, since
-// the engine may have evicted it.
+// sourceLife returns how long after its last use a part is looked for at an engine: shorter where a lasting kept store has it too,
+// since the engine may have evicted it.
 func (p placement) sourceLife(version int64) time.Duration {
-	if p.shared > 0 && p.kept[version] == p.shared {
+	if p.shared > 0 && p.kept[version] == p.shared && p.store.isLasting() {
 		return freshLife
 	}
 	return beliefLife
--- a/pkg/lrtable/spec.go
+++ b/pkg/lrtable/spec.go
@@ -72,6 +72,8 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Capacity is the number of tokens that it holds. Zero means that it is not known.
+	Capacity int `json:"capacity"`
 	// TokensPerMilli is the number of tokens that its link moves in a millisecond. Zero means that it is not known.
 	TokensPerMilli float64 `json:"tokensPerMilli"`
 }
