Learn after a restart what engines and kept stores hold

The engines held the parts, and no instance knew. Weighed: lists of what engines hold (each stalls the engine), and their events, which they keep anyway. Change: an instance that starts again reads the events of the engines and stores that it owns by hash, one instance for each in its zone, and tells the others as news; up to 4,096 entries at once. Beliefs are kept for each part instead of each leading run, as engines keep them, so that events can be told as they are.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -121,6 +121,7 @@
 	d.wireWeights()
 	d.wireKept()
 	d.wireSharer()
+	d.wireCaches()
 	d.wirePipeline()
 	d.registerGauges()
 	d.metrics.registry.MustRegister(ports.Collectors...)
--- a/internal/lredge/ports.go
+++ b/internal/lredge/ports.go
@@ -1,6 +1,7 @@
 package lredge
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,12 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
+// A CacheReader reads what engines and kept stores hold.
+type CacheReader interface {
+	// CachedParts returns the parts that are held at the address. A server that is not empty must be the one there.
+	CachedParts(ctx context.Context, address, server string) ([]lrpipeline.CachedPart, error)
+}
+
 // Ports are how the outside is reached. They translate and decide nothing.
 type Ports struct {
 	Tables lrfleet.Feed[lrtable.Spec]
@@ -29,6 +36,7 @@
 	Engines       lrweights.Engines
 	Connections   *lrconn.Pool
 	Kept          lrfleet.KeptProber
+	Caches        CacheReader
 	// Collectors are metrics of the ports, and Duties work that they do in the background.
 	Collectors []prometheus.Collector
 	Duties     map[string]lrsupervise.Duty
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
 
@@ -184,6 +185,27 @@
 	return true
 }
 
+// IsOwner reports whether this instance reads the cache of the server of the availability zone for all. Those of the zone share its
+// servers by hash; where there are none, all do.
+func (s *Sharer) IsOwner(server, zone string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	own := lrhash.Pair(server, s.Self.Name)
+	isNear, hasNear := s.Self.Zone == zone, s.Self.Zone == zone
+	best, bestNear := own, own
+	for _, p := range s.peers {
+		score := lrhash.Pair(server, p.Name)
+		best = max(best, score)
+		if p.Zone == zone {
+			hasNear, bestNear = true, max(bestNear, score)
+		}
+	}
+	if hasNear {
+		return isNear && own == bestNear
+	}
+	return own == best
+}
+
 // NewsDelay returns how long news take from any instance to any other one: to the relay of its zone, on to that of another
 // zone, and to the instance there.
 func (s *Sharer) NewsDelay() time.Duration {
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -141,7 +140,7 @@
 		})
 	}
 	request := lrbalance.Request{
-		Scope: r.account.Name + "/" + r.Model, Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
+		Scope: balanceScope(r.account.Name, r.Model), Parts: r.Parts, Tokens: r.PromptTokens, Excluded: excluded,
 		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
 		Stores: r.keptStores(now),
 	}
@@ -493,7 +492,7 @@
 	if r.Model == "" {
 		return ""
 	}
-	return r.account.Name + "." + strconv.FormatInt(server.Versions[r.Model], 10)
+	return scopeOf(r.account.Name, server.Versions[r.Model])
 }
 
 func (r *run) logAttempt(level zerolog.Level, server lrfleet.Server, outcome string) *zerolog.Event {
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -224,6 +224,20 @@
 	}
 }
 
+// LearnStore takes in what a kept store holds, as an instance has read there.
+func (b *Balancer) LearnStore(now time.Time, address string, keys []Key) {
+	b.Learn(now, Store{Address: address}.name(), keys)
+}
+
+// Learn takes in what an engine holds, as this instance has read there, and tells others.
+func (b *Balancer) Learn(now time.Time, engine string, keys []Key) {
+	holdings := make([]Holding, 0, len(keys))
+	for _, k := range keys {
+		holdings = append(holdings, Holding{Engine: engine, Key: k})
+	}
+	b.Heard(now, holdings, false)
+}
+
 // ForgetStore drops what is believed of a kept store, since it has lost what it held.
 func (b *Balancer) ForgetStore(address string) { b.Forget(Store{Address: address}.name()) }
 
--- a/pkg/lrbalance/beliefs.go
+++ b/pkg/lrbalance/beliefs.go
@@ -16,30 +16,31 @@
 	beliefRoom = 20000
 )
 
-// A Key names the cache entry of a leading run of shared parts: its scope, the version of the weights and the parts.
+// A Key names the cache entry of a shared part: its scope, the version of the weights and the part. An engine uses it only if it holds all
+// parts of the prompt before it too.
 type Key uint64
 
-// prefix is one leading run of shared parts.
+// KeyOf returns the key of the part under the scope and the version of the weights.
+func KeyOf(scope string, version int64, part string) Key {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(scope))
+	_, _ = hash.Write(binary.LittleEndian.AppendUint64([]byte{0}, uint64(version)))
+	_, _ = hash.Write([]byte(part))
+	return Key(hash.Sum64())
+}
+
+// prefix is one of the leading shared parts of a prompt.
 type prefix struct {
-	key Key
-	// tokens is the length of the last part of the run.
+	key    Key
 	tokens int
 }
 
-// prefixes returns the leading runs of shared parts under the version, the shortest first.
+// prefixes returns the shared parts of the request under the version, in order.
 func prefixes(request Request, version int64) []prefix {
 	parts := sharedParts(request)
-	if len(parts) == 0 {
-		return nil
-	}
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(request.Scope))
-	_, _ = hash.Write(binary.LittleEndian.AppendUint64([]byte{0}, uint64(version)))
 	runs := make([]prefix, 0, len(parts))
 	for _, p := range parts {
-		_, _ = hash.Write([]byte{'/'})
-		_, _ = hash.Write([]byte(p.ID))
-		runs = append(runs, prefix{key: Key(hash.Sum64()), tokens: p.Tokens})
+		runs = append(runs, prefix{key: KeyOf(request.Scope, version, p.ID), tokens: p.Tokens})
 	}
 	return runs
 }
--- a/pkg/lrbalance/news.go
+++ b/pkg/lrbalance/news.go
@@ -4,11 +4,11 @@
 
 const (
 	// newsRoom is the number of entries that a log of news keeps.
-	newsRoom = 8192
+	newsRoom = 16384
 	// newsFor is how long an entry is told.
 	newsFor = 3 * time.Second
 	// newsLimit is the most entries told at once.
-	newsLimit = 1024
+	newsLimit = 4096
 )
 
 // A Holding tells that an engine has come to hold a part.
