--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -77,7 +77,7 @@
 		return Choice{}, false
 	}
 	best.Candidates = len(order)
-	best.IsSaved = p.isWorthSaving(now, best, best.cached)
+	best.IsSaved = p.isWorthSaving(now, best)
 	switch {
 	case best.Source != "" || best.FromStore:
 	case best.Store.isLasting() && len(best.runs) > 0:
--- a/pkg/lrbalance/kept_store.go
+++ b/pkg/lrbalance/kept_store.go
@@ -85,9 +85,9 @@
 }
 
 // isWorthSaving reports whether the chosen engine shall send the shared parts to the store: it lacks some, and the store is not known
-// to have got them lately. What is made under old weights is soon of no more use.
-func (p placement) isWorthSaving(now time.Time, chosen Choice, cached int) bool {
-	if !p.store.exists() || chosen.Engine.OutdatedFor > 0 || cached >= p.shared {
+// to have got them lately. What is made under old weights is soon of no more use, and may be finished under new ones.
+func (p placement) isWorthSaving(now time.Time, chosen Choice) bool {
+	if !p.store.exists() || chosen.Engine.OutdatedFor > 0 || chosen.cached >= p.shared {
 		return false
 	}
 	if p.shared < minSaved || float64(p.shared) < minSharedPart*float64(p.request.Tokens) {
