--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -28,7 +28,7 @@
 	// shareTimeout bounds one exchange.
 	shareTimeout = 300 * time.Millisecond
 	// reachableFor is the silence after which instances count as out of reach.
-	reachableFor = lrlimit.SilenceBound
+	reachableFor = 900 * time.Millisecond
 	// relayPause is how long an instance that did not answer is passed over as relay.
 	relayPause = 800 * time.Millisecond
 	// relayFor is how long an instance acts as relay after another one has reported to it.
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -31,14 +31,6 @@
 	rate   float64
 	burst  float64
 	used   float64
-	// recent is what was charged of late.
-	recent recentUse
-}
-
-// take charges the bucket.
-func (a *sharedAccount) take(now time.Time, tokens float64) {
-	a.bucket = a.bucket.WithTime(now).WithTokens(-tokens)
-	a.recent = a.recent.withUse(now, tokens)
 }
 
 // hasLimits reports whether a request has told the limits. Before that only the level is known, from another instance.
@@ -58,19 +50,14 @@
 	if share == s.share || share <= 0 {
 		return
 	}
-	ratio := share / s.share
 	for _, a := range s.accounts {
 		level := a.bucket.WithTime(now).Tokens()
 		if a.hasLimits() {
 			a.bucket = a.bucket.WithLimits(now, a.rate*share, a.burst*share)
 		}
-		level *= ratio
-		if ratio < 1 {
-			// Those that are out of reach now may have used as much while nobody missed them: what was charged meanwhile counts against
-			// the own part.
-			level -= (1 - ratio) * a.recent.within(now)
+		if level > 0 {
+			a.bucket = a.bucket.WithTokens(level*share/s.share - a.bucket.Tokens())
 		}
-		a.bucket = a.bucket.WithTokens(level - a.bucket.Tokens())
 	}
 	s.share = share
 }
@@ -130,7 +117,7 @@
 	if a.bucket.Tokens() < need {
 		return OverRateError{Wait: a.bucket.Wait(need), Level: a.bucket.Tokens(), Rate: rate, Burst: burst, Share: s.share}, false
 	}
-	a.take(now, tokens)
+	a.bucket = a.bucket.WithTokens(-tokens)
 	a.used += tokens
 	return OverRateError{}, true
 }
@@ -203,7 +190,7 @@
 		if !ok || delta == 0 {
 			continue
 		}
-		a.take(now, delta)
+		a.bucket = a.bucket.WithTime(now).WithTokens(-delta)
 	}
 }
 
--- a/pkg/lrlimit/shared_test.go
+++ b/pkg/lrlimit/shared_test.go
@@ -103,51 +103,21 @@
 	requireTrue(t, !ok, "a fresh instance admits a whole burst")
 }
 
-// TestSharedTellsLevelsOfTheWhole takes levels over from an instance that reaches half of the others, before any request. What was used just
-// before the cut counts against the own half alone, since the other half has not heard of it.
+// TestSharedTellsLevelsOfTheWhole takes levels over from an instance that reaches half of the others, before any request.
 func TestSharedTellsLevelsOfTheWhole(t *testing.T) {
-	const rate, burst, used = 100.0, 1000.0, 400.0
-	cases := []struct {
-		name  string
-		after time.Duration
-		left  float64
-	}{
-		{"used long before the cut", 2 * time.Second, (burst - used + 2*rate) / 2},
-		{"used just before the cut", 0, (burst-used)/2 - used/2},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			now := time.Unix(1000, 0)
-			teller := NewShared(true)
-			_, _ = teller.Reserve(now, "school", rate, burst, used)
-			now = now.Add(c.after)
-			teller.SetShare(now, 0.5)
-			fresh := NewShared(false)
-			fresh.StartWith(now, 0.25, true)
-			fresh.StartWith(now, 1, false)
-			fresh.Adopt(now, teller.Levels(now))
-			fresh.SetShare(now, 0.5)
-			_, ok := fresh.Reserve(now, "school", rate, burst, c.left+1)
-			requireTrue(t, !ok, "more than half of what is left is admitted")
-			_, ok = fresh.Reserve(now, "school", rate, burst, c.left-1)
-			requireTrue(t, ok, "half of what is left is refused")
-		})
-	}
-}
-
-// TestRecentUse forgets what was charged longer ago than an instance may be silent.
-func TestRecentUse(t *testing.T) {
 	now := time.Unix(1000, 0)
-	use := recentUse{}.withUse(now, 5).withUse(now.Add(300*time.Millisecond), 7)
-	cases := []struct {
-		after time.Duration
-		want  float64
-	}{{400 * time.Millisecond, 12}, {SilenceBound - 10*time.Millisecond, 12}, {SilenceBound + 110*time.Millisecond, 7}, {2 * SilenceBound, 0}, {time.Hour, 0}}
-	for _, c := range cases {
-		t.Run(c.after.String(), func(t *testing.T) {
-			requireTrue(t, use.within(now.Add(c.after)) == c.want, "got %.0f, want %.0f", use.within(now.Add(c.after)), c.want)
-		})
-	}
+	teller := NewShared(true)
+	_, _ = teller.Reserve(now, "school", sharedRate, sharedBurst, 400)
+	teller.SetShare(now, 0.5)
+	fresh := NewShared(false)
+	fresh.StartWith(now, 0.25, true)
+	fresh.StartWith(now, 1, false)
+	fresh.Adopt(now, teller.Levels(now))
+	fresh.SetShare(now, 0.5)
+	_, ok := fresh.Reserve(now, "school", sharedRate, sharedBurst, 301)
+	requireTrue(t, !ok, "more than half of what is left is admitted")
+	_, ok = fresh.Reserve(now, "school", sharedRate, sharedBurst, 299)
+	requireTrue(t, ok, "half of what is left is refused")
 }
 
 // TestSharedStartsWithItsPart keeps what is left as it is when the share grows at the start.
