Take no requests late in a planned stop

The instance answered on open connections until the end, whatever a request may take. Change: 2.5 s after SIGTERM, when the balancer has had its time and the listener closes, further requests are refused as not run with the time to come back, before their body is read. Test: TestStoppingInstanceTakesNothing, which fails without the question.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -99,6 +99,8 @@
 	// looks is used by keepLease alone.
 	looks    leaseLooks
 	draining atomic.Bool
+	// stopping tells that a planned stop has come so far that no more requests are taken.
+	stopping atomic.Bool
 	running  atomic.Int64
 	idler    *lrframe.Idler
 	done     chan struct{}
@@ -279,7 +281,7 @@
 			Failures: ejectAfter, Duration: ejectFor, MaxDuration: ejectForMax, ProbeTimeout: ejectProbe,
 		}),
 		Crashes: d.crashes, Kept: d.kept, Held: lrheld.NewRoom(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
-		PauseClock: lrclock.Boot,
+		PauseClock: lrclock.Boot, IsStopping: d.stopping.Load,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainPause, func(context.Context, time.Time) {
 		addresses := map[string]bool{}
--- a/internal/lredge/drain.go
+++ b/internal/lredge/drain.go
@@ -31,6 +31,7 @@
 	}
 	<-release.Done()
 	stop()
+	d.stopping.Store(true)
 	_ = callers.Close()
 	d.awaitLast(ctx)
 	if running := d.running.Load(); running > 0 {
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -152,13 +152,14 @@
 
 // world is a pipeline before scripted servers.
 type world struct {
-	backend  *scripted
-	budget   *testBudget
-	limiter  *lrlimit.Shared
-	crashes  *lrfleet.Crashes
-	pipeline *Pipeline
-	now      time.Time
-	kept     testKept
+	backend    *scripted
+	budget     *testBudget
+	limiter    *lrlimit.Shared
+	crashes    *lrfleet.Crashes
+	pipeline   *Pipeline
+	now        time.Time
+	kept       testKept
+	isStopping bool
 	// paused is how long the process has been suspended.
 	paused time.Duration
 }
@@ -183,9 +184,10 @@
 	directory.SetServers(testServers())
 	w.pipeline = New(Parts{
 		Directory: directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: 1}),
-		Kept:    &w.kept,
-		Held:    lrheld.NewRoom(testRoom),
-		Limiter: w.limiter, Budgets: w.budget, Crashes: w.crashes, Backend: w.backend, Observer: silentObserver{},
+		IsStopping: func() bool { return w.isStopping },
+		Kept:       &w.kept,
+		Held:       lrheld.NewRoom(testRoom),
+		Limiter:    w.limiter, Budgets: w.budget, Crashes: w.crashes, Backend: w.backend, Observer: silentObserver{},
 		Ejector:     lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
 		SilentZones: func(time.Time) map[string]bool { return nil },
 		Instances:   func() int { return 8 }, Log: zerolog.Nop(), Clock: func() time.Time { return w.now },
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -68,9 +68,11 @@
 	SilentZones func(now time.Time) map[string]bool
 	// Instances returns how many instances share the backend servers.
 	Instances func() int
-	Observer  Observer
-	Log       zerolog.Logger
-	Clock     func() time.Time
+	// IsStopping reports whether the instance takes no more requests, since it might end before they do.
+	IsStopping func() bool
+	Observer   Observer
+	Log        zerolog.Logger
+	Clock      func() time.Time
 	// PauseClock goes on while the machine is suspended. Its times are comparable with one another alone.
 	PauseClock func() time.Time
 }
@@ -132,6 +134,10 @@
 }
 
 func (p *Pipeline) identify(request *Request) (admitted, *lrerror.Error) {
+	if p.IsStopping() {
+		return admitted{Request: request}, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
+			"this instance is about to end; send the request to another one").WithRetryAfter(minRetryAfter)
+	}
 	table := p.Directory.Table()
 	if table == nil {
 		return admitted{Request: request}, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
--- a/internal/lrpipeline/pipeline_test.go
+++ b/internal/lrpipeline/pipeline_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// TestStoppingInstanceTakesNothing refuses what comes so late in a planned stop that it might be cut, before its body is read and after.
+func TestStoppingInstanceTakesNothing(t *testing.T) {
+	w := newWorld(t, step{body: "ok"})
+	requireEqual(t, w.pipeline.Identify(w.request("pay")) == nil, true)
+	w.isStopping = true
+	refusal := w.pipeline.Identify(w.request("pay"))
+	requireEqual(t, refusal.Outcome(), lrerror.NotRun)
+	caller := w.serve("pay")
+	requireEqual(t, caller.status, 503)
+	requireEqual(t, caller.refusal.Outcome(), lrerror.NotRun)
+	requireEqual(t, caller.refusal.RetryAfter() > 0, true)
+	requireEqual(t, len(w.backend.attempts), 0)
+}
+
 // TestAllowanceIsGivenBack refuses a request over the rate with the time to come back, and charges nothing for one that
 // did not run.
 func TestAllowanceIsGivenBack(t *testing.T) {
