--- a/internal/lredge/caches.go
+++ b/internal/lredge/caches.go
@@ -38,22 +38,18 @@
 	}
 	for _, s := range d.directory.All() {
 		if len(s.Versions) > 0 && d.sharer.IsOwner(s.ID, s.Zone) {
-			d.supervisor.Go("readCache", func() {
-				d.readCache(ctx, s.Address, s.ID, func(now time.Time, keys []lrbalance.Key) { d.balancer.Learn(now, s.ID, keys) })
-			})
+			d.supervisor.Go("readCache", func() { d.readCache(ctx, s.Address, s.ID, s.ID) })
 		}
 	}
-	for _, s := range d.directory.Table().KeptStores() {
+	for _, s := range d.keptStores() {
 		if d.sharer.IsOwner(s.Address, s.Zone) {
-			d.supervisor.Go("readCache", func() {
-				d.readCache(ctx, s.Address, "", func(now time.Time, keys []lrbalance.Key) { d.balancer.LearnStore(now, s.Address, keys) })
-			})
+			d.supervisor.Go("readCache", func() { d.readCache(ctx, s.Address, "", lrbalance.StoreName(s.Address)) })
 		}
 	}
 }
 
-// readCache reads one cache and calls the function with the keys of what it holds.
-func (d *Daemon) readCache(ctx context.Context, address, server string, learn func(now time.Time, keys []lrbalance.Key)) {
+// readCache reads one cache and learns what it holds, under the name by which the balancer knows it. An empty server is not checked.
+func (d *Daemon) readCache(ctx context.Context, address, server, name string) {
 	ctx, cancel := context.WithTimeout(ctx, cacheReadTimeout)
 	defer cancel()
 	parts, err := d.ports.Caches.CachedParts(ctx, address, server)
@@ -68,6 +64,6 @@
 			keys = append(keys, key)
 		}
 	}
-	learn(d.clock(), keys)
+	d.balancer.Learn(d.clock(), name, keys)
 	d.log.Info().Str("server", server).Str("address", address).Int("parts", len(keys)).Msg("edge: cache read")
 }
--- a/internal/lrfleet/kept_watch.go
+++ b/internal/lrfleet/kept_watch.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
 const (
@@ -20,7 +22,7 @@
 // A KeptNote tells what an instance has found at a kept store.
 type KeptNote struct {
 	Address string
-	// Epoch tells the starts of the store apart. It is zero while the store does not answer.
+	// Epoch tells the starts of the store apart. While the store does not answer it is the last one that was found.
 	Epoch int64
 	// IsDown tells that the store did not answer. Engines that ask it wait in vain.
 	IsDown bool
@@ -38,13 +40,6 @@
 	HasGap bool
 }
 
-// A KeptStore is a store to look at.
-type KeptStore struct {
-	Address string
-	// Capacity is the number of tokens that it holds. Zero means that it is not known.
-	Capacity int
-}
-
 // A KeptProber asks kept stores for a sign of life.
 type KeptProber interface {
 	ProbeKept(ctx context.Context, address string, from uint64) (KeptSign, error)
@@ -54,7 +49,7 @@
 type KeptParts struct {
 	Prober KeptProber
 	// Stores returns the kept stores in use.
-	Stores func() []KeptStore
+	Stores func() []lrtable.KeptStore
 	// IsWatcher reports whether this instance looks for those of its availability zone.
 	IsWatcher func() bool
 	// OnRestart is told of a store that has lost what it held.
@@ -79,8 +74,6 @@
 type keptFinding struct {
 	KeptNote
 	at time.Time
-	// epoch is the last one that was found, also while the store does not answer.
-	epoch int64
 }
 
 // NewKeptWatch returns a KeptWatch that has found nothing yet.
@@ -105,7 +98,7 @@
 }
 
 // look looks at one kept store.
-func (k *KeptWatch) look(ctx context.Context, store KeptStore) {
+func (k *KeptWatch) look(ctx context.Context, store lrtable.KeptStore) {
 	ctx, cancel := context.WithTimeout(ctx, keptProbeTimeout)
 	defer cancel()
 	sign, err := k.Prober.ProbeKept(ctx, store.Address, k.lookAt(store.Address).next)
@@ -124,7 +117,7 @@
 }
 
 // goOn takes in a sign of life and returns the residency that it tells.
-func (k *KeptWatch) goOn(now time.Time, store KeptStore, sign KeptSign) time.Duration {
+func (k *KeptWatch) goOn(now time.Time, store lrtable.KeptStore, sign KeptSign) time.Duration {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	capacity := int(sureShare * float64(store.Capacity))
@@ -142,17 +135,16 @@
 		k.mutex.Unlock()
 		return
 	}
-	finding := keptFinding{KeptNote: note, at: at, epoch: before.epoch}
-	if !note.IsDown {
-		finding.epoch = note.Epoch
+	if note.IsDown {
+		note.Epoch = before.Epoch
 	}
-	k.found[note.Address] = finding
+	k.found[note.Address] = keptFinding{KeptNote: note, at: at}
 	k.mutex.Unlock()
 	if note.IsDown != before.IsDown {
 		k.Log.Warn().Str("store", note.Address).Bool("down", note.IsDown).Msg("fleet: kept store")
 	}
-	if before.epoch != 0 && finding.epoch != before.epoch {
-		k.Log.Info().Str("store", note.Address).Int64("epoch", finding.epoch).Msg("fleet: kept store has started anew")
+	if before.Epoch != 0 && note.Epoch != before.Epoch {
+		k.Log.Info().Str("store", note.Address).Int64("epoch", note.Epoch).Msg("fleet: kept store has started anew")
 		k.OnRestart(note.Address)
 	}
 }
--- a/internal/lrfleet/kept_watch_test.go
+++ b/internal/lrfleet/kept_watch_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
 const (
@@ -41,7 +43,7 @@
 func newKeptWorld() *keptWorld {
 	w := &keptWorld{prober: &scriptedProber{sign: KeptSign{Epoch: 7, Next: 40}}, now: time.Unix(1000, 0), isFirst: true}
 	w.watch = NewKeptWatch(KeptParts{
-		Prober: w.prober, Stores: func() []KeptStore { return []KeptStore{{Address: testKept, Capacity: testCapacity}} }, Go: func(_ string, work func()) { go work() }, IsWatcher: func() bool { return w.isFirst },
+		Prober: w.prober, Stores: func() []lrtable.KeptStore { return []lrtable.KeptStore{{Address: testKept, Capacity: testCapacity}} }, Go: func(_ string, work func()) { go work() }, IsWatcher: func() bool { return w.isFirst },
 		OnRestart: func(string) { w.restarts++ }, Clock: func() time.Time { return w.now }, Log: zerolog.Nop(),
 	})
 	return w
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -190,20 +190,17 @@
 func (s *Sharer) IsOwner(server, zone string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	hasNear := s.Self.Zone == zone || slices.Contains(s.otherZones(), zone)
+	if hasNear && s.Self.Zone != zone {
+		return false
+	}
 	own := lrhash.Pair(server, s.Self.Name)
-	isNear, hasNear := s.Self.Zone == zone, s.Self.Zone == zone
-	best, bestNear := own, own
 	for _, p := range s.peers {
-		score := lrhash.Pair(server, p.Name)
-		best = max(best, score)
-		if p.Zone == zone {
-			hasNear, bestNear = true, max(bestNear, score)
+		if (!hasNear || p.Zone == zone) && lrhash.Pair(server, p.Name) > own {
+			return false
 		}
 	}
-	if hasNear {
-		return isNear && own == bestNear
-	}
-	return own == best
+	return true
 }
 
 // NewsDelay returns how long news take from any instance to any other one: to the relay of its zone, on to that of another
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -68,7 +68,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	p, candidates := b.look(now, request, engines)
-	order := b.ranked(request, usable(request, candidates), p.isKnown)
+	order := p.ranked(usable(request, candidates))
 	best, ok := p.cheapest(order, p.compared(order))
 	if !ok {
 		best, ok = p.cheapest(order, nil)
@@ -224,12 +224,7 @@
 	}
 }
 
-// LearnStore takes in what a kept store holds, as an instance has read there.
-func (b *Balancer) LearnStore(now time.Time, address string, keys []Key) {
-	b.Learn(now, Store{Address: address}.name(), keys)
-}
-
-// Learn takes in what an engine holds, as this instance has read there, and tells others.
+// Learn takes in what an engine or kept store holds, as this instance has read there, and tells others.
 func (b *Balancer) Learn(now time.Time, engine string, keys []Key) {
 	holdings := make([]Holding, 0, len(keys))
 	for _, k := range keys {
@@ -238,10 +233,7 @@
 	b.Heard(now, holdings, false)
 }
 
-// ForgetStore drops what is believed of a kept store, since it has lost what it held.
-func (b *Balancer) ForgetStore(address string) { b.Forget(Store{Address: address}.name()) }
-
-// Forget drops what is believed of an engine's cache, since it restarted or changed its weights.
+// Forget drops what is believed of the cache of an engine or kept store, since it restarted or changed its weights.
 func (b *Balancer) Forget(engine string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/pkg/lrbalance/balancer_test.go
+++ b/pkg/lrbalance/balancer_test.go
@@ -41,8 +41,9 @@
 
 // rankedFirst returns the engine that goes before all others by hash.
 func rankedFirst(b *Balancer, request Request, engines []Engine, isKnown bool) Engine {
-	_, candidates := b.look(time.Unix(1000, 0), request, engines)
-	return b.ranked(request, candidates, isKnown)[0].engine
+	p, candidates := b.look(time.Unix(1000, 0), request, engines)
+	p.isKnown = isKnown
+	return p.ranked(candidates)[0].engine
 }
 
 func TestHomesSpread(t *testing.T) {
--- a/pkg/lrbalance/kept_store.go
+++ b/pkg/lrbalance/kept_store.go
@@ -37,8 +37,10 @@
 	Residency time.Duration
 }
 
-// name returns the name under which beliefs on the store are kept.
-func (s Store) name() string { return keptStorePrefix + s.Address }
+// StoreName returns the name under which the balancer knows the kept store at the address, beside the identities of engines.
+func StoreName(address string) string { return keptStorePrefix + address }
+
+func (s Store) name() string { return StoreName(s.Address) }
 
 // life returns how long the store is believed to hold a part that was saved there.
 func (s Store) life() time.Duration {
@@ -66,16 +68,15 @@
 	return took
 }
 
-// storeOf returns the one of the stores that keeps the request's shared parts, on which all instances agree: together they hold more than
-// any of them. It is the zero Store where there is none.
-func storeOf(request Request) Store {
-	home := homeKey(request)
+// storeOf returns the one of the stores that keeps the shared parts of the home key, on which all instances agree: together they hold more
+// than any of them. It is the zero Store where there is none.
+func storeOf(home string, stores []Store) Store {
 	var best Store
 	if home == "" {
 		return best
 	}
 	bestScore := uint64(0)
-	for _, s := range request.Stores {
+	for _, s := range stores {
 		score := lrhash.Pair(home, s.Address)
 		if !best.exists() || score > bestScore {
 			best, bestScore = s, score
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -15,6 +15,8 @@
 type placement struct {
 	balancer *Balancer
 	request  Request
+	// home names the shared parts. It is empty where there are none.
+	home string
 	// store is the kept store for the shared parts.
 	store Store
 	// shared are the tokens of the shared parts.
@@ -35,7 +37,11 @@
 
 // look returns the placement of the request and the engines as its candidates.
 func (b *Balancer) look(now time.Time, request Request, engines []Engine) (placement, []candidate) {
-	p := placement{balancer: b, request: request, store: storeOf(request), shared: sharedTokens(request), sources: map[int64]source{}, kept: map[int64]int{}}
+	home := homeKey(request)
+	p := placement{
+		balancer: b, request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
+		sources: map[int64]source{}, kept: map[int64]int{},
+	}
 	candidates := make([]candidate, len(engines))
 	runs := map[int64][]prefix{}
 	for n, e := range engines {
--- a/pkg/lrbalance/rank.go
+++ b/pkg/lrbalance/rank.go
@@ -44,14 +44,13 @@
 // availability zone go first: all instances of a zone begin with the same one, which fetches the parts once. Parts that nobody is
 // known to hold have one home over all zones, so that instances that have not heard of one another yet do not compute them in
 // each zone. Candidates of requests without shared parts keep their order.
-func (b *Balancer) ranked(request Request, candidates []candidate, isKnown bool) []candidate {
-	home := homeKey(request)
-	if home == "" {
+func (p placement) ranked(candidates []candidate) []candidate {
+	if p.home == "" {
 		return candidates
 	}
 	for n, c := range candidates {
-		candidates[n].score = lrhash.Pair(home, c.engine.ID)
-		if isKnown && c.engine.Zone != b.options.Zone {
+		candidates[n].score = lrhash.Pair(p.home, c.engine.ID)
+		if p.isKnown && c.engine.Zone != p.balancer.options.Zone {
 			candidates[n].isFar = 1
 		}
 	}
