Log the digest and the shared parts of the prompt of requests whose attempt broke

The logs could not tell whether the crashes share a part of the prompt (H1), one request (H2) or nothing but load (H3). request: sent now carries begun, digest and parts, request: ended carries parts, twelve at most. No logic is changed.

--- a/internal/lrpipeline/outcome.go
+++ b/internal/lrpipeline/outcome.go
@@ -24,7 +24,7 @@
 	p.Observer.PromptAnswered(r.promptTokens())
 	r.logAttempt(zerolog.InfoLevel, server, outcome).Dur("took", duration).Uint64("table", r.table).Int64("weights", server.Versions[r.Model]).
 		Int("missing", r.choice.Missing).Int("fetched", r.choice.Fetched).Bool("fromStore", r.choice.FetchesFromStore).Bool("saved", r.choice.SavesToStore).Int("rank", r.choice.Rank).Dur("expectedWait", r.choice.Wait).
-		Int("candidates", r.choice.Candidates).Msg("request: ended")
+		Int("candidates", r.choice.Candidates).Strs("parts", r.loggedParts()).Msg("request: ended")
 }
 
 func (r *run) promptTokens() PromptTokens {
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -22,6 +22,8 @@
 	maxUnsentAttempts = 16
 	// maxChoiceAge is how long after the choice of a server a request may still be sent to it. Connecting takes less time.
 	maxChoiceAge = time.Second
+	// maxLoggedParts limits the parts of a prompt in one log line.
+	maxLoggedParts = 12
 )
 
 // A verdict is what to do with a request after an attempt.
@@ -53,6 +55,8 @@
 	lastUnsent bool
 	// promptComputed is set when the server of the last attempt has computed the prompt.
 	promptComputed bool
+	// answerBegun is set when the head of an answer to the last attempt has arrived.
+	answerBegun bool
 	// headSent is set when the head of an answer was sent to the caller. lastEventID is the ID of the last event that the caller received.
 	headSent    bool
 	lastEventID string
@@ -111,7 +115,7 @@
 func (r *run) attempt(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server) verdict {
 	p := r.pipeline
 	began := p.Clock()
-	r.promptComputed = false
+	r.promptComputed, r.answerBegun = false, false
 	defer func() { p.Balancer.End(choice, r.promptComputed) }()
 	r.attempts++
 	p.Ejector.Started(began, server.ID)
@@ -134,6 +138,7 @@
 		return r.handleBroken(ctx, server, err)
 	}
 	defer reply.Close()
+	r.answerBegun = reply.Refusal == Accepted
 	if r.Model != "" && reply.Version > 0 {
 		p.Directory.RecordVersion(server.ID, r.Model, reply.Version)
 	}
@@ -191,7 +196,8 @@
 	p := r.pipeline
 	r.excluded[server.ID] = true
 	p.Observer.Attempted("broken")
-	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", !r.lastUnsent).Msg("request: sent")
+	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", !r.lastUnsent).Bool("begun", r.answerBegun).
+		Str("digest", r.Digest).Strs("parts", r.loggedParts()).Msg("request: sent")
 	if ctx.Err() != nil {
 		return mustFail
 	}
@@ -212,6 +218,17 @@
 	return mustFail
 }
 
+// loggedParts returns the IDs of the first parts of the prompt that other requests may share, which are all but the last.
+func (r *run) loggedParts() []string {
+	shared := r.Blocks[:max(len(r.Blocks)-1, 0)]
+	shared = shared[:min(len(shared), maxLoggedParts)]
+	ids := make([]string, 0, len(shared))
+	for _, b := range shared {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
+
 func (r *run) logAttempt(level zerolog.Level, server lrfleet.Server, outcome string) *zerolog.Event {
 	return r.pipeline.Log.WithLevel(level).Str("request", r.ID).Str("route", r.route.Name).Str("account", r.account.Name).
 		Str("server", server.ID).Int("sends", r.attempts).Str("outcome", outcome).Time("received", r.Received.Round(time.Millisecond))
