Attribute crashes of servers to the parts of prompts that the requests in flight share

Cause: a crash was counted against the digest of the whole request. Requests that crash servers through a part that they share are never alike, so no count reached three. Class of fault: the unit by which a failure is attributed is finer than its cause. Ruled out: counts that do not reach the other instances, and engines that die of load.

Change: lrquarantine.Tracker, without I/O, replaces the count in lrfleet. Each trait of a request in flight at a crash, the whole request and each part that others may share, is a suspect until a request with it is completed anywhere. Three independent crashes with unlike requests quarantine a part; servers that crash within 50 ms count once. What a quarantined part explains no longer counts against other parts, so that those who share caller, key or first part are served. The verdict waits 400 ms for the news of other instances; requests with a part that no completed request had wait meanwhile. A quarantined part is tried again by one request at a time, three times at most while requests with it keep coming. Verdicts are gossiped with the state of the instances and stored in the platform, so that they outlast all instances. The check now also stands before each attempt, not on arrival alone. The whole request is still stopped after three crashes.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -35,6 +35,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrrollout"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
@@ -47,6 +48,7 @@
 	feedServers   = "servers"
 	feedDesired   = "wanted"
 	feedInstances = "instances"
+	feedVerdicts  = "verdicts"
 )
 
 const (
@@ -85,7 +87,7 @@
 	directory    *lrfleet.Directory
 	balancer     *lrbalance.Balancer
 	limiter      *lrlimit.SharedLimiter
-	crashes      *lrfleet.Crashes
+	quarantine   *lrquarantine.Tracker
 	sharer       *lrfleet.Sharer
 	kvStoreWatch *lrfleet.KVStoreWatch
 	leaseKeeper  *lrlease.Keeper
@@ -100,6 +102,7 @@
 	servers   *lrfleet.Follower[lrfleet.Server]
 	desired   *lrfleet.Follower[lrfleet.DesiredVersion]
 	instances *lrfleet.Follower[lrfleet.Instance]
+	verdicts  *lrfleet.Follower[lrquarantine.Verdict]
 
 	supervisor *lrsupervise.Supervisor
 	// schedule is used only by keepLease.
@@ -118,7 +121,7 @@
 	d := &Daemon{
 		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), idleCloser: lrframe.NewIdleCloser(),
 		process:   strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(clock().UnixNano(), 36),
-		directory: lrfleet.NewDirectory(log), crashes: lrfleet.NewCrashes(), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
+		directory: lrfleet.NewDirectory(log), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
 		metrics: newMetrics(), supervisor: lrsupervise.New("edge", log),
 		pool: lrpeer.NewPool(insecure.NewCredentials()),
 	}
@@ -127,6 +130,7 @@
 	})
 	d.directory.OnRestart(d.balancer.Forget)
 	d.wireFeeds()
+	d.wireQuarantine()
 	d.wireWeights()
 	d.wireKVStores()
 	d.wireSharer()
@@ -140,14 +144,18 @@
 	return d
 }
 
-func (d *Daemon) wireFeeds() {
+// followerOptions returns the options for a feed that rarely changes.
+func (d *Daemon) followerOptions(name string, interval time.Duration) lrfleet.FollowerOptions {
 	p := d.settings.Platform
-	options := func(name string, interval time.Duration) lrfleet.FollowerOptions {
-		return lrfleet.FollowerOptions{
-			Name: name, Wait: p.WatchWait, Interval: interval, Delay: d.rankDelay,
-			Watches: func() bool { return d.sharer.Rank(d.clock()) < p.Watchers },
-		}
+	return lrfleet.FollowerOptions{
+		Name: name, Wait: p.WatchWait, Interval: interval, Delay: d.rankDelay,
+		Watches: func() bool { return d.sharer.Rank(d.clock()) < p.Watchers },
 	}
+}
+
+func (d *Daemon) wireFeeds() {
+	p := d.settings.Platform
+	options := d.followerOptions
 	d.tables = lrfleet.NewFollower(d.ports.Tables, options(feedTables, p.RefreshInterval), d.log,
 		func(_ time.Time, entries map[string]lrtable.Spec) {
 			spec, ok := entries[d.ports.TableName]
@@ -225,7 +233,7 @@
 func (d *Daemon) wireSharer() {
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerDependencies{
 		Self:      d.self(),
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Crashes: d.crashes, KVStores: d.kvStoreWatch, Rollout: d.weights, Pool: d.pool,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, KVStores: d.kvStoreWatch, Rollout: d.weights, Pool: d.pool,
 		Feeds: d.feeds(), Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
@@ -288,7 +296,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectFailures, Duration: ejectDuration, MaxDuration: maxEjectDuration, ProbeTimeout: ejectProbeTimeout,
 		}),
-		Crashes: d.crashes, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Quarantine: d.quarantine, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 		PauseClock: lrclock.BootTime, IsStopping: d.stopping.Load,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainInterval, func(context.Context, time.Time) {
--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -30,6 +30,9 @@
 		return float64(d.sharer.Reached(d.clock()))
 	})
 	gauge("lavenderrouter_edge_allowance_share", "Part of all allowances that the instances within reach may use.", d.limiter.Share)
+	gauge("lavenderrouter_edge_quarantined", "Requests and parts of prompts that are rejected because servers crash on them.", func() float64 {
+		return float64(d.quarantine.Quarantined())
+	})
 	gauge("lavenderrouter_edge_outdated_seconds", "How long the engine that is furthest behind has lacked newer weights.", func() float64 {
 		return d.directory.LongestOutdated(d.clock()).Seconds()
 	})
@@ -65,5 +68,5 @@
 
 // feeds returns the feeds that other instances can read from this one.
 func (d *Daemon) feeds() map[string]lrfleet.SharedFeed {
-	return map[string]lrfleet.SharedFeed{feedTables: d.tables, feedServers: d.servers, feedDesired: d.desired, feedInstances: d.instances}
+	return map[string]lrfleet.SharedFeed{feedTables: d.tables, feedServers: d.servers, feedDesired: d.desired, feedInstances: d.instances, feedVerdicts: d.verdicts}
 }
--- a/internal/lredge/metrics.go
+++ b/internal/lredge/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,7 @@
 	retries      *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	leases       *prometheus.CounterVec
+	verdicts     *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds.
@@ -58,7 +60,11 @@
 			Name: "lavenderrouter_edge_lease_changes_total", Help: "Changes of the right to give orders, by what it changed to.",
 		}, []string{"to"}),
 	}
-	m.registry.MustRegister(m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
+	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavenderrouter_edge_verdicts_total",
+		Help: "Verdicts on requests and parts of prompts that crash backend servers, by whether they are rejected.",
+	}, []string{"quarantined"})
+	m.registry.MustRegister(m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
 	return m
 }
 
@@ -107,6 +113,11 @@
 	m.orders.WithLabelValues(string(result)).Inc()
 }
 
+// verdictDecided counts a verdict on a request or a part of prompts that crashes backend servers.
+func (m *metrics) verdictDecided(isQuarantined bool) {
+	m.verdicts.WithLabelValues(strconv.FormatBool(isQuarantined)).Inc()
+}
+
 // LeaseChanged counts that this instance has acquired or lost the lease.
 func (m *metrics) LeaseChanged(held bool) {
 	to := "lost"
--- a/internal/lredge/ports.go
+++ b/internal/lredge/ports.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
@@ -29,7 +30,11 @@
 	Servers         lrfleet.Feed[lrfleet.Server]
 	DesiredVersions lrfleet.Feed[lrfleet.DesiredVersion]
 	Instances       lrfleet.Feed[lrfleet.Instance]
-	Store           lrplatform.Objects
+	// Verdicts are the stored decisions on requests and parts of prompts that crash backend servers, and VerdictsKind is their kind of
+	// object.
+	Verdicts     lrfleet.Feed[lrquarantine.Verdict]
+	VerdictsKind string
+	Store        lrplatform.Objects
 	// InstancesKind is the kind of object under which instances register themselves in the store.
 	InstancesKind string
 	Backend       lrpipeline.Backend
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 )
@@ -111,9 +112,7 @@
 	for _, w := range s.weightsUpdates.updates(now) {
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
 	}
-	for _, c := range s.Crashes.Updates(now) {
-		state.Crashes = append(state.Crashes, &lrpeerpb.CrashNote{Digest: c.Digest, Server: c.Server})
-	}
+	state.Quarantine = lrpeer.EncodeQuarantine(s.Quarantine.Updates(now))
 	s.KVStores.Updates(now, func(status KVStoreStatus, age time.Duration) {
 		state.Kept = append(state.Kept, &lrpeerpb.KeptNote{
 			Address: status.Address, Epoch: status.Epoch, IsDown: status.IsDown, AgeMillis: uint32(age.Milliseconds()),
@@ -211,9 +210,7 @@
 		s.weightsUpdates.add(now, WeightsUpdate{Server: w.GetServer(), Model: w.GetModel(), Version: w.GetVersion()})
 		s.Directory.RecordVersion(w.GetServer(), w.GetModel(), w.GetVersion())
 	}
-	for _, c := range state.GetCrashes() {
-		s.Crashes.Merge(now, Crash{Digest: c.GetDigest(), Server: c.GetServer()})
-	}
+	s.Quarantine.Merge(now, lrpeer.DecodeQuarantine(state.GetQuarantine()))
 	for _, k := range state.GetKept() {
 		status := KVStoreStatus{
 			Address: k.GetAddress(), Epoch: k.GetEpoch(), IsDown: k.GetIsDown(),
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 )
 
 const (
@@ -59,15 +60,15 @@
 
 // SharerDependencies are the collaborators of a Sharer.
 type SharerDependencies struct {
-	Self      Instance
-	Directory *Directory
-	Balancer  *lrbalance.Balancer
-	Limiter   *lrlimit.SharedLimiter
-	Crashes   *Crashes
-	KVStores  *KVStoreWatch
-	Rollout   Rollout
-	Pool      *lrpeer.Pool
-	Feeds     map[string]SharedFeed
+	Self       Instance
+	Directory  *Directory
+	Balancer   *lrbalance.Balancer
+	Limiter    *lrlimit.SharedLimiter
+	Quarantine *lrquarantine.Tracker
+	KVStores   *KVStoreWatch
+	Rollout    Rollout
+	Pool       *lrpeer.Pool
+	Feeds      map[string]SharedFeed
 	// Go runs work in its own goroutine, beside the supervised loops.
 	Go    func(name string, work func())
 	Clock func() time.Time
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 )
 
 type noRollout struct{}
@@ -50,7 +51,7 @@
 func (f *testFleet) newSharer(self Instance) *Sharer {
 	return NewSharer(SharerDependencies{
 		Self: self, Directory: NewDirectory(zerolog.Nop()), Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
-		Limiter: lrlimit.NewSharedLimiter(true), Crashes: NewCrashes(), Rollout: noRollout{}, Feeds: map[string]SharedFeed{},
+		Limiter: lrlimit.NewSharedLimiter(true), Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(self.Name)), Rollout: noRollout{}, Feeds: map[string]SharedFeed{},
 		Clock: func() time.Time { return f.now }, Log: zerolog.Nop(), KVStores: NewKVStoreWatch(KVStoreWatchDependencies{Log: zerolog.Nop()}), Go: func(_ string, work func()) { go work() },
 	}, false)
 }
@@ -182,12 +183,12 @@
 	f := newTestFleet(3)
 	f.run(time.Second)
 	for n := range 3 {
-		f.find("a2").Crashes.Crashed(f.now, "digest", fmt.Sprint("server", n))
+		f.find("a2").Quarantine.Crashed(f.now, fmt.Sprint("server", n), lrquarantine.NewRequest("digest"))
 	}
 	f.find("c1").ReportWeights(f.now, WeightsUpdate{Server: "e", Model: "m", Version: 2})
 	f.run(time.Second)
 	for _, s := range f.sharers {
-		requireEqual(t, s.Self.Name, s.Crashes.IsPoison(f.now, "digest"), true)
+		requireEqual(t, s.Self.Name, s.Quarantine.Check(f.now, lrquarantine.NewRequest("digest")).Admission, lrquarantine.Rejected)
 		requireEqual(t, s.Self.Name, len(s.weightsUpdates.updates(f.now)), 1)
 	}
 	f.run(4 * time.Second)
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
@@ -154,7 +155,7 @@
 	backend    *scriptedBackend
 	budget     *testBudget
 	limiter    *lrlimit.SharedLimiter
-	crashes    *lrfleet.Crashes
+	quarantine *lrquarantine.Tracker
 	pipeline   *Pipeline
 	now        time.Time
 	kvStore    testKVStore
@@ -176,8 +177,9 @@
 	t.Helper()
 	w := &fixture{
 		backend: &scriptedBackend{steps: steps}, budget: &testBudget{left: 10}, limiter: lrlimit.NewSharedLimiter(true),
-		crashes: lrfleet.NewCrashes(), now: time.Now(),
+		now: time.Now(),
 	}
+	w.quarantine = lrquarantine.NewTracker(w.now, lrquarantine.DefaultTrackerOptions("test"))
 	directory := lrfleet.NewDirectory(zerolog.Nop())
 	directory.SetSpec(testSpec())
 	directory.SetServers(testServers())
@@ -186,7 +188,7 @@
 		IsStopping: func() bool { return w.isStopping },
 		Stores:     &w.kvStore,
 		Memory:     lrmemory.NewBudget(testMemoryBytes),
-		Limiter:    w.limiter, RetryBudgets: w.budget, Crashes: w.crashes, Backend: w.backend, Observer: noopObserver{},
+		Limiter:    w.limiter, RetryBudgets: w.budget, Quarantine: w.quarantine, Backend: w.backend, Observer: noopObserver{},
 		Ejector:          lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
 		UnreachableZones: func(time.Time) map[string]bool { return nil },
 		Instances:        func() int { return 8 }, Log: zerolog.Nop(), Clock: func() time.Time { return w.now },
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
@@ -29,12 +30,16 @@
 	defaultTimeout = 30 * time.Second
 )
 
-// Crashes tracks requests that crashed backend servers.
-type Crashes interface {
-	// IsPoison reports whether the request has caused crashes and must not reach another backend server.
-	IsPoison(now time.Time, digest string) bool
+// A Quarantine rejects requests that crash backend servers, and finds out which these are.
+type Quarantine interface {
+	// Check decides on a request for which no server has been chosen yet.
+	Check(now time.Time, request lrquarantine.Request) lrquarantine.Decision
+	// Begin decides on a request that is about to be sent to a server.
+	Begin(now time.Time, request lrquarantine.Request) lrquarantine.Decision
 	// Crashed records that the connection to the server broke while the server ran the request.
-	Crashed(now time.Time, digest, server string)
+	Crashed(now time.Time, server string, request lrquarantine.Request)
+	// Completed records that a server has completed the request.
+	Completed(now time.Time, request lrquarantine.Request)
 }
 
 // RetryBudgets are the retry budgets of the services.
@@ -60,7 +65,7 @@
 	Limiter      *lrlimit.SharedLimiter
 	RetryBudgets RetryBudgets
 	Ejector      *lrretry.Ejector
-	Crashes      Crashes
+	Quarantine   Quarantine
 	// Memory limits the bytes of request bodies and answers that are buffered at the same time.
 	Memory  *lrmemory.Budget
 	Backend Backend
@@ -121,6 +126,8 @@
 	pauseDeadline time.Time
 	// tokens is what the request costs in the account's token bucket.
 	tokens float64
+	// traits are the properties of the request by which crashes are attributed to it.
+	traits lrquarantine.Request
 }
 
 // Identify finds the route and the client account of the request, for which its head is enough. It returns nil when the
@@ -163,6 +170,7 @@
 	a.deadline = deadline(request, route)
 	a.pauseDeadline = p.PauseClock().Add(a.deadline.Sub(p.Clock()))
 	a.tokens = cost(request, a.account)
+	a.traits = traits(request)
 	return a, nil
 }
 
@@ -178,6 +186,16 @@
 	return request.Received.Add(timeout - replyMargin)
 }
 
+// traits returns the content of the request as a whole and the parts of its prompt that others may share, which are all but the last.
+func traits(request *Request) lrquarantine.Request {
+	shared := request.Blocks[:max(len(request.Blocks)-1, 0)]
+	parts := make([]string, 0, len(shared))
+	for _, b := range shared {
+		parts = append(parts, b.ID)
+	}
+	return lrquarantine.NewRequest(request.Digest, parts...)
+}
+
 // cost returns what the request costs in the token bucket of the account: one for accounts that count requests, otherwise its tokens.
 func cost(request *Request, account lrtable.Account) float64 {
 	switch {
@@ -209,8 +227,9 @@
 
 // admit rejects a request that crashes servers, whose deadline has passed, or whose account is over its rate.
 func (p *Pipeline) admit(now time.Time, a admittedRequest) *lrerror.Error {
-	if p.Crashes.IsPoison(now, a.Digest) {
-		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "this request crashes backend servers; change it")
+	decision := p.Quarantine.Check(now, a.traits)
+	if decision.Admission == lrquarantine.Rejected {
+		return crashing(decision)
 	}
 	if !now.Before(a.deadline) {
 		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "the time of the request is over; allow it more")
@@ -223,6 +242,12 @@
 	return nil
 }
 
+// crashing returns the refusal of a request that crashes backend servers, or that has a part of its prompt in common with such requests.
+func crashing(decision lrquarantine.Decision) *lrerror.Error {
+	return lrerror.New(lrerror.KindCrashing, lrerror.NotRun, "backend servers crash on this request or on a part of its prompt; change it").
+		WithRetryAfter(decision.Wait).WithCause(decision.Verdict.Err())
+}
+
 func (p *Pipeline) refuse(a admittedRequest, caller Caller, refusal *lrerror.Error) {
 	p.Observer.Refused(a.route.Name, refusal.Kind().String())
 	p.Log.Warn().Str("request", a.ID).Str("account", a.account.Name).Float64("tokens", a.tokens).Str("route", a.route.Name).Uint64("table", a.table).Str("reason", refusal.Kind().String()).Str("detail", refusal.Message()).
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -43,8 +43,7 @@
 		}
 		return mustFail
 	}
-	p.Ejector.Succeeded(server.ID)
-	p.Observer.Attempted("success")
+	r.succeeded(server)
 	err = r.caller.Answer(reply, body)
 	r.finish(server, outcomeOf(err))
 	return isDone
@@ -65,6 +64,7 @@
 		switch {
 		case err != nil:
 		case errors.Is(readErr, io.EOF):
+			r.succeeded(server)
 			r.finish(server, "served")
 			return isDone
 		case readErr != nil:
@@ -127,11 +127,18 @@
 }
 
 func (r *run) completeStream(server lrfleet.Server, reply *Reply) verdict {
-	r.pipeline.Ejector.Succeeded(server.ID)
-	r.pipeline.Observer.Attempted("success")
+	r.succeeded(server)
 	if !r.headSent {
 		_ = r.caller.Begin(reply, unknownLength)
 	}
 	r.finish(server, "served")
 	return isDone
 }
+
+// succeeded records that the server has completed the request.
+func (r *run) succeeded(server lrfleet.Server) {
+	p := r.pipeline
+	p.Ejector.Succeeded(server.ID)
+	p.Quarantine.Completed(p.Clock(), r.traits)
+	p.Observer.Attempted("success")
+}
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrconn"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
@@ -65,6 +68,8 @@
 	versionMismatched bool
 	// memory accounts for the memory in which answers are buffered.
 	memory *lrmemory.Reservation
+	// rejection is set when the request must not be sent because it crashes servers.
+	rejection *lrquarantine.Decision
 	// failure is the last error answer of a backend server.
 	failure     *Reply
 	failureBody []byte
@@ -75,6 +80,10 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, errRouteTimeout)
 	defer cancel()
 	for {
+		if !r.awaitAdmission(ctx) {
+			r.fail(ctx, "failed")
+			return
+		}
 		choice, server, ok := r.choose()
 		if !ok {
 			r.fail(ctx, "noServer")
@@ -97,6 +106,27 @@
 	}
 }
 
+// awaitAdmission waits while it is about to be decided whether the request crashes servers. It reports whether the request may be sent.
+func (r *run) awaitAdmission(ctx context.Context) bool {
+	p := r.pipeline
+	for {
+		decision := p.Quarantine.Check(p.Clock(), r.traits)
+		switch decision.Admission {
+		case lrquarantine.Rejected:
+			r.rejection = &decision
+			return false
+		case lrquarantine.Delayed:
+			p.Log.Info().Str("request", r.ID).Str("route", r.route.Name).Dur("wait", decision.Wait).Strs("parts", r.loggedParts()).
+				Msg("request: delayed")
+			if !lrsupervise.Sleep(ctx, decision.Wait) {
+				return false
+			}
+		case lrquarantine.Admitted:
+			return true
+		}
+	}
+}
+
 var (
 	errRouteTimeout = errors.New("the time of the request is over")
 	errStaleChoice  = errors.New("the choice of the backend server is too old")
@@ -117,6 +147,11 @@
 	began := p.Clock()
 	r.promptComputed, r.answerBegun = false, false
 	defer func() { p.Balancer.End(choice, r.promptComputed) }()
+	decision := p.Quarantine.Begin(began, r.traits)
+	if decision.Admission == lrquarantine.Rejected {
+		r.rejection = &decision
+		return mustFail
+	}
 	r.attempts++
 	p.Ejector.Started(began, server.ID)
 	reply, err := p.Backend.Send(ctx, Attempt{
@@ -211,7 +246,7 @@
 	if r.lastUnsent {
 		return mayRetry
 	}
-	p.Crashes.Crashed(p.Clock(), r.Digest, server.ID)
+	p.Quarantine.Crashed(p.Clock(), startOf(server), r.traits)
 	if r.route.IsRetryable() {
 		return mayRetry
 	}
@@ -229,6 +264,11 @@
 	return ids
 }
 
+// startOf returns a name that differs between the starts of the server.
+func startOf(server lrfleet.Server) string {
+	return server.ID + "/" + strconv.FormatInt(server.Incarnation, 36)
+}
+
 func (r *run) logAttempt(level zerolog.Level, server lrfleet.Server, outcome string) *zerolog.Event {
 	return r.pipeline.Log.WithLevel(level).Str("request", r.ID).Str("route", r.route.Name).Str("account", r.account.Name).
 		Str("server", server.ID).Int("sends", r.attempts).Str("outcome", outcome).Time("received", r.Received.Round(time.Millisecond))
--- a/internal/lrplatform/store.go
+++ b/internal/lrplatform/store.go
@@ -55,6 +55,8 @@
 	Create(ctx context.Context, kind, name string, value []byte) (Object, error)
 	// Update writes the object if its version is still the stored one, and returns an ErrConflict otherwise.
 	Update(ctx context.Context, object Object) (Object, error)
+	// Delete removes the object if its version is still the stored one, and returns an ErrConflict otherwise.
+	Delete(ctx context.Context, object Object) error
 }
 
 // A Store keeps versioned objects. Its errors belong to the classes of this package.
@@ -62,8 +64,6 @@
 	Objects
 	// List returns the objects of the kind whose names start with the prefix, ordered by name.
 	List(ctx context.Context, kind, prefix string) ([]Object, error)
-	// Delete removes the object if its version is still the stored one, and returns an ErrConflict otherwise.
-	Delete(ctx context.Context, object Object) error
 	// Watch blocks until objects of the kind have changed after the revision, or until the context ends.
 	Watch(ctx context.Context, kind string, after uint64) (Changes, error)
 }
--- a/pkg/lrerror/kind.go
+++ b/pkg/lrerror/kind.go
@@ -28,7 +28,9 @@
 	KindOverloaded          = Kind{"overloaded", http.StatusServiceUnavailable}
 	KindUnavailable         = Kind{"unavailable", http.StatusServiceUnavailable}
 	KindBackendFailed       = Kind{"backendFailed", http.StatusBadGateway}
-	KindQuarantined         = Kind{"quarantined", http.StatusUnprocessableEntity}
-	KindTimeout             = Kind{"timeout", http.StatusGatewayTimeout}
-	KindInternal            = Kind{"internal", http.StatusInternalServerError}
+	// KindCrashing is a request that would crash a server. It has the status of a request that has not run.
+	KindCrashing    = Kind{"crashing", http.StatusServiceUnavailable}
+	KindQuarantined = Kind{"quarantined", http.StatusUnprocessableEntity}
+	KindTimeout     = Kind{"timeout", http.StatusGatewayTimeout}
+	KindInternal    = Kind{"internal", http.StatusInternalServerError}
 )
--- /dev/null
+++ b/pkg/lrquarantine/tracker_test.go
@@ -0,0 +1,316 @@
+package lrquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+)
+
+// instance is a tracker with a clock that the test sets.
+type instance struct {
+	*lrquarantine.Tracker
+	now time.Time
+	// requests counts the requests, no two of which are alike.
+	requests int
+}
+
+// newInstance returns an instance that has been running for long enough to know which parts are sound: those of the names.
+func newInstance(sound ...string) *instance {
+	start := time.Unix(1000, 0)
+	options := lrquarantine.DefaultTrackerOptions("a")
+	i := &instance{Tracker: lrquarantine.NewTracker(start, options), now: start.Add(options.LearningTime)}
+	for _, part := range sound {
+		i.complete(part)
+	}
+	i.advance(time.Second)
+	return i
+}
+
+func (i *instance) advance(duration time.Duration) { i.now = i.now.Add(duration) }
+
+// request returns a request unlike all others that has the parts.
+func (i *instance) request(parts ...string) lrquarantine.Request {
+	i.requests++
+	return lrquarantine.NewRequest(fmt.Sprint("request ", i.requests), parts...)
+}
+
+// crash makes a server crash on which requests with the given parts are in flight.
+func (i *instance) crash(server string, inFlight ...[]string) {
+	for _, parts := range inFlight {
+		i.Crashed(i.now, server, i.request(parts...))
+	}
+	i.advance(100 * time.Millisecond)
+}
+
+func (i *instance) complete(parts ...string) { i.Completed(i.now, i.request(parts...)) }
+
+// settle lets the time pass in which a verdict is open, while other requests are completed.
+func (i *instance) settle() {
+	for n := range 10 {
+		i.complete(fmt.Sprint("other ", n))
+	}
+	i.advance(lrquarantine.DefaultTrackerOptions("a").SettleTime)
+}
+
+func (i *instance) admission(parts ...string) lrquarantine.Admission {
+	return i.Check(i.now, i.request(parts...)).Admission
+}
+
+func requireAdmission(t *testing.T, i *instance, want lrquarantine.Admission, parts ...string) {
+	t.Helper()
+	requireEqual(t, i.admission(parts...), want, fmt.Sprint("admission of ", parts))
+}
+
+// TestPartThatCrashesServersIsQuarantined guards against requests that go on to crash servers because no two of them are alike, and against
+// sound requests that are rejected because they share an account, a key or other parts with those.
+func TestPartThatCrashesServersIsQuarantined(t *testing.T) {
+	deadly := []string{"first", "second", "deadly"}
+	t.Run("deadly part among sound ones", func(t *testing.T) {
+		i := newInstance("first", "second")
+		for n := range 3 {
+			i.crash(fmt.Sprint("s", n), deadly, []string{"first", "second"}, []string{"first", fmt.Sprint("rare ", n%2)})
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "rare 0")
+		requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+		requireAdmission(t, i, lrquarantine.Rejected, "elsewhere", "deadly")
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
+	})
+	t.Run("deadly first part", func(t *testing.T) {
+		i := newInstance("second")
+		for n := range 3 {
+			i.crash(fmt.Sprint("s", n), []string{"deadly", "second"})
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Rejected, "deadly", "second")
+		requireAdmission(t, i, lrquarantine.Admitted, "second")
+	})
+	t.Run("two deadly parts at once", func(t *testing.T) {
+		i := newInstance("first")
+		for n := range 4 {
+			i.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+			i.crash(fmt.Sprint("r", n), []string{"first", "lethal"})
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "deadly")
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "lethal")
+		requireAdmission(t, i, lrquarantine.Admitted, "first")
+	})
+	t.Run("sound part that becomes deadly", func(t *testing.T) {
+		i := newInstance("first", "second", "deadly")
+		for n := range 3 {
+			i.crash(fmt.Sprint("s", n), deadly)
+			i.complete("first", "second")
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
+	})
+	t.Run("part that comes with the deadly one alone", func(t *testing.T) {
+		i := newInstance("first")
+		for n := range 3 {
+			i.crash(fmt.Sprint("s", n), []string{"first", "companion", "deadly"})
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "companion", "deadly")
+		requireAdmission(t, i, lrquarantine.Admitted, "first")
+		i.advance(i.Check(i.now, i.request("companion")).Wait)
+		i.complete("first", "companion")
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "companion")
+	})
+	t.Run("two crashes are not enough", func(t *testing.T) {
+		i := newInstance("first", "second")
+		i.crash("s1", deadly)
+		i.crash("s2", deadly)
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Admitted, deadly...)
+	})
+}
+
+// TestSoundPartsAreNotQuarantined guards against sound requests that are rejected because their servers crash for other reasons.
+func TestSoundPartsAreNotQuarantined(t *testing.T) {
+	t.Run("all servers fail at the same moment", func(t *testing.T) {
+		i := newInstance("first")
+		for n := range 20 {
+			i.Crashed(i.now.Add(time.Duration(n)*time.Millisecond), fmt.Sprint("s", n), i.request("first", "rare"))
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "rare")
+	})
+	t.Run("no server answers for a while", func(t *testing.T) {
+		i := newInstance("first")
+		for n := range 20 {
+			i.crash(fmt.Sprint("s", n), []string{"first"})
+		}
+		i.advance(time.Minute)
+		requireAdmission(t, i, lrquarantine.Admitted, "first")
+	})
+	t.Run("requests are completed between crashes", func(t *testing.T) {
+		i := newInstance("first")
+		for n := range 20 {
+			i.crash(fmt.Sprint("s", n), []string{"first", "second"})
+			i.complete("first", "second")
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
+	})
+	t.Run("one request is the cause", func(t *testing.T) {
+		i := newInstance("first")
+		request := i.request("first", "rare")
+		for n := range 3 {
+			i.Crashed(i.now, fmt.Sprint("s", n), request)
+			i.advance(100 * time.Millisecond)
+		}
+		i.settle()
+		requireEqual(t, i.Check(i.now, request).Admission, lrquarantine.Rejected, "admission of the request")
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "rare")
+	})
+	t.Run("one server breaks off again and again within a moment", func(t *testing.T) {
+		i := newInstance("first")
+		for range 10 {
+			i.crash("s", []string{"first", "rare"})
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "rare")
+	})
+}
+
+// TestRequestsWaitForTheVerdict guards against servers that crash while the instances still tell one another what they have seen.
+func TestRequestsWaitForTheVerdict(t *testing.T) {
+	i := newInstance("first")
+	for n := range 3 {
+		i.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+	}
+	decision := i.Check(i.now, i.request("first", "deadly"))
+	requireEqual(t, decision.Admission, lrquarantine.Delayed, "admission before the verdict")
+	requireAdmission(t, i, lrquarantine.Admitted, "first", "other")
+	i.advance(decision.Wait)
+	requireAdmission(t, i, lrquarantine.Rejected, "first", "deadly")
+}
+
+// TestQuarantinedPartIsTriedAgain guards against a sound part that is rejected for good, and against a deadly one that is tried too often.
+func TestQuarantinedPartIsTriedAgain(t *testing.T) {
+	quarantined := func() *instance {
+		i := newInstance("first")
+		for n := range 5 {
+			i.crash(fmt.Sprint("s", n), []string{"first", "part"})
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "part")
+		return i
+	}
+	t.Run("a completed trial ends the quarantine", func(t *testing.T) {
+		i := quarantined()
+		i.advance(i.Check(i.now, i.request("part")).Wait)
+		request := i.request("first", "part")
+		requireEqual(t, i.Begin(i.now, request).Admission, lrquarantine.Admitted, "admission of the trial")
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "part")
+		i.advance(time.Second)
+		i.Completed(i.now, request)
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "part")
+		requireEqual(t, i.Quarantined(), 0, "quarantined traits")
+	})
+	t.Run("few trials while requests keep coming", func(t *testing.T) {
+		i := quarantined()
+		trials := 0
+		for end := i.now.Add(10 * time.Minute); i.now.Before(end); i.advance(100 * time.Millisecond) {
+			request := i.request("first", "part")
+			if i.Begin(i.now, request).Admission == lrquarantine.Admitted {
+				trials++
+				i.Crashed(i.now, fmt.Sprint("t", trials), request)
+			}
+		}
+		if trials < 1 || trials > 3 {
+			t.Fatalf("got %d trials, want 1 to 3", trials)
+		}
+	})
+	t.Run("forgotten after a long silence", func(t *testing.T) {
+		i := quarantined()
+		i.advance(lrquarantine.DefaultTrackerOptions("a").Retention)
+		requireEqual(t, len(i.Updates(i.now).Verdicts), 0, "verdicts")
+		requireAdmission(t, i, lrquarantine.Admitted, "first", "part")
+	})
+}
+
+// exchange lets both instances tell each other what they know.
+func exchange(a, b *instance) {
+	b.now = a.now
+	b.Merge(b.now, a.Updates(a.now))
+	a.Merge(a.now, b.Updates(b.now))
+}
+
+// TestInstancesShareEvidence guards against crashes that no instance sees often enough to find their cause, and against verdicts that an
+// instance finds because it lacks what others have seen.
+func TestInstancesShareEvidence(t *testing.T) {
+	deadly := []string{"first", "second", "deadly"}
+	t.Run("each instance sees one crash", func(t *testing.T) {
+		a, b, c := newInstance("first"), newInstance("second"), newInstance("first", "second")
+		for n, i := range []*instance{a, b, c} {
+			i.requests = 1000 * n
+			i.advance(time.Duration(n) * 200 * time.Millisecond)
+			i.crash(fmt.Sprint("s", n), deadly)
+		}
+		a.now, b.now = c.now, c.now
+		for range 2 {
+			exchange(a, b)
+			exchange(b, c)
+			exchange(c, a)
+		}
+		for _, i := range []*instance{a, b, c} {
+			i.settle()
+			requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+			requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
+		}
+	})
+	t.Run("an instance that starts later learns the verdicts", func(t *testing.T) {
+		a := newInstance("first")
+		for n := range 3 {
+			a.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+		}
+		a.settle()
+		requireAdmission(t, a, lrquarantine.Rejected, "first", "deadly")
+		a.advance(10 * time.Second)
+		late := &instance{Tracker: lrquarantine.NewTracker(a.now, lrquarantine.DefaultTrackerOptions("late")), now: a.now}
+		exchange(a, late)
+		requireAdmission(t, late, lrquarantine.Rejected, "first", "deadly")
+	})
+	t.Run("a completed request anywhere ends a quarantine", func(t *testing.T) {
+		a, b := newInstance("first"), newInstance("first")
+		for n := range 3 {
+			a.crash(fmt.Sprint("s", n), []string{"first", "part"})
+		}
+		a.settle()
+		requireAdmission(t, a, lrquarantine.Rejected, "first", "part")
+		exchange(a, b)
+		requireAdmission(t, b, lrquarantine.Rejected, "first", "part")
+		b.advance(10 * time.Millisecond)
+		b.complete("first", "part")
+		a.advance(20 * time.Millisecond)
+		exchange(a, b)
+		requireAdmission(t, a, lrquarantine.Admitted, "first", "part")
+		requireAdmission(t, b, lrquarantine.Admitted, "first", "part")
+		exchange(a, b)
+		requireEqual(t, a.Quarantined()+b.Quarantined(), 0, "quarantined traits")
+	})
+}
+
+// TestTrackerMemoryIsBounded guards against crashes without end that fill the memory.
+func TestTrackerMemoryIsBounded(t *testing.T) {
+	options := lrquarantine.DefaultTrackerOptions("a")
+	i := newInstance()
+	for n := range 4 * options.MaxCrashes {
+		for range options.MaxRequests + 1 {
+			i.Crashed(i.now, fmt.Sprint("s", n), i.request(fmt.Sprint("p", i.requests), fmt.Sprint("q", i.requests)))
+		}
+		i.advance(10 * time.Millisecond)
+	}
+	updates := i.Updates(i.now)
+	if len(updates.Crashes) > options.MaxCrashes*options.MaxRequests || len(updates.Crashes)*3 > options.MaxSuspects+3*options.MaxRequests {
+		t.Fatalf("%d requests of crashes are remembered", len(updates.Crashes))
+	}
+	if len(updates.Verdicts) > 64 {
+		t.Fatalf("%d verdicts are sent at once", len(updates.Verdicts))
+	}
+}
--- /dev/null
+++ b/pkg/lrquarantine/updates.go
@@ -0,0 +1,155 @@
+package lrquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxVerdictsSent is the most verdicts in one message to another instance.
+const maxVerdictsSent = 64
+
+// Updates are what an instance tells the others. Times are ages, since the clocks of instances differ.
+type Updates struct {
+	Crashes     []CrashUpdate
+	Completions []CompletionUpdate
+	Verdicts    []VerdictUpdate
+}
+
+// A CrashUpdate says that a request was in flight on a server that crashed.
+type CrashUpdate struct {
+	Server  string
+	Request Request
+	Age     time.Duration
+}
+
+// A CompletionUpdate says that a request with a suspect trait was completed.
+type CompletionUpdate struct {
+	Trait Trait
+	Age   time.Duration
+}
+
+// A VerdictUpdate is a verdict, with the times since its last change and since a request with the trait was last seen.
+type VerdictUpdate struct {
+	Verdict
+	Age     time.Duration
+	SeenAge time.Duration
+}
+
+// Updates returns what other instances shall know: news of the gossip time, and the verdicts that changed last.
+func (t *Tracker) Updates(now time.Time) Updates {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var updates Updates
+	for _, c := range t.evidence.crashes {
+		if now.Sub(c.learnedAt) >= t.options.GossipTime {
+			continue
+		}
+		for _, r := range c.requests {
+			if now.Sub(r.learnedAt) < t.options.GossipTime {
+				updates.Crashes = append(updates.Crashes, CrashUpdate{Server: c.server, Request: r.request, Age: now.Sub(r.at)})
+			}
+		}
+	}
+	for trait, c := range t.completions {
+		if now.Sub(c.learnedAt) >= t.options.GossipTime {
+			delete(t.completions, trait)
+			continue
+		}
+		updates.Completions = append(updates.Completions, CompletionUpdate{Trait: trait, Age: now.Sub(c.at)})
+	}
+	updates.Verdicts = t.latestVerdicts(now)
+	return updates
+}
+
+func (t *Tracker) latestVerdicts(now time.Time) []VerdictUpdate {
+	t.evict(now)
+	updates := make([]VerdictUpdate, 0, len(t.verdicts))
+	for _, v := range t.verdicts {
+		updates = append(updates, VerdictUpdate{Verdict: v.Verdict, Age: now.Sub(v.changedAt), SeenAge: now.Sub(v.seenAt)})
+	}
+	slices.SortFunc(updates, func(a, b VerdictUpdate) int { return cmp.Compare(a.Age, b.Age) })
+	return updates[:min(len(updates), maxVerdictsSent)]
+}
+
+// Merge applies what another instance knows.
+func (t *Tracker) Merge(now time.Time, updates Updates) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, v := range updates.Verdicts {
+		t.mergeVerdict(now, v)
+	}
+	for _, c := range updates.Crashes {
+		t.record(now, now.Add(-c.Age), c.Server, c.Request.bounded(), false)
+	}
+	for _, c := range updates.Completions {
+		t.disprove(now, now.Add(-c.Age), c.Trait, false)
+	}
+	t.evaluate(now)
+}
+
+func (t *Tracker) mergeVerdict(now time.Time, update VerdictUpdate) {
+	at, seenAt := now.Add(-update.Age), now.Add(-update.SeenAge)
+	v, ok := t.verdicts[update.Trait]
+	if ok && seenAt.After(v.seenAt) {
+		v.seenAt = seenAt
+	}
+	if ok && !update.supersedes(v.Verdict) || now.Sub(seenAt) >= t.options.Retention {
+		return
+	}
+	if !update.IsQuarantined {
+		t.evidence.disprove(at, update.Trait)
+	}
+	t.decide(now, update.Verdict)
+	v = t.verdicts[update.Trait]
+	v.changedAt, v.seenAt = at, seenAt
+	if completedAt := t.successes.last(update.Trait); update.IsQuarantined && completedAt.After(at) {
+		t.disprove(now, completedAt, update.Trait, true)
+	}
+}
+
+// Unsaved returns the verdicts that this instance has decided and that are not stored yet.
+func (t *Tracker) Unsaved() []Verdict {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var verdicts []Verdict
+	for trait := range t.unsaved {
+		v, ok := t.verdicts[trait]
+		if ok {
+			verdicts = append(verdicts, v.Verdict)
+		}
+	}
+	return verdicts
+}
+
+// Saved records that the verdict, or one that supersedes it, is stored.
+func (t *Tracker) Saved(verdict Verdict) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	v, ok := t.verdicts[verdict.Trait]
+	if ok && v.Version <= verdict.Version {
+		delete(t.unsaved, verdict.Trait)
+	}
+}
+
+// Knows reports whether the Tracker holds a verdict on the trait.
+func (t *Tracker) Knows(now time.Time, trait Trait) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.evict(now)
+	_, ok := t.verdicts[trait]
+	return ok
+}
+
+// Quarantined returns the number of quarantined traits.
+func (t *Tracker) Quarantined() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	count := 0
+	for _, v := range t.verdicts {
+		if v.IsQuarantined {
+			count++
+		}
+	}
+	return count
+}
