Store a verdict by who observed a crash, and later by who decided it

What callers would see: after a restart of all instances a part that crashes engines is sent again. Cause: only an instance that decided a verdict and had observed a crash itself stored it. The one that decides first may have heard of all crashes from others; the observers then accept its verdict, and none stores it. Now an observer stores a verdict at once, also one that it has heard of, and each other decider 2 to 4 s later unless it is stored by then. The tracker also gets what our own interface needs: news that each instance tells every other one, and judging parts alone.

--- a/internal/lredge/quarantine.go
+++ b/internal/lredge/quarantine.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
-	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	quarantine "github.com/lavenderrouter/lavenderrouter/internal/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 )
@@ -61,9 +59,18 @@
 }
 
 // saveVerdicts stores the verdicts that this instance has decided.
-func (d *Daemon) saveVerdicts(ctx context.Context, _ time.Time) {
-	for _, v := range d.quarantine.Unsaved() {
-		err := d.saveVerdict(ctx, v)
+func (d *Daemon) saveVerdicts(ctx context.Context, now time.Time) {
+	unsaved := d.quarantine.Unsaved(now)
+	if len(unsaved) == 0 {
+		return
+	}
+	store, stored := d.verdictStore(), d.verdicts.Snapshot().Set
+	for _, v := range unsaved {
+		if stored[v.Trait.String()].Version >= v.Version {
+			d.quarantine.Saved(v)
+			continue
+		}
+		err := store.Save(ctx, v, v)
 		if err != nil {
 			d.log.Warn().Err(err).Str("trait", v.Trait.String()).Msg("quarantine: verdict not stored yet")
 			continue
@@ -72,53 +79,22 @@
 	}
 }
 
-// saveVerdict stores the verdict, unless one of the same or a higher version is stored.
-func (d *Daemon) saveVerdict(ctx context.Context, v lrquarantine.Verdict) error {
-	value, err := json.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("encode verdict: %w", err)
-	}
-	name := v.Trait.String()
-	_, err = d.ports.Store.Create(ctx, d.ports.VerdictsKind, name, value)
-	if !lrplatform.ErrConflict.Has(err) {
-		return err
-	}
-	object, err := d.ports.Store.Get(ctx, d.ports.VerdictsKind, name)
-	if err != nil {
-		return err
-	}
-	var stored lrquarantine.Verdict
-	err = json.Unmarshal(object.Value, &stored)
-	if err == nil && stored.Version >= v.Version {
-		return nil
-	}
-	_, err = d.ports.Store.Update(ctx, object.WithValue(value))
-	return err
-}
-
 // forgetVerdicts deletes the stored verdicts that are no longer held. One instance does it for all.
 func (d *Daemon) forgetVerdicts(ctx context.Context, now time.Time) {
 	if d.sharer.Rank(now) > 0 {
 		return
 	}
-	for name, v := range d.verdicts.Snapshot().Set {
+	for _, v := range d.verdicts.Snapshot().Set {
 		if d.quarantine.Knows(now, v.Trait) {
 			continue
 		}
-		err := d.deleteVerdict(ctx, name)
+		err := d.verdictStore().Delete(ctx, v.Trait)
 		if err != nil {
-			d.log.Warn().Err(err).Str("trait", name).Msg("quarantine: old verdict not deleted")
+			d.log.Warn().Err(err).Str("trait", v.Trait.String()).Msg("quarantine: old verdict not deleted")
 		}
 	}
 }
 
-func (d *Daemon) deleteVerdict(ctx context.Context, name string) error {
-	object, err := d.ports.Store.Get(ctx, d.ports.VerdictsKind, name)
-	if lrplatform.ErrNotFound.Has(err) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	return d.ports.Store.Delete(ctx, object)
+func (d *Daemon) verdictStore() quarantine.VerdictStore {
+	return quarantine.VerdictStore{Objects: d.ports.Store, Kind: d.ports.VerdictsKind}
 }
--- a/pkg/lrquarantine/evidence.go
+++ b/pkg/lrquarantine/evidence.go
@@ -23,8 +23,23 @@
 	request   Request
 	at        time.Time
 	learnedAt time.Time
-	// isOwn is set when this instance observed the crash itself.
-	isOwn bool
+	// isOwn is set when this instance observed the crash itself, and isTaken when it is news no longer.
+	isOwn   bool
+	isTaken bool
+}
+
+// takeNews returns the requests that this instance observed at the crash and that were not returned before.
+func (c *crash) takeNews(now time.Time) []CrashUpdate {
+	var news []CrashUpdate
+	for whole, r := range c.requests {
+		if !r.isOwn || r.isTaken {
+			continue
+		}
+		r.isTaken = true
+		c.requests[whole] = r
+		news = append(news, CrashUpdate{Server: c.server, Request: r.request, Age: now.Sub(r.at)})
+	}
+	return news
 }
 
 // suspect says in which requests a trait was in flight at a crash.
--- a/pkg/lrquarantine/tracker.go
+++ b/pkg/lrquarantine/tracker.go
@@ -29,8 +29,9 @@
 	verdicts map[Trait]*heldVerdict
 	// completions holds what other instances shall know of completed requests with suspect traits.
 	completions map[Trait]completion
-	// unsaved holds the verdicts that this instance has to store.
-	unsaved map[Trait]bool
+	// unsaved holds when this instance has to store a verdict, and untold the verdicts that are news to other instances.
+	unsaved map[Trait]time.Time
+	untold  map[Trait]bool
 }
 
 // ripeness is since when a trait has had enough evidence against it.
@@ -44,6 +45,9 @@
 type completion struct {
 	at        time.Time
 	learnedAt time.Time
+	// isHeard is set when another instance has told of it, and isTaken when it is news no longer.
+	isHeard bool
+	isTaken bool
 }
 
 // An Admission says whether a request may be sent to a server.
@@ -71,7 +75,7 @@
 func NewTracker(now time.Time, options TrackerOptions) *Tracker {
 	return &Tracker{
 		options: options, startedAt: now, evidence: newEvidence(options), successes: newSuccesses(options.MaxSuccesses), ripe: map[Trait]ripeness{},
-		verdicts: map[Trait]*heldVerdict{}, completions: map[Trait]completion{}, unsaved: map[Trait]bool{},
+		verdicts: map[Trait]*heldVerdict{}, completions: map[Trait]completion{}, unsaved: map[Trait]time.Time{}, untold: map[Trait]bool{},
 	}
 }
 
@@ -99,7 +103,7 @@
 	if decision.Admission == Rejected {
 		return decision
 	}
-	for _, trait := range request.traits() {
+	for _, trait := range t.traits(request) {
 		v, ok := t.verdicts[trait]
 		if !ok || !v.IsQuarantined {
 			continue
@@ -107,7 +111,7 @@
 		next := v.withVersionAfter(v.Verdict)
 		next.Trials++
 		t.decide(now, next)
-		t.unsaved[trait] = true
+		t.unsaved[trait], t.untold[trait] = now, true
 	}
 	return decision
 }
@@ -115,7 +119,7 @@
 func (t *Tracker) check(now time.Time, request Request) Decision {
 	t.evaluate(now)
 	var decision Decision
-	for _, trait := range request.traits() {
+	for _, trait := range t.traits(request) {
 		v, ok := t.verdicts[trait]
 		if !ok || !v.IsQuarantined {
 			continue
@@ -157,7 +161,7 @@
 	if len(request.Parts) > 0 {
 		t.completed++
 	}
-	for _, trait := range request.traits() {
+	for _, trait := range t.traits(request) {
 		t.disprove(now, now, trait, true)
 	}
 	for _, part := range request.Parts {
@@ -172,7 +176,7 @@
 	if c == nil {
 		return
 	}
-	for _, trait := range request.traits() {
+	for _, trait := range t.traits(request) {
 		completedAt := t.successes.last(trait)
 		if !completedAt.IsZero() {
 			t.announce(now, trait, completedAt)
@@ -189,11 +193,19 @@
 	}
 }
 
+// traits returns the traits of the request that are judged.
+func (t *Tracker) traits(request Request) []Trait {
+	if t.options.PartsOnly {
+		return request.Parts
+	}
+	return request.traits()
+}
+
 // announce makes known to other instances that a request with the trait was completed at the time.
 func (t *Tracker) announce(now time.Time, trait Trait, at time.Time) {
 	known, ok := t.completions[trait]
 	if !ok || known.at.Before(at) {
-		t.completions[trait] = completion{at: at, learnedAt: now}
+		t.completions[trait] = completion{at: at, learnedAt: now, isHeard: known.isHeard}
 	}
 }
 
@@ -325,10 +337,17 @@
 	} else {
 		verdict = verdict.withVersionAfter(Verdict{})
 	}
-	if t.evidence.isOwn(trait) {
-		t.unsaved[trait] = true
-	}
 	t.decide(now, verdict)
+	t.saveLater(now, trait)
+}
+
+// saveLater makes this instance store the verdict: at once if it has observed one of the crashes itself, and otherwise so much later that
+// another instance is likely to have stored it.
+func (t *Tracker) saveLater(now time.Time, trait Trait) {
+	if !t.evidence.isOwn(trait) {
+		now = now.Add(saveDelay + time.Duration(jitter(t.options.Instance, trait, 0)*float64(saveDelay)))
+	}
+	t.unsaved[trait] = now
 }
 
 // decide puts the verdict in force.
@@ -378,7 +397,9 @@
 	lifted := Verdict{Trait: trait, Crashes: v.Crashes, Trials: v.Trials}.withVersionAfter(v.Verdict)
 	t.announce(now, trait, at)
 	t.decide(now, lifted)
-	t.unsaved[trait] = t.unsaved[trait] || isOwn
+	if isOwn {
+		t.unsaved[trait], t.untold[trait] = now, true
+	}
 }
 
 // evict forgets verdicts on traits that have not been seen for the retention time, and the one that was not seen for longest when there are
@@ -387,8 +408,7 @@
 	var oldest *heldVerdict
 	for trait, v := range t.verdicts {
 		if now.Sub(v.seenAt) >= t.options.Retention {
-			delete(t.verdicts, trait)
-			delete(t.unsaved, trait)
+			t.forget(trait)
 			continue
 		}
 		if oldest == nil || v.seenAt.Before(oldest.seenAt) {
@@ -396,7 +416,12 @@
 		}
 	}
 	if len(t.verdicts) >= t.options.MaxVerdicts {
-		delete(t.verdicts, oldest.Trait)
-		delete(t.unsaved, oldest.Trait)
+		t.forget(oldest.Trait)
 	}
 }
+
+func (t *Tracker) forget(trait Trait) {
+	delete(t.verdicts, trait)
+	delete(t.unsaved, trait)
+	delete(t.untold, trait)
+}
--- a/pkg/lrquarantine/tracker_options.go
+++ b/pkg/lrquarantine/tracker_options.go
@@ -14,6 +14,8 @@
 	Instance string
 	// OnDecision is called with each verdict that takes effect. It must not block.
 	OnDecision func(verdict Verdict)
+	// PartsOnly is set when whole requests are judged by other means, so that parts alone are suspects.
+	PartsOnly bool
 	// MinCrashes is the number of independent crashes, without a completed request since, after which a trait is quarantined.
 	MinCrashes int
 	// CrashWindow is the time within which requests that break off on one server count as one crash.
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -296,6 +296,28 @@
 	})
 }
 
+// TestVerdictIsStored guards against a verdict that is lost with a restart of all instances, because the one that decided it has not observed
+// a crash, and the one that has observed the crashes has only heard of the verdict.
+func TestVerdictIsStored(t *testing.T) {
+	observer, decider := newInstance("first"), newInstance("first")
+	for n := range 3 {
+		observer.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+	}
+	decider.now = observer.now
+	decider.Merge(decider.now, observer.Updates(observer.now))
+	decider.settle()
+	requireAdmission(t, decider, lrquarantine.Rejected, "first", "deadly")
+	requireEqual(t, len(decider.Unsaved(decider.now)), 0, "verdicts that the decider stores at once")
+	observer.now = decider.now
+	observer.Merge(observer.now, decider.Updates(decider.now))
+	unsaved := observer.Unsaved(observer.now)
+	requireEqual(t, len(unsaved), 1, "verdicts that the observer stores")
+	observer.Saved(unsaved[0])
+	requireEqual(t, len(observer.Unsaved(observer.now)), 0, "verdicts left to store")
+	decider.advance(5 * time.Second)
+	requireEqual(t, len(decider.Unsaved(decider.now)), 1, "verdicts that the decider stores later")
+}
+
 // TestTrackerMemoryIsBounded guards against crashes without end that fill the memory.
 func TestTrackerMemoryIsBounded(t *testing.T) {
 	options := lrquarantine.DefaultTrackerOptions("a")
--- a/pkg/lrquarantine/updates.go
+++ b/pkg/lrquarantine/updates.go
@@ -6,8 +6,14 @@
 	"time"
 )
 
-// maxVerdictsSent is the most verdicts in one message to another instance.
-const maxVerdictsSent = 64
+const (
+	// maxVerdictsSent is the most verdicts in one message to another instance.
+	maxVerdictsSent = 64
+	// newsDelay is the time over which the instances spread what they tell of completed requests.
+	newsDelay = 300 * time.Millisecond
+	// saveDelay is how long an instance that has not observed a crash waits at least until it stores a verdict.
+	saveDelay = 2 * time.Second
+)
 
 // Updates are what an instance tells the others. Times are ages, since the clocks of instances differ.
 type Updates struct {
@@ -51,22 +57,74 @@
 			}
 		}
 	}
+	t.expireCompletions(now)
 	for trait, c := range t.completions {
-		if now.Sub(c.learnedAt) >= t.options.GossipTime {
-			delete(t.completions, trait)
-			continue
-		}
 		updates.Completions = append(updates.Completions, CompletionUpdate{Trait: trait, Age: now.Sub(c.at)})
 	}
 	updates.Verdicts = t.latestVerdicts(now)
 	return updates
 }
 
+// IsEmpty reports whether there is nothing to tell.
+func (u Updates) IsEmpty() bool {
+	return len(u.Crashes) == 0 && len(u.Completions) == 0 && len(u.Verdicts) == 0
+}
+
+// TakeNews returns what this instance alone can tell the others and what it has not returned before. It is meant for instances that tell
+// every other one, so that none has to pass on what it hears. Of the instances that can tell of the same completed request, each waits for
+// a different part of the time, and most hear of it first.
+func (t *Tracker) TakeNews(now time.Time) Updates {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.evaluate(now)
+	var news Updates
+	for _, c := range t.evidence.crashes {
+		news.Crashes = append(news.Crashes, c.takeNews(now)...)
+	}
+	for trait, c := range t.completions {
+		isDue := now.Sub(c.learnedAt) >= time.Duration(jitter(t.options.Instance, trait, 0)*float64(newsDelay))
+		if c.isTaken || c.isHeard || !isDue || !t.matters(trait) {
+			continue
+		}
+		c.isTaken = true
+		t.completions[trait] = c
+		news.Completions = append(news.Completions, CompletionUpdate{Trait: trait, Age: now.Sub(c.at)})
+	}
+	for trait := range t.untold {
+		news.Verdicts = append(news.Verdicts, t.verdicts[trait].update(now))
+	}
+	clear(t.untold)
+	t.expireCompletions(now)
+	return news
+}
+
+// matters reports whether a completed request with the trait can change a verdict.
+func (t *Tracker) matters(trait Trait) bool {
+	_, isRipe := t.ripe[trait]
+	v, ok := t.verdicts[trait]
+	return isRipe || ok && v.IsQuarantined
+}
+
+func (t *Tracker) expireCompletions(now time.Time) {
+	for trait, c := range t.completions {
+		if now.Sub(c.learnedAt) >= t.options.GossipTime {
+			delete(t.completions, trait)
+		}
+	}
+}
+
+// Verdicts returns the verdicts that changed last, for an instance that may lack them.
+func (t *Tracker) Verdicts(now time.Time) Updates {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return Updates{Verdicts: t.latestVerdicts(now)}
+}
+
 func (t *Tracker) latestVerdicts(now time.Time) []VerdictUpdate {
 	t.evict(now)
 	updates := make([]VerdictUpdate, 0, len(t.verdicts))
 	for _, v := range t.verdicts {
-		updates = append(updates, VerdictUpdate{Verdict: v.Verdict, Age: now.Sub(v.changedAt), SeenAge: now.Sub(v.seenAt)})
+		updates = append(updates, v.update(now))
 	}
 	slices.SortFunc(updates, func(a, b VerdictUpdate) int { return cmp.Compare(a.Age, b.Age) })
 	return updates[:min(len(updates), maxVerdictsSent)]
@@ -84,6 +142,11 @@
 	}
 	for _, c := range updates.Completions {
 		t.disprove(now, now.Add(-c.Age), c.Trait, false)
+		known, ok := t.completions[c.Trait]
+		if ok {
+			known.isHeard = true
+			t.completions[c.Trait] = known
+		}
 	}
 	t.evaluate(now)
 }
@@ -103,19 +166,22 @@
 	t.decide(now, update.Verdict)
 	v = t.verdicts[update.Trait]
 	v.changedAt, v.seenAt = at, seenAt
+	if update.IsQuarantined && t.evidence.isOwn(update.Trait) {
+		t.saveLater(now, update.Trait)
+	}
 	if completedAt := t.successes.last(update.Trait); update.IsQuarantined && completedAt.After(at) {
 		t.disprove(now, completedAt, update.Trait, true)
 	}
 }
 
-// Unsaved returns the verdicts that this instance has decided and that are not stored yet.
-func (t *Tracker) Unsaved() []Verdict {
+// Unsaved returns the verdicts that this instance has to store now.
+func (t *Tracker) Unsaved(now time.Time) []Verdict {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var verdicts []Verdict
-	for trait := range t.unsaved {
+	for trait, due := range t.unsaved {
 		v, ok := t.verdicts[trait]
-		if ok {
+		if ok && !now.Before(due) {
 			verdicts = append(verdicts, v.Verdict)
 		}
 	}
--- a/pkg/lrquarantine/verdict.go
+++ b/pkg/lrquarantine/verdict.go
@@ -1,6 +1,7 @@
 package lrquarantine
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -71,12 +72,17 @@
 	if v.Trials >= options.MaxTrials {
 		wait = max(wait, options.Retention)
 	}
-	return v.changedAt.Add(wait + time.Duration(float64(wait)*v.jitter(options.Instance)))
+	return v.changedAt.Add(wait + time.Duration(float64(wait)*jitter(options.Instance, v.Trait, v.Trials)))
 }
 
-// jitter returns a number in [0, 1) that depends on the instance and the verdict.
-func (v heldVerdict) jitter(instance string) float64 {
-	key := []byte{byte(v.Trials), byte(v.Trait), byte(v.Trait >> 8), byte(v.Trait >> 16), byte(v.Trait >> 24)}
+// update returns the verdict as other instances are told.
+func (v heldVerdict) update(now time.Time) VerdictUpdate {
+	return VerdictUpdate{Verdict: v.Verdict, Age: now.Sub(v.changedAt), SeenAge: now.Sub(v.seenAt)}
+}
+
+// jitter returns a number in [0, 1) that depends on the instance, the trait and the round.
+func jitter(instance string, trait Trait, round uint32) float64 {
 	const resolution = 1 << 16
-	return float64(lrhash.RendezvousScore(string(key), instance)%resolution) / resolution
+	key := trait.String() + "/" + strconv.FormatUint(uint64(round), 10)
+	return float64(lrhash.RendezvousScore(key, instance)%resolution) / resolution
 }
