Stop prompts that crash engines through a block that they share on our own interface too

The same cause as on the edge: lrstream counted crashes by the digest of account, model and prompt, so that unlike prompts that share a block went on to crash engines. The tracker of pkg/lrquarantine now judges the whole blocks of a prompt by their content, beside the isolation of whole requests, which stays. Instances tell one another crashes, completed requests that matter and verdicts through the rpc Tell, ask for verdicts each 2 s, and keep them beside the quarantines in the platform. Of the instances that can tell of the same completed request most stay silent, so that a crash costs about as many calls as before.

--- a/internal/lrdaemon/quarantine_test.go
+++ b/internal/lrdaemon/quarantine_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
 )
 
 const crashingPrompt = "poison"
@@ -69,9 +71,58 @@
 
 func sendCrashingPrompt(t *testing.T, h *harness, d *runningDaemon) (int, string) {
 	t.Helper()
-	response := post(t, d.url+"/v1/completions", h.key.Reveal(), []byte(`{"model":"award-review","prompt":"`+crashingPrompt+`"}`))
+	return sendPrompt(t, h, d, crashingPrompt)
+}
+
+func sendPrompt(t *testing.T, h *harness, d *runningDaemon, prompt string) (int, string) {
+	t.Helper()
+	response := post(t, d.url+"/v1/completions", h.key.Reveal(), []byte(`{"model":"award-review","prompt":"`+prompt+`"}`))
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	requireNoError(t, err)
 	return response.StatusCode, string(body)
 }
+
+// TestPartThatCrashesEnginesIsRejectedOnAllInstances guards against unlike prompts that crash engines through a block that they share, and
+// that are sent on by other instances, or by one that starts later. Prompts with the same first block are served.
+func TestPartThatCrashesEnginesIsRejectedOnAllInstances(t *testing.T) {
+	h := newHarness(t, 4)
+	for _, e := range h.engines {
+		h.control(e, "/control/faults", lrstub.Faults{CrashOn: crashingPrompt})
+	}
+	daemons := h.startDaemons("router-1", "router-2")
+	first, deadly := promptBlock("first"), promptBlock(crashingPrompt)
+	sent := 0
+	send := func(d *runningDaemon, prefix string) (status int, body string) {
+		sent++
+		return sendPrompt(t, h, d, fmt.Sprint(prefix, "own ", sent))
+	}
+	isServed := func(d *runningDaemon) bool {
+		status, _ := send(d, first)
+		return status == http.StatusOK
+	}
+	rejects := func(d *runningDaemon) bool {
+		status, body := send(d, first+deadly)
+		return status == http.StatusUnprocessableEntity && strings.Contains(body, `"outcome":"notRun"`)
+	}
+	for _, d := range daemons {
+		eventually(t, "the instance serves prompts with the first block", func() bool { return isServed(d) })
+	}
+	for n, d := range daemons {
+		eventually(t, "an instance rejects the part", func() bool {
+			requireEqual(t, isServed(daemons[1-n]), true, "a sound prompt is served")
+			return rejects(d)
+		})
+	}
+	eventually(t, "the platform keeps the verdict", func() bool {
+		return bytes.Contains(h.read(h.platform, "/objects/quarantines"), []byte("part-"))
+	})
+	late := h.startDaemon("router-3", nil)
+	eventually(t, "an instance that starts later rejects the part", func() bool { return rejects(late) })
+	requireEqual(t, isServed(late), true, "a sound prompt is served by the late instance")
+}
+
+// promptBlock returns a text that is a whole block of a prompt.
+func promptBlock(text string) string {
+	return text + strings.Repeat(".", lrprefix.BlockBytes-len(text))
+}
--- a/internal/lrdaemon/wire_streams.go
+++ b/internal/lrdaemon/wire_streams.go
@@ -15,9 +15,15 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 )
 
-// quarantineInterval is the time between two reads of the quarantines from the platform. A quarantine blocks a request
-// that crashes engines.
-const quarantineInterval = 30 * time.Second
+const (
+	// quarantineInterval is the time between two reads of the quarantines from the platform. A quarantine blocks a request
+	// that crashes engines.
+	quarantineInterval = 30 * time.Second
+	// quarantineNewsInterval is the time between two messages to the other instances about parts of prompts that crash engines.
+	quarantineNewsInterval = 100 * time.Millisecond
+	// quarantineAskInterval is the time between two questions for the verdicts of another instance.
+	quarantineAskInterval = 2 * time.Second
+)
 
 // wireStreams creates the queue, the quarantine and the runner of streams. The registry and the placer must exist.
 func (d *Daemon) wireStreams() {
@@ -34,12 +40,14 @@
 	lrpeerpb.RegisterQuarantineServer(d.peers, quarantines)
 	d.runner = lrstream.NewRunner(d.registry, d.placer, d.clock, lrstream.Options{
 		MaxAttempts: s.MaxAttempts, EventTimeout: s.EventTimeout,
-		Budget: d.budget, Ejector: d.ejector, Suspects: quarantines,
+		Budget: d.budget, Ejector: d.ejector, Suspects: quarantines, Quarantine: quarantines.Parts,
 	}, d.log)
 	d.supervisor.Add("sizeQueue", lrsupervise.Every(s.LoadInterval, func(_ context.Context, now time.Time) {
 		queue.SetCapacity(now, d.queueCapacity())
 	}))
 	d.supervisor.Add("spreadCrashes", quarantines.Run)
+	d.supervisor.Add("tellQuarantines", lrsupervise.Every(quarantineNewsInterval, quarantines.TellNews))
+	d.supervisor.Add("askQuarantines", lrsupervise.Every(quarantineAskInterval, quarantines.AskVerdicts))
 	d.supervisor.Add("refreshQuarantines", lrsupervise.Every(quarantineInterval, quarantines.Refresh))
 }
 
--- a/internal/lrquarantine/record.go
+++ b/internal/lrquarantine/record.go
@@ -36,6 +36,12 @@
 		return
 	}
 	for _, o := range objects {
+		if isPart(o) {
+			if !s.applyPart(now, o) {
+				_ = s.options.Store.Delete(ctx, o)
+			}
+			continue
+		}
 		var quarantine record
 		err := json.Unmarshal(o.Value, &quarantine)
 		if err != nil || !now.Before(quarantine.ExpiresAt) {
--- a/internal/lrquarantine/service.go
+++ b/internal/lrquarantine/service.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 type Service struct {
 	lrpeerpb.UnimplementedQuarantineServer
 	*lrquarantine.Ledger
+	// Parts judges the parts of prompts.
+	Parts   *lrquarantine.Tracker
 	options Options
 	// pending is the queue of crashes to report to the other instances and of quarantines to store in the platform.
 	pending *lrfifo.Queue[decision]
@@ -57,9 +60,13 @@
 
 // NewService returns a Service without any suspect or quarantined request.
 func NewService(options Options) *Service {
-	return &Service{
+	s := &Service{
 		Ledger: lrquarantine.NewLedger(options.Ledger), options: options, pending: lrfifo.New[decision](pendingCapacity),
 	}
+	parts := DefaultPartOptions(options.Membership.Self().Name)
+	parts.OnDecision = s.logVerdict
+	s.Parts = lrquarantine.NewTracker(options.Clock(), parts)
+	return s
 }
 
 // Begin records that the request is about to run on the server. It reports whether the request runs isolated, and whether it
@@ -164,10 +171,7 @@
 	defer cancel()
 	var group errgroup.Group
 	group.SetLimit(maxParallelCalls)
-	for _, m := range s.options.Membership.Members() {
-		if m.Name == s.options.Membership.Self().Name {
-			continue
-		}
+	for _, m := range s.others() {
 		group.Go(func() error {
 			connection, err := s.options.Pool.Connection(m.PeerAddress)
 			if err != nil {
@@ -178,3 +182,9 @@
 	}
 	return group.Wait()
 }
+
+// others returns the members but for this instance.
+func (s *Service) others() []lrpeer.Member {
+	self := s.options.Membership.Self().Name
+	return slices.DeleteFunc(slices.Clone(s.options.Membership.Members()), func(m lrpeer.Member) bool { return m.Name == self })
+}
--- a/internal/lrstream/attempt.go
+++ b/internal/lrstream/attempt.go
@@ -23,12 +23,21 @@
 // runAttempt places the request on an engine and relays the answer. It reports whether the answer is complete, and returns an
 // error if no further attempt may be made.
 func (g *generation) runAttempt(ctx context.Context, number int) (bool, error) {
+	err := g.awaitAdmission(ctx)
+	if err != nil {
+		return false, err
+	}
 	placement, isolated, err := g.place(ctx)
 	if err != nil {
 		return false, err
 	}
 	options := g.runner.options
 	defer func() { g.runner.placer.Finish(g.runner.clock(), placement.Engine, g.job.Route) }()
+	decision := options.Quarantine.Begin(g.runner.clock(), g.traits)
+	if decision.Admission == lrquarantine.Rejected {
+		options.Suspects.End(g.digest, placement.Engine, false)
+		return false, g.quarantined(decision)
+	}
 	options.Ejector.Started(g.runner.clock(), placement.Engine)
 	attempt := Attempt{ID: fmt.Sprintf("%s.%d", g.job.Engine.RequestID, number), Placement: placement}
 	stream := &attemptStream{generation: g, attempt: &attempt}
@@ -42,6 +51,7 @@
 	}
 	if err == nil {
 		options.Ejector.Succeeded(placement.Engine)
+		options.Quarantine.Completed(g.runner.clock(), g.traits)
 		return true, nil
 	}
 	return g.handleFailure(ctx, stream, isolated, err)
@@ -71,6 +81,7 @@
 	if !lrengine.ErrBroken.Has(err) {
 		return false, nil
 	}
+	g.runner.options.Quarantine.Crashed(g.runner.clock(), engine, g.traits)
 	g.runner.options.Suspects.Crashed(ctx, g.runner.clock(), lrquarantine.Crash{
 		Digest: g.digest, Server: engine, Incarnation: stream.incarnation, AttemptID: stream.attempt.ID, Isolated: isolated,
 	})
--- a/internal/lrstream/fake_engine_test.go
+++ b/internal/lrstream/fake_engine_test.go
@@ -40,6 +40,9 @@
 	nextFaults []faultKind
 	// crashPrompt is a prompt that crashes every engine that receives it.
 	crashPrompt string
+	// crashText crashes every engine that receives a prompt with it. crashes counts these crashes.
+	crashText string
+	crashes   int
 	// failBeforeFirstEvent makes faults occur before the first event instead of at a random one.
 	failBeforeFirstEvent bool
 }
@@ -85,6 +88,9 @@
 		kind, f.nextFaults = f.nextFaults[0], f.nextFaults[1:]
 	case f.crashPrompt != "" && request.Prompt == f.crashPrompt:
 		kind = faultCrash
+	case f.crashText != "" && strings.Contains(request.Prompt, f.crashText):
+		f.crashes++
+		kind = faultCrash
 	case f.random.Float64() < f.faultRate:
 		kind = 1 + faultKind(f.random.IntN(int(faultKinds)-1))
 	}
--- a/internal/lrstream/options.go
+++ b/internal/lrstream/options.go
@@ -9,7 +9,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 )
 
-func (o Options) withDefaults() Options {
+func (o Options) withDefaults(now time.Time) Options {
 	if o.Budget == nil {
 		o.Budget = lrretry.DefaultBudget()
 	}
@@ -22,6 +22,11 @@
 	if o.Suspects == nil {
 		o.Suspects = localSuspectTracker{Ledger: lrquarantine.NewLedger(lrquarantine.DefaultOptions())}
 	}
+	if o.Quarantine == nil {
+		options := lrquarantine.DefaultTrackerOptions("")
+		options.PartsOnly = true
+		o.Quarantine = lrquarantine.NewTracker(now, options)
+	}
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
--- a/internal/lrstream/runner.go
+++ b/internal/lrstream/runner.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrengine"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrprefix"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrroute"
@@ -52,6 +53,18 @@
 	Crashed(ctx context.Context, now time.Time, crash lrquarantine.Crash) lrquarantine.State
 }
 
+// A Quarantine finds out which parts of prompts crash engines, and rejects requests with them.
+type Quarantine interface {
+	// Check decides on a request for which no engine has been chosen yet.
+	Check(now time.Time, request lrquarantine.Request) lrquarantine.Decision
+	// Begin decides on a request that is about to be sent to an engine.
+	Begin(now time.Time, request lrquarantine.Request) lrquarantine.Decision
+	// Crashed records that the engine crashed while it ran the request.
+	Crashed(now time.Time, engine string, request lrquarantine.Request)
+	// Completed records that an engine has completed the request.
+	Completed(now time.Time, request lrquarantine.Request)
+}
+
 // A Job describes one generation: the request to the engine and the input for the placement.
 type Job struct {
 	Engine lrengine.Request
@@ -79,7 +92,7 @@
 	Outcome          lrerror.Outcome
 }
 
-// Options limit a generation. Budget, Backoff, Ejector, Suspects and Random have defaults, which replace zero values.
+// Options limit a generation. Budget, Backoff, Ejector, Suspects, Quarantine and Random have defaults, which replace zero values.
 type Options struct {
 	MaxAttempts int
 	// EventTimeout is the time without an event after which an engine counts as stalled.
@@ -91,6 +104,8 @@
 	// Ejector excludes failing engines for a time.
 	Ejector  *lrretry.Ejector
 	Suspects SuspectTracker
+	// Quarantine judges parts of prompts, and Suspects whole requests.
+	Quarantine Quarantine
 	// Random returns values in [0, 1), which add jitter to the backoff.
 	Random func() float64
 }
@@ -108,7 +123,7 @@
 // NewRunner returns a Runner.
 func NewRunner(engines EngineSource, placer lrroute.Placer, clock func() time.Time, options Options, log zerolog.Logger) *Runner {
 	return &Runner{
-		engines: engines, placer: placer, clock: clock, options: options.withDefaults(), log: log,
+		engines: engines, placer: placer, clock: clock, options: options.withDefaults(clock()), log: log,
 		cancelSlots: make(chan struct{}, maxConcurrentCancels),
 	}
 }
@@ -117,7 +132,10 @@
 // delivered token.
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) (Result, error) {
 	digest := lrquarantine.Digest(job.Route.Scope.Account, job.Route.Scope.Model, job.Engine.Prompt)
-	run := &generation{runner: r, job: job, sink: sink, digest: digest, started: r.clock()}
+	run := &generation{
+		runner: r, job: job, sink: sink, digest: digest, started: r.clock(),
+		traits: lrquarantine.NewRequest(digest, lrprefix.Contents(job.Engine.Prompt)...),
+	}
 	run.result.Outcome = lrerror.NotRun
 	run.generated.Grow(len(job.Engine.Generated))
 	err := run.checkQuarantine()
@@ -140,10 +158,12 @@
 
 // generation is the state of one call of Run.
 type generation struct {
-	runner    *Runner
-	job       Job
-	sink      Sink
-	digest    string
+	runner *Runner
+	job    Job
+	sink   Sink
+	digest string
+	// traits are the properties of the request by which crashes are attributed to it.
+	traits    lrquarantine.Request
 	started   time.Time
 	result    Result
 	generated strings.Builder
@@ -161,6 +181,31 @@
 	return lrsupervise.Sleep(ctx, options.Backoff.Delay(retry, options.Random()))
 }
 
+// awaitAdmission waits while it is about to be decided whether engines crash on a part of the prompt. It returns an error if the request
+// must not be sent.
+func (g *generation) awaitAdmission(ctx context.Context) error {
+	for {
+		decision := g.runner.options.Quarantine.Check(g.runner.clock(), g.traits)
+		switch decision.Admission {
+		case lrquarantine.Rejected:
+			return g.quarantined(decision)
+		case lrquarantine.Delayed:
+			if !lrsupervise.Sleep(ctx, decision.Wait) {
+				return lrerror.New(lrerror.KindTimeout, g.result.Outcome, "the request took too long or its caller left")
+			}
+		case lrquarantine.Admitted:
+			return nil
+		}
+	}
+}
+
+// quarantined returns the error of a request with a part on which engines crash.
+func (g *generation) quarantined(decision lrquarantine.Decision) error {
+	return lrerror.New(lrerror.KindQuarantined, g.result.Outcome,
+		"engines crash on a part of this prompt; change it, or report the request id to the operator").
+		WithRetryAfter(decision.Wait).WithCause(decision.Verdict.Err())
+}
+
 func (g *generation) checkQuarantine() error {
 	now := g.runner.clock()
 	if g.runner.options.Suspects.State(now, g.digest) != lrquarantine.Quarantined {
--- a/pkg/lrprefix/chain.go
+++ b/pkg/lrprefix/chain.go
@@ -77,6 +77,18 @@
 	return chain
 }
 
+// Contents returns the identities of the whole blocks of the prompt by their content alone: equal blocks have equal identities, whatever
+// stands before them and whoever sends them.
+func Contents(prompt string) []string {
+	count := len(prompt) / BlockBytes
+	contents := make([]string, 0, count)
+	for n := range count {
+		sum := sha256.Sum256([]byte(prompt[n*BlockBytes : (n+1)*BlockBytes]))
+		contents = append(contents, hex.EncodeToString(sum[:IDBytes]))
+	}
+	return contents
+}
+
 // Tokens returns the number of tokens that a text counts as, rounded up.
 func Tokens(text string) int {
 	return (len(text) + BytesPerToken - 1) / BytesPerToken
