Keep crashes of one server at different times apart when news of both circulates

Cause: evidence held the last crash of each server alone. After a cut and a crash of the same server over 2 s later, each repeated piece of news of the one made a new record beside the other. The records were news in turn, so that they multiplied between the instances and displaced the evidence against the deadly part. Ruled out: the platform away, which began 11 s later. TestNewsOfOldCrashesIsNotNew failed before (2 quarantined traits where no server crashed thrice). Now a crash is looked up by its server and time.

--- a/pkg/lrquarantine/evidence.go
+++ b/pkg/lrquarantine/evidence.go
@@ -55,25 +55,24 @@
 type evidence struct {
 	options TrackerOptions
 	// crashes are ordered by the time at which they became known.
-	crashes []*crash
-	// byServer holds the last crash of each server.
-	byServer map[string]*crash
+	crashes  []*crash
+	byServer map[string][]*crash
 	byTrait  map[Trait][]*crash
 	// pairs is the number of suspects of all crashes.
 	pairs int
 }
 
 func newEvidence(options TrackerOptions) *evidence {
-	return &evidence{options: options, byServer: map[string]*crash{}, byTrait: map[Trait][]*crash{}}
+	return &evidence{options: options, byServer: map[string][]*crash{}, byTrait: map[Trait][]*crash{}}
 }
 
 // add records that the request was in flight on the server when it crashed, and returns the crash. It returns nil if that is known or there
 // are too many.
 func (e *evidence) add(now, at time.Time, server string, request Request, isOwn bool) *crash {
-	c, ok := e.byServer[server]
-	if !ok || at.Sub(c.at).Abs() > e.options.CrashWindow {
+	c := e.crashAt(at, server)
+	if c == nil {
 		c = &crash{server: server, at: at, requests: map[Trait]inFlight{}, suspects: map[Trait]*suspect{}}
-		e.byServer[server] = c
+		e.byServer[server] = append(e.byServer[server], c)
 		e.crashes = append(e.crashes, c)
 	}
 	_, isKnown := c.requests[request.Whole]
@@ -85,6 +84,16 @@
 	return c
 }
 
+// crashAt returns the crash of the server around the time, or nil.
+func (e *evidence) crashAt(at time.Time, server string) *crash {
+	for _, c := range e.byServer[server] {
+		if at.Sub(c.at).Abs() <= e.options.CrashWindow {
+			return c
+		}
+	}
+	return nil
+}
+
 // suspect records that the trait of a request may have caused the crash.
 func (e *evidence) suspect(c *crash, at time.Time, trait, whole Trait, isOwn bool) {
 	s, ok := c.suspects[trait]
@@ -196,7 +205,8 @@
 		e.setCrashes(trait, slices.DeleteFunc(slices.Clone(e.byTrait[trait]), func(other *crash) bool { return other == c }))
 	}
 	e.pairs -= len(c.suspects)
-	if e.byServer[c.server] == c {
+	e.byServer[c.server] = slices.DeleteFunc(e.byServer[c.server], func(other *crash) bool { return other == c })
+	if len(e.byServer[c.server]) == 0 {
 		delete(e.byServer, c.server)
 	}
 	e.crashes = e.crashes[1:]
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -296,6 +296,27 @@
 	})
 }
 
+// TestNewsOfOldCrashesIsNotNew guards against crashes that circulate between instances without end and multiply, because a server has crashed
+// again since.
+func TestNewsOfOldCrashesIsNotNew(t *testing.T) {
+	a, b := newInstance("first"), newInstance("first")
+	a.crash("s", []string{"first", "one"})
+	a.advance(lrquarantine.DefaultTrackerOptions("a").CrashWindow)
+	a.crash("s", []string{"first", "two"})
+	first := lrquarantine.CrashUpdate{Server: "s", Request: a.request("first", "three")}
+	for range 20 {
+		exchange(a, b)
+		first.Age = 2 * lrquarantine.DefaultTrackerOptions("a").CrashWindow
+		b.Merge(b.now, lrquarantine.Updates{Crashes: []lrquarantine.CrashUpdate{first}})
+		a.advance(20 * time.Millisecond)
+	}
+	a.advance(2 * lrquarantine.DefaultTrackerOptions("a").GossipTime)
+	b.now = a.now
+	requireEqual(t, len(a.Updates(a.now).Crashes)+len(b.Updates(b.now).Crashes), 0, "crashes that are still told")
+	requireAdmission(t, b, lrquarantine.Admitted, "first", "three")
+	requireEqual(t, b.Quarantined(), 0, "quarantined traits")
+}
+
 // TestVerdictIsStored guards against a verdict that is lost with a restart of all instances, because the one that decided it has not observed
 // a crash, and the one that has observed the crashes has only heard of the verdict.
 func TestVerdictIsStored(t *testing.T) {
