Take a stream without length and chunks that ends before its first event for broken

What callers would see: 200 and an empty stream where the engine died after the head, and a part that crashes engines would count as completed, which ends its quarantine. Cause: the end of the connection was the end of the stream, though no generation is without an event. Such a stream is now retried like any that broke. A stream that ends with its connection between two events still counts as complete: nothing on the wire tells it from one that an engine broke off there.

--- a/internal/lrconn/pool.go
+++ b/internal/lrconn/pool.go
@@ -135,6 +135,11 @@
 // Length returns the length of the body in bytes, or a negative number when the head does not state it.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
+// EndsWithConnection reports whether nothing but the end of the connection marks the end of the body.
+func (a *Answer) EndsWithConnection() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
 // readBuffered reads the rest of the answer if all of it is buffered already. It does not block.
 func (a *Answer) readBuffered() {
 	buffered := a.conn.reader.Buffered()
@@ -154,7 +159,7 @@
 func (a *Answer) Close() {
 	a.readBuffered()
 	canceled := !a.stop()
-	if canceled || !a.complete || a.response.Close || a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
+	if canceled || !a.complete || a.response.Close || a.EndsWithConnection() {
 		a.pool.discard(a.address, a.conn)
 		return
 	}
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -86,6 +86,9 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			return r.handleBroken(ctx, server, lrconn.ErrBroken.Wrap(err))
 		}
+		if err != nil && !r.headSent && reply.EndsWithConnection {
+			return r.handleBroken(ctx, server, lrconn.ErrBroken.New("the stream ended with its connection before the first event"))
+		}
 		r.noteComputed(choice)
 		if err != nil {
 			return r.completeStream(server, reply)
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -98,6 +98,8 @@
 	Body io.Reader
 	// Length is the length of the body in bytes. It is negative when the length is not known in advance.
 	Length int64
+	// EndsWithConnection is set when nothing but the end of the connection marks the end of the body.
+	EndsWithConnection bool
 	// Version is the weights version that produced the answer. Zero means unknown.
 	Version int64
 	// Close must be called when the reply has been read or is abandoned.
