--- a/internal/lrpipeline/outcome.go
+++ b/internal/lrpipeline/outcome.go
@@ -67,7 +67,7 @@
 func (r *run) finalRefusal(timedOut bool) *lrerror.Error {
 	switch {
 	case r.possibleRuns == 0 && r.rejection != nil:
-		return crashing(*r.rejection)
+		return crashing(r.admittedRequest, r.rejection.Verdict, r.rejection.Wait)
 	case r.possibleRuns == 0 && timedOut:
 		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "no backend server took the request in time; try again")
 	case r.possibleRuns == 0:
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -229,7 +230,7 @@
 func (p *Pipeline) admit(now time.Time, a admittedRequest) *lrerror.Error {
 	decision := p.Quarantine.Check(now, a.traits)
 	if decision.Admission == lrquarantine.Rejected {
-		return crashing(decision)
+		return crashing(a, decision.Verdict, decision.Wait)
 	}
 	if !now.Before(a.deadline) {
 		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "the time of the request is over; allow it more")
@@ -243,9 +244,14 @@
 }
 
 // crashing returns the refusal of a request that crashes backend servers, or that has a part of its prompt in common with such requests.
-func crashing(decision lrquarantine.Decision) *lrerror.Error {
-	return lrerror.New(lrerror.KindCrashing, lrerror.NotRun, "backend servers crash on this request or on a part of its prompt; change it").
-		WithRetryAfter(decision.Wait).WithCause(decision.Verdict.Err())
+func crashing(a admittedRequest, verdict lrquarantine.Verdict, wait time.Duration) *lrerror.Error {
+	what := "this request"
+	n := slices.Index(a.traits.Parts, verdict.Trait)
+	if n >= 0 {
+		what = "the part " + a.Blocks[n].ID + " of the prompt"
+	}
+	return lrerror.New(lrerror.KindCrashing, lrerror.NotRun, "backend servers crash on %s; change it", what).
+		WithRetryAfter(wait).WithCause(verdict.Err())
 }
 
 func (p *Pipeline) refuse(a admittedRequest, caller Caller, refusal *lrerror.Error) {
