Count crashes within a moment apart where a request was sent from one server to the other

Cause: engines that break off at once crash within 5 ms of one another when a request is sent again; crashes within 50 ms counted once, since servers that die together have a cause in common. Where the same request was in flight on both, it was sent on after the first crash, which is no coincidence. The new subtest failed before.

--- a/pkg/lrquarantine/evidence.go
+++ b/pkg/lrquarantine/evidence.go
@@ -134,26 +134,31 @@
 }
 
 // count returns how many crashes the part may have caused that no other part explains, and whether unlike requests with it were in flight.
-// Servers that crash at the same moment may have a cause in common that is no request, and count once.
+// Servers that crash at the same moment may have a cause in common that is no request, and count once, unless a request was sent from one to
+// the other.
 func (e *evidence) count(trait Trait) (crashes int, isShared bool) {
 	unexplained := e.unexplained(trait)
-	times := make([]time.Time, 0, len(unexplained))
-	var requests []Trait
+	suspects := make([]*suspect, 0, len(unexplained))
 	for _, c := range unexplained {
-		s := c.suspects[trait]
-		times = append(times, s.at)
-		requests = append(requests, s.requests...)
+		suspects = append(suspects, c.suspects[trait])
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	var last time.Time
-	for _, at := range times {
-		if crashes == 0 || at.Sub(last) >= e.options.MomentLength {
+	slices.SortFunc(suspects, func(a, b *suspect) int { return a.at.Compare(b.at) })
+	var last *suspect
+	requests := map[Trait]bool{}
+	for _, s := range suspects {
+		if last == nil || s.at.Sub(last.at) >= e.options.MomentLength || slices.ContainsFunc(s.requests, isIn(requests)) {
 			crashes++
-			last = at
+			last = s
+		}
+		for _, r := range s.requests {
+			requests[r] = true
 		}
 	}
-	slices.Sort(requests)
-	return crashes, len(slices.Compact(requests)) > 1
+	return crashes, len(requests) > 1
+}
+
+func isIn(set map[Trait]bool) func(trait Trait) bool {
+	return func(trait Trait) bool { return set[trait] }
 }
 
 // unexplained returns the crashes that the trait may have caused and that no other part explains.
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -120,6 +120,18 @@
 		i.complete("first", "companion")
 		requireAdmission(t, i, lrquarantine.Admitted, "first", "companion")
 	})
+	t.Run("servers that crash at once when a request is sent again", func(t *testing.T) {
+		i := newInstance("first", "second")
+		for n := range 2 {
+			request := i.request(deadly...)
+			for m := range 2 {
+				i.Crashed(i.now, fmt.Sprint("s", n, m), request)
+				i.advance(time.Millisecond)
+			}
+		}
+		i.settle()
+		requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+	})
 	t.Run("two crashes are not enough", func(t *testing.T) {
 		i := newInstance("first", "second")
 		i.crash("s1", deadly)
