Decide ambiguous cases with less traffic on an instance

Now 3 requests and 5 s: the first keeps an outage of all engines from being blamed on the parts of all prompts as before (TestSoundPartsAreNotQuarantined), and the others tell a new instance of completed requests with each crash.

--- a/pkg/lrquarantine/tracker_options.go
+++ b/pkg/lrquarantine/tracker_options.go
@@ -53,8 +53,8 @@
 func DefaultTrackerOptions(instance string) TrackerOptions {
 	return TrackerOptions{
 		Instance: instance, MinCrashes: 3, CrashWindow: 2 * time.Second, MomentLength: 50 * time.Millisecond, SettleTime: 400 * time.Millisecond, MaxDelay: time.Second,
-		MinOthers:    5,
-		LearningTime: 10 * time.Second, TrialInterval: 20 * time.Second, AmbiguousTrialInterval: time.Second, MaxTrials: 3,
+		MinOthers:    3,
+		LearningTime: 5 * time.Second, TrialInterval: 20 * time.Second, AmbiguousTrialInterval: time.Second, MaxTrials: 3,
 		Retention: 10 * time.Minute, GossipTime: 1500 * time.Millisecond,
 		MaxCrashes: 128, MaxRequests: 64, MaxSuspects: 8192, MaxSuccesses: 8192, MaxVerdicts: 1024,
 	}
