Let the evidence against a part settle anew after each completed request with it

What callers would see: the part that all prompts of a route begin with is rejected for a second or more while many servers crash or break off for other causes. Cause: news of completed requests is up to 0.4 s old, and crashes come faster. Three crashes were always newer than the last completed request that the instance knew of, and the time in which the evidence settles was never begun anew. Now each piece of news that disproves a crash begins the settle time again; no completed request ever does so for a deadly part.

--- a/pkg/lrquarantine/tracker.go
+++ b/pkg/lrquarantine/tracker.go
@@ -389,6 +389,8 @@
 	t.successes.add(at, trait)
 	if isNews {
 		t.announce(now, trait, at)
+		// The evidence that is left has to settle anew, since news of further completed requests may be on its way.
+		delete(t.ripe, trait)
 	}
 	if !isJudged || !v.IsQuarantined || at.Before(v.changedAt) || len(t.evidence.byTrait[trait]) > 0 {
 		t.ripen(now, trait, t.isWhole(trait))
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -168,6 +168,18 @@
 		i.settle()
 		requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
 	})
+	t.Run("many servers crash while others tell late of completed requests", func(t *testing.T) {
+		const newsAge = 300 * time.Millisecond
+		i := newInstance("first")
+		completed := i.request("first", "elsewhere")
+		for n := range 100 {
+			i.Crashed(i.now, fmt.Sprint("s", n), i.request("first", fmt.Sprint("second ", n)))
+			i.Merge(i.now, lrquarantine.Updates{Completions: []lrquarantine.CompletionUpdate{{Trait: completed.Parts[0], Age: newsAge}}})
+			i.complete(fmt.Sprint("other ", n))
+			i.advance(60 * time.Millisecond)
+			requireAdmission(t, i, lrquarantine.Admitted, "first", "sound")
+		}
+	})
 	t.Run("one request is the cause", func(t *testing.T) {
 		i := newInstance("first")
 		request := i.request("first", "rare")
