Delete old verdicts only from an instance that has run for as long as they are held

An instance that has just started could have deleted a stored verdict in the moment between reading and applying it, and the part would be sent again after the next restart of all.

--- a/internal/lredge/quarantine.go
+++ b/internal/lredge/quarantine.go
@@ -30,7 +30,7 @@
 	d.supervisor.Add("followVerdicts", d.verdicts.Run)
 	d.supervisor.Add("refreshVerdicts", d.verdicts.RunRefresh)
 	d.supervisor.Add("saveVerdicts", lrsupervise.Every(saveVerdictsInterval, d.saveVerdicts))
-	d.supervisor.Add("forgetVerdicts", lrsupervise.Every(forgetVerdictsInterval, d.forgetVerdicts))
+	d.supervisor.Add("forgetVerdicts", lrsupervise.Every(forgetVerdictsInterval, d.newVerdictCleaner(options.Retention)))
 }
 
 // verdictDecided logs and counts a verdict that took effect.
@@ -79,22 +79,29 @@
 	}
 }
 
-// forgetVerdicts deletes the stored verdicts that are no longer held. One instance does it for all.
-func (d *Daemon) forgetVerdicts(ctx context.Context, now time.Time) {
-	if d.sharer.Rank(now) > 0 {
-		return
-	}
-	for _, v := range d.verdicts.Snapshot().Set {
-		if d.quarantine.Knows(now, v.Trait) {
-			continue
+// newVerdictCleaner returns a function that deletes the stored verdicts that are no longer held. One instance does it for all, once it has
+// been running for as long as verdicts are held.
+func (d *Daemon) newVerdictCleaner(retention time.Duration) func(ctx context.Context, now time.Time) {
+	startedAt := d.clock()
+	return func(ctx context.Context, now time.Time) {
+		if d.sharer.Rank(now) > 0 || now.Sub(startedAt) < retention {
+			return
 		}
-		err := d.verdictStore().Delete(ctx, v.Trait)
-		if err != nil {
-			d.log.Warn().Err(err).Str("trait", v.Trait.String()).Msg("quarantine: old verdict not deleted")
+		for _, v := range d.verdicts.Snapshot().Set {
+			if !d.quarantine.Knows(now, v.Trait) {
+				d.deleteVerdict(ctx, v.Trait)
+			}
 		}
 	}
 }
 
+func (d *Daemon) deleteVerdict(ctx context.Context, trait lrquarantine.Trait) {
+	err := d.verdictStore().Delete(ctx, trait)
+	if err != nil {
+		d.log.Warn().Err(err).Str("trait", trait.String()).Msg("quarantine: old verdict not deleted")
+	}
+}
+
 func (d *Daemon) verdictStore() quarantine.VerdictStore {
 	return quarantine.VerdictStore{Objects: d.ports.Store, Kind: d.ports.VerdictsKind}
 }
