--- a/internal/lrdaemon/quarantine_test.go
+++ b/internal/lrdaemon/quarantine_test.go
@@ -91,7 +91,7 @@
 		h.control(e, "/control/faults", lrstub.Faults{CrashOn: crashingPrompt})
 	}
 	daemons := h.startDaemons("router-1", "router-2")
-	first, deadly := promptBlock("first"), promptBlock(crashingPrompt)
+	first, crashing := promptBlock("first"), promptBlock(crashingPrompt)
 	sent := 0
 	send := func(d *runningDaemon, prefix string) (status int, body string) {
 		sent++
@@ -102,7 +102,7 @@
 		return status == http.StatusOK
 	}
 	rejects := func(d *runningDaemon) bool {
-		status, body := send(d, first+deadly)
+		status, body := send(d, first+crashing)
 		return status == http.StatusUnprocessableEntity && strings.Contains(body, `"outcome":"notRun"`)
 	}
 	for _, d := range daemons {
--- a/internal/lrpipeline/crashing_part_test.go
+++ b/internal/lrpipeline/crashing_part_test.go
@@ -9,20 +9,20 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 )
 
-// crashingBackend is a Backend whose servers crash when they begin to answer a request with the deadly part.
+// crashingBackend is a Backend whose servers crash when they begin to answer a request with the crashing part.
 type crashingBackend struct {
 	scriptedBackend
-	deadly string
-	clock  func() time.Time
+	crashing string
+	clock    func() time.Time
 	// crashedAt holds the times of the crashes.
 	crashedAt []time.Time
 }
 
-// Send breaks off the answer to a request with the deadly part and completes all others.
+// Send breaks off the answer to a request with the crashing part and completes all others.
 func (c *crashingBackend) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
 	c.steps = []step{{events: []string{"1", "2"}}}
 	for _, b := range attempt.Request.Blocks {
-		if b.ID == c.deadly {
+		if b.ID == c.crashing {
 			c.crashedAt = append(c.crashedAt, c.clock())
 			c.steps = []step{{broken: true}}
 		}
@@ -58,11 +58,11 @@
 	)
 	w := newFixture(t)
 	w.budget.left = 10 * rounds
-	backend := &crashingBackend{deadly: "deadly", clock: func() time.Time { return w.now }}
+	backend := &crashingBackend{crashing: "crashing", clock: func() time.Time { return w.now }}
 	w.pipeline.Backend = backend
 	for n := range rounds {
 		w.now = w.now.Add(roundLength)
-		w.servePrompt("first", "second", "deadly", fmt.Sprint("own ", n))
+		w.servePrompt("first", "second", "crashing", fmt.Sprint("own ", n))
 		for _, second := range []string{"second", "other"} {
 			caller := w.servePrompt("first", second, fmt.Sprint("sound ", n, second))
 			requireEqual(t, caller.body, "12")
--- a/internal/lrquarantine/parts_test.go
+++ b/internal/lrquarantine/parts_test.go
@@ -72,8 +72,8 @@
 func TestCrashesOfPartsReachAllInstances(t *testing.T) {
 	t.Run("no instance sees more than one crash", func(t *testing.T) {
 		f := newPartFleet(t, 4)
-		f.crash("deadly", 4)
-		f.requireAdmission(t, lrquarantine.Rejected, "first", "deadly")
+		f.crash("crashing", 4)
+		f.requireAdmission(t, lrquarantine.Rejected, "first", "crashing")
 		f.requireAdmission(t, lrquarantine.Admitted, "first", "other")
 	})
 	t.Run("a completed request ends the quarantine on all instances", func(t *testing.T) {
@@ -88,23 +88,23 @@
 		f := newPartFleet(t, 2)
 		late := f.services[1]
 		f.services = f.services[:1]
-		f.crash("deadly", 3)
-		f.requireAdmission(t, lrquarantine.Rejected, "first", "deadly")
+		f.crash("crashing", 3)
+		f.requireAdmission(t, lrquarantine.Rejected, "first", "crashing")
 		late.Parts = lrquarantine.NewTracker(f.now, DefaultPartOptions("late"))
 		f.services = append(f.services, late)
 		late.AskVerdicts(context.Background(), f.now)
-		f.requireAdmission(t, lrquarantine.Rejected, "first", "deadly")
+		f.requireAdmission(t, lrquarantine.Rejected, "first", "crashing")
 	})
 	t.Run("the platform keeps verdicts until they expire", func(t *testing.T) {
 		f := newPartFleet(t, 1)
-		f.crash("deadly", 3)
+		f.crash("crashing", 3)
 		s := f.services[0]
 		s.Parts = lrquarantine.NewTracker(f.now, DefaultPartOptions("restarted"))
 		s.Refresh(context.Background(), f.now)
-		f.requireAdmission(t, lrquarantine.Rejected, "first", "deadly")
+		f.requireAdmission(t, lrquarantine.Rejected, "first", "crashing")
 		s.Parts = lrquarantine.NewTracker(f.now, DefaultPartOptions("restarted later"))
 		f.now = f.now.Add(lrquarantine.DefaultOptions().QuarantineValidity)
 		s.Refresh(context.Background(), f.now)
-		f.requireAdmission(t, lrquarantine.Admitted, "first", "deadly")
+		f.requireAdmission(t, lrquarantine.Admitted, "first", "crashing")
 	})
 }
--- a/internal/lrstream/crashing_part_test.go
+++ b/internal/lrstream/crashing_part_test.go
@@ -28,7 +28,7 @@
 		maxSentAfter = 3
 	)
 	fleet := newFakeFleet(1, 0, "a", "b", "c", "d", "e", "f")
-	fleet.crashText = "deadly"
+	fleet.crashText = "crashing"
 	now := time.Unix(1000, 0)
 	runner := NewRunner(fleet, fleet, func() time.Time {
 		now = now.Add(time.Millisecond)
@@ -43,7 +43,7 @@
 	for n := range rounds {
 		now = now.Add(roundLength)
 		before := fleet.crashes
-		_ = run(block("first") + block("deadly") + fmt.Sprint("own ", n))
+		_ = run(block("first") + block("crashing") + fmt.Sprint("own ", n))
 		if !fifthAt.IsZero() && now.After(fifthAt.Add(detection)) {
 			late += fleet.crashes - before
 		}
--- a/pkg/lrquarantine/ledger.go
+++ b/pkg/lrquarantine/ledger.go
@@ -1,6 +1,9 @@
 // Package lrquarantine decides which requests are stopped because they crash the engines that run them.
 //
-// The first crash of an engine makes suspects of all requests that were in flight on it. From then on each suspect runs
+// A Tracker attributes crashes to whole requests and to the parts of prompts that unlike requests share. It needs several crashes and asks
+// nothing of the way in which requests run.
+//
+// A Ledger judges whole requests by isolating them. The first crash of an engine makes suspects of all requests that were in flight on it. From then on each suspect runs
 // isolated, that is without other suspects on its engine, so that a second crash identifies the request that causes the
 // crashes.
 package lrquarantine
--- a/pkg/lrquarantine/tracker.go
+++ b/pkg/lrquarantine/tracker.go
@@ -1,8 +1,6 @@
 package lrquarantine
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 )
@@ -24,18 +22,18 @@
 	successes *successes
 	// completed is the number of completed requests with parts.
 	completed uint64
-	// ripe holds the traits whose evidence suffices for a verdict, but for its ambiguity.
-	ripe     map[Trait]ripeness
-	verdicts map[Trait]*heldVerdict
+	// candidates holds the traits against which there is enough evidence for a verdict once it has settled.
+	candidates map[Trait]candidate
+	verdicts   map[Trait]*heldVerdict
 	// completions holds what other instances shall know of completed requests with suspect traits.
 	completions map[Trait]completion
-	// unsaved holds when this instance has to store a verdict, and untold the verdicts that are news to other instances.
+	// unsaved holds when this instance has to store a verdict, and unsent the verdicts that are news to other instances.
 	unsaved map[Trait]time.Time
-	untold  map[Trait]bool
+	unsent  map[Trait]bool
 }
 
-// ripeness is since when a trait has had enough evidence against it.
-type ripeness struct {
+// candidate says since when there has been enough evidence against a trait.
+type candidate struct {
 	since time.Time
 	// completed is the number of completed requests at that time.
 	completed uint64
@@ -74,8 +72,8 @@
 // NewTracker returns a Tracker that suspects nothing.
 func NewTracker(now time.Time, options TrackerOptions) *Tracker {
 	return &Tracker{
-		options: options, startedAt: now, evidence: newEvidence(options), successes: newSuccesses(options.MaxSuccesses), ripe: map[Trait]ripeness{},
-		verdicts: map[Trait]*heldVerdict{}, completions: map[Trait]completion{}, unsaved: map[Trait]time.Time{}, untold: map[Trait]bool{},
+		options: options, startedAt: now, evidence: newEvidence(options), successes: newSuccesses(options.MaxSuccesses), candidates: map[Trait]candidate{},
+		verdicts: map[Trait]*heldVerdict{}, completions: map[Trait]completion{}, unsaved: map[Trait]time.Time{}, unsent: map[Trait]bool{},
 	}
 }
 
@@ -111,7 +109,7 @@
 		next := v.withVersionAfter(v.Verdict)
 		next.Trials++
 		t.decide(now, next)
-		t.unsaved[trait], t.untold[trait] = now, true
+		t.unsaved[trait], t.unsent[trait] = now, true
 	}
 	return decision
 }
@@ -137,7 +135,7 @@
 func (t *Tracker) delay(now time.Time, request Request) time.Duration {
 	var wait time.Duration
 	for _, part := range request.Parts {
-		r, ok := t.ripe[part]
+		r, ok := t.candidates[part]
 		if !ok || !t.isUnproven(now, part) || now.Sub(r.since) >= t.options.MaxDelay {
 			continue
 		}
@@ -189,7 +187,7 @@
 		if ok && v.IsQuarantined {
 			t.extend(at, v, c)
 		}
-		t.ripen(now, trait, trait == request.Whole)
+		t.updateCandidate(now, trait, trait == request.Whole)
 	}
 }
 
@@ -219,211 +217,3 @@
 		c.cause = v.Trait
 	}
 }
-
-// ripen notes whether there is enough evidence against the trait.
-func (t *Tracker) ripen(now time.Time, trait Trait, isWhole bool) {
-	v, ok := t.verdicts[trait]
-	crashes, isShared := t.count(trait, isWhole)
-	if ok && v.IsQuarantined || crashes < t.options.MinCrashes || !isShared {
-		delete(t.ripe, trait)
-		return
-	}
-	_, isRipe := t.ripe[trait]
-	if !isRipe {
-		t.ripe[trait] = ripeness{since: now, completed: t.completed}
-	}
-}
-
-// count returns how many crashes count against the trait, and whether a cause in common explains them better than a single request.
-func (t *Tracker) count(trait Trait, isWhole bool) (crashes int, isShared bool) {
-	if isWhole {
-		return len(t.evidence.unexplained(trait)), true
-	}
-	return t.evidence.count(trait)
-}
-
-// evaluate quarantines the traits that are the most likely causes of crashes.
-func (t *Tracker) evaluate(now time.Time) {
-	for len(t.ripe) > 0 {
-		for trait := range t.ripe {
-			t.ripen(now, trait, t.isWhole(trait))
-		}
-		traits, isAmbiguous := t.causes(now)
-		if len(traits) == 0 {
-			return
-		}
-		for _, trait := range traits {
-			t.quarantine(now, trait, isAmbiguous)
-		}
-	}
-}
-
-// causes returns the ripe traits that explain most crashes, once their evidence has settled. Parts of which no request was ever completed
-// go before others. The result is ambiguous if it does not follow from the crashes which of several parts is the cause.
-func (t *Tracker) causes(now time.Time) (traits []Trait, isAmbiguous bool) {
-	wholes := t.mostCrashes(t.isWhole)
-	if len(wholes) > 0 {
-		return wholes, false
-	}
-	candidates := t.mostCrashes(func(trait Trait) bool { return t.isUnproven(now, trait) })
-	isUnproven := len(candidates) > 0
-	if !isUnproven {
-		candidates = t.mostCrashes(func(Trait) bool { return true })
-	}
-	if len(candidates) == 0 || now.Sub(t.ripe[candidates[0]].since) < t.options.SettleTime {
-		return nil, false
-	}
-	traits = slices.Concat(candidates[:1], t.alternatives(candidates[0], candidates[1:]))
-	isAmbiguous = !isUnproven || len(traits) > 1
-	if isAmbiguous && t.completed-t.ripe[traits[0]].completed < t.options.MinOthers {
-		return nil, false
-	}
-	return traits, isAmbiguous
-}
-
-// alternatives returns those of the others that explain all crashes which the trait explains.
-func (t *Tracker) alternatives(trait Trait, others []Trait) []Trait {
-	var alternatives []Trait
-	for _, other := range others {
-		isMissing := func(c *crash) bool { return c.suspects[other] == nil }
-		if !slices.ContainsFunc(t.evidence.unexplained(trait), isMissing) {
-			alternatives = append(alternatives, other)
-		}
-	}
-	return alternatives
-}
-
-// mostCrashes returns those of the ripe traits which the filter accepts that have the most crashes.
-func (t *Tracker) mostCrashes(accepts func(trait Trait) bool) []Trait {
-	var traits []Trait
-	most := 0
-	for _, trait := range slices.Sorted(maps.Keys(t.ripe)) {
-		if !accepts(trait) {
-			continue
-		}
-		crashes, _ := t.count(trait, t.isWhole(trait))
-		if crashes > most {
-			traits, most = nil, crashes
-		}
-		if crashes == most {
-			traits = append(traits, trait)
-		}
-	}
-	return traits
-}
-
-// isUnproven reports whether no completed request had the part, as far as this instance knows, which has been running for long enough.
-func (t *Tracker) isUnproven(now time.Time, trait Trait) bool {
-	return now.Sub(t.startedAt) >= t.options.LearningTime && t.successes.last(trait).IsZero()
-}
-
-// isWhole reports whether the suspect trait is that of a whole request.
-func (t *Tracker) isWhole(trait Trait) bool {
-	for _, c := range t.evidence.byTrait[trait] {
-		_, ok := c.requests[trait]
-		if ok {
-			return true
-		}
-	}
-	return false
-}
-
-// quarantine decides that requests with the trait are rejected.
-func (t *Tracker) quarantine(now time.Time, trait Trait, isAmbiguous bool) {
-	verdict := Verdict{Trait: trait, IsQuarantined: true, IsAmbiguous: isAmbiguous, Crashes: uint32(len(t.evidence.byTrait[trait]))}
-	before, ok := t.verdicts[trait]
-	if ok {
-		verdict = verdict.withVersionAfter(before.Verdict)
-	} else {
-		verdict = verdict.withVersionAfter(Verdict{})
-	}
-	t.decide(now, verdict)
-	t.saveLater(now, trait)
-}
-
-// saveLater makes this instance store the verdict: at once if it has observed one of the crashes itself, and otherwise so much later that
-// another instance is likely to have stored it.
-func (t *Tracker) saveLater(now time.Time, trait Trait) {
-	if !t.evidence.isOwn(trait) {
-		now = now.Add(saveDelay + time.Duration(jitter(t.options.Instance, trait, 0)*float64(saveDelay)))
-	}
-	t.unsaved[trait] = now
-}
-
-// decide puts the verdict in force.
-func (t *Tracker) decide(now time.Time, verdict Verdict) {
-	t.evict(now)
-	v, ok := t.verdicts[verdict.Trait]
-	if !ok {
-		v = &heldVerdict{seenAt: now}
-		t.verdicts[verdict.Trait] = v
-	}
-	v.Verdict, v.changedAt = verdict, now
-	delete(t.ripe, verdict.Trait)
-	if t.options.OnDecision != nil {
-		t.options.OnDecision(verdict)
-	}
-	if !verdict.IsQuarantined {
-		t.reconsider(now, verdict.Trait)
-		return
-	}
-	if !t.isWhole(verdict.Trait) {
-		t.evidence.explain(verdict.Trait)
-	}
-}
-
-// reconsider counts the latest crashes that the trait explained against their other suspects again.
-func (t *Tracker) reconsider(now time.Time, trait Trait) {
-	for _, suspect := range t.evidence.unexplain(trait, now.Add(-t.options.LearningTime)) {
-		t.ripen(now, suspect, t.isWhole(suspect))
-	}
-}
-
-// disprove records that a request with the trait was completed, which ends a quarantine of the trait.
-func (t *Tracker) disprove(now, at time.Time, trait Trait, isOwn bool) {
-	v, isJudged := t.verdicts[trait]
-	if len(t.evidence.byTrait[trait]) == 0 && !isJudged {
-		return
-	}
-	isNews := t.evidence.disprove(at, trait) || t.successes.last(trait).IsZero()
-	t.successes.add(at, trait)
-	if isNews {
-		t.announce(now, trait, at)
-		// The evidence that is left has to settle anew, since news of further completed requests may be on its way.
-		delete(t.ripe, trait)
-	}
-	if !isJudged || !v.IsQuarantined || at.Before(v.changedAt) || len(t.evidence.byTrait[trait]) > 0 {
-		t.ripen(now, trait, t.isWhole(trait))
-		return
-	}
-	lifted := Verdict{Trait: trait, Crashes: v.Crashes, Trials: v.Trials}.withVersionAfter(v.Verdict)
-	t.announce(now, trait, at)
-	t.decide(now, lifted)
-	if isOwn {
-		t.unsaved[trait], t.untold[trait] = now, true
-	}
-}
-
-// evict forgets verdicts on traits that have not been seen for the retention time, and the one that was not seen for longest when there are
-// too many.
-func (t *Tracker) evict(now time.Time) {
-	var oldest *heldVerdict
-	for trait, v := range t.verdicts {
-		if now.Sub(v.seenAt) >= t.options.Retention {
-			t.forget(trait)
-			continue
-		}
-		if oldest == nil || v.seenAt.Before(oldest.seenAt) {
-			oldest = v
-		}
-	}
-	if len(t.verdicts) >= t.options.MaxVerdicts {
-		t.forget(oldest.Trait)
-	}
-}
-
-func (t *Tracker) forget(trait Trait) {
-	delete(t.verdicts, trait)
-	delete(t.unsaved, trait)
-	delete(t.untold, trait)
-}
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -66,55 +66,55 @@
 // TestPartThatCrashesServersIsQuarantined guards against requests that go on to crash servers because no two of them are alike, and against
 // sound requests that are rejected because they share an account, a key or other parts with those.
 func TestPartThatCrashesServersIsQuarantined(t *testing.T) {
-	deadly := []string{"first", "second", "deadly"}
-	t.Run("deadly part among sound ones", func(t *testing.T) {
+	crashing := []string{"first", "second", "crashing"}
+	t.Run("crashing part among sound ones", func(t *testing.T) {
 		i := newInstance("first", "second")
 		for n := range 3 {
-			i.crash(fmt.Sprint("s", n), deadly, []string{"first", "second"}, []string{"first", fmt.Sprint("rare ", n%2)})
+			i.crash(fmt.Sprint("s", n), crashing, []string{"first", "second"}, []string{"first", fmt.Sprint("rare ", n%2)})
 		}
 		i.settle()
 		requireAdmission(t, i, lrquarantine.Admitted, "first", "rare 0")
-		requireAdmission(t, i, lrquarantine.Rejected, deadly...)
-		requireAdmission(t, i, lrquarantine.Rejected, "elsewhere", "deadly")
+		requireAdmission(t, i, lrquarantine.Rejected, crashing...)
+		requireAdmission(t, i, lrquarantine.Rejected, "elsewhere", "crashing")
 		requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
 	})
-	t.Run("deadly first part", func(t *testing.T) {
+	t.Run("crashing first part", func(t *testing.T) {
 		i := newInstance("second")
 		for n := range 3 {
-			i.crash(fmt.Sprint("s", n), []string{"deadly", "second"})
+			i.crash(fmt.Sprint("s", n), []string{"crashing", "second"})
 		}
 		i.settle()
-		requireAdmission(t, i, lrquarantine.Rejected, "deadly", "second")
+		requireAdmission(t, i, lrquarantine.Rejected, "crashing", "second")
 		requireAdmission(t, i, lrquarantine.Admitted, "second")
 	})
-	t.Run("two deadly parts at once", func(t *testing.T) {
+	t.Run("two crashing parts at once", func(t *testing.T) {
 		i := newInstance("first")
 		for n := range 4 {
-			i.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
-			i.crash(fmt.Sprint("r", n), []string{"first", "lethal"})
+			i.crash(fmt.Sprint("s", n), []string{"first", "crashing"})
+			i.crash(fmt.Sprint("r", n), []string{"first", "second crashing"})
 		}
 		i.settle()
-		requireAdmission(t, i, lrquarantine.Rejected, "first", "deadly")
-		requireAdmission(t, i, lrquarantine.Rejected, "first", "lethal")
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "crashing")
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "second crashing")
 		requireAdmission(t, i, lrquarantine.Admitted, "first")
 	})
-	t.Run("sound part that becomes deadly", func(t *testing.T) {
-		i := newInstance("first", "second", "deadly")
+	t.Run("sound part that becomes crashing", func(t *testing.T) {
+		i := newInstance("first", "second", "crashing")
 		for n := range 3 {
-			i.crash(fmt.Sprint("s", n), deadly)
+			i.crash(fmt.Sprint("s", n), crashing)
 			i.complete("first", "second")
 		}
 		i.settle()
-		requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+		requireAdmission(t, i, lrquarantine.Rejected, crashing...)
 		requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
 	})
-	t.Run("part that comes with the deadly one alone", func(t *testing.T) {
+	t.Run("part that comes with the crashing one alone", func(t *testing.T) {
 		i := newInstance("first")
 		for n := range 3 {
-			i.crash(fmt.Sprint("s", n), []string{"first", "companion", "deadly"})
+			i.crash(fmt.Sprint("s", n), []string{"first", "companion", "crashing"})
 		}
 		i.settle()
-		requireAdmission(t, i, lrquarantine.Rejected, "first", "companion", "deadly")
+		requireAdmission(t, i, lrquarantine.Rejected, "first", "companion", "crashing")
 		requireAdmission(t, i, lrquarantine.Admitted, "first")
 		i.advance(i.Check(i.now, i.request("companion")).Wait)
 		i.complete("first", "companion")
@@ -123,21 +123,21 @@
 	t.Run("servers that crash at once when a request is sent again", func(t *testing.T) {
 		i := newInstance("first", "second")
 		for n := range 2 {
-			request := i.request(deadly...)
+			request := i.request(crashing...)
 			for m := range 2 {
 				i.Crashed(i.now, fmt.Sprint("s", n, m), request)
 				i.advance(time.Millisecond)
 			}
 		}
 		i.settle()
-		requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+		requireAdmission(t, i, lrquarantine.Rejected, crashing...)
 	})
 	t.Run("two crashes are not enough", func(t *testing.T) {
 		i := newInstance("first", "second")
-		i.crash("s1", deadly)
-		i.crash("s2", deadly)
+		i.crash("s1", crashing)
+		i.crash("s2", crashing)
 		i.settle()
-		requireAdmission(t, i, lrquarantine.Admitted, deadly...)
+		requireAdmission(t, i, lrquarantine.Admitted, crashing...)
 	})
 }
 
@@ -205,16 +205,16 @@
 func TestRequestsWaitForTheVerdict(t *testing.T) {
 	i := newInstance("first")
 	for n := range 3 {
-		i.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+		i.crash(fmt.Sprint("s", n), []string{"first", "crashing"})
 	}
-	decision := i.Check(i.now, i.request("first", "deadly"))
+	decision := i.Check(i.now, i.request("first", "crashing"))
 	requireEqual(t, decision.Admission, lrquarantine.Delayed, "admission before the verdict")
 	requireAdmission(t, i, lrquarantine.Admitted, "first", "other")
 	i.advance(decision.Wait)
-	requireAdmission(t, i, lrquarantine.Rejected, "first", "deadly")
+	requireAdmission(t, i, lrquarantine.Rejected, "first", "crashing")
 }
 
-// TestQuarantinedPartIsTriedAgain guards against a sound part that is rejected for good, and against a deadly one that is tried too often.
+// TestQuarantinedPartIsTriedAgain guards against a sound part that is rejected for good, and against a crashing one that is tried too often.
 func TestQuarantinedPartIsTriedAgain(t *testing.T) {
 	quarantined := func() *instance {
 		i := newInstance("first")
@@ -268,13 +268,13 @@
 // TestInstancesShareEvidence guards against crashes that no instance sees often enough to find their cause, and against verdicts that an
 // instance finds because it lacks what others have seen.
 func TestInstancesShareEvidence(t *testing.T) {
-	deadly := []string{"first", "second", "deadly"}
+	crashing := []string{"first", "second", "crashing"}
 	t.Run("each instance sees one crash", func(t *testing.T) {
 		a, b, c := newInstance("first"), newInstance("second"), newInstance("first", "second")
 		for n, i := range []*instance{a, b, c} {
 			i.requests = 1000 * n
 			i.advance(time.Duration(n) * 200 * time.Millisecond)
-			i.crash(fmt.Sprint("s", n), deadly)
+			i.crash(fmt.Sprint("s", n), crashing)
 		}
 		a.now, b.now = c.now, c.now
 		for range 2 {
@@ -284,21 +284,21 @@
 		}
 		for _, i := range []*instance{a, b, c} {
 			i.settle()
-			requireAdmission(t, i, lrquarantine.Rejected, deadly...)
+			requireAdmission(t, i, lrquarantine.Rejected, crashing...)
 			requireAdmission(t, i, lrquarantine.Admitted, "first", "second")
 		}
 	})
 	t.Run("an instance that starts later learns the verdicts", func(t *testing.T) {
 		a := newInstance("first")
 		for n := range 3 {
-			a.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+			a.crash(fmt.Sprint("s", n), []string{"first", "crashing"})
 		}
 		a.settle()
-		requireAdmission(t, a, lrquarantine.Rejected, "first", "deadly")
+		requireAdmission(t, a, lrquarantine.Rejected, "first", "crashing")
 		a.advance(10 * time.Second)
 		late := &instance{Tracker: lrquarantine.NewTracker(a.now, lrquarantine.DefaultTrackerOptions("late")), now: a.now}
 		exchange(a, late)
-		requireAdmission(t, late, lrquarantine.Rejected, "first", "deadly")
+		requireAdmission(t, late, lrquarantine.Rejected, "first", "crashing")
 	})
 	t.Run("a completed request anywhere ends a quarantine", func(t *testing.T) {
 		a, b := newInstance("first"), newInstance("first")
@@ -346,12 +346,12 @@
 func TestVerdictIsStored(t *testing.T) {
 	observer, decider := newInstance("first"), newInstance("first")
 	for n := range 3 {
-		observer.crash(fmt.Sprint("s", n), []string{"first", "deadly"})
+		observer.crash(fmt.Sprint("s", n), []string{"first", "crashing"})
 	}
 	decider.now = observer.now
 	decider.Merge(decider.now, observer.Updates(observer.now))
 	decider.settle()
-	requireAdmission(t, decider, lrquarantine.Rejected, "first", "deadly")
+	requireAdmission(t, decider, lrquarantine.Rejected, "first", "crashing")
 	requireEqual(t, len(decider.Unsaved(decider.now)), 0, "verdicts that the decider stores at once")
 	observer.now = decider.now
 	observer.Merge(observer.now, decider.Updates(decider.now))
--- a/pkg/lrquarantine/updates.go
+++ b/pkg/lrquarantine/updates.go
@@ -90,19 +90,19 @@
 		t.completions[trait] = c
 		news.Completions = append(news.Completions, CompletionUpdate{Trait: trait, Age: now.Sub(c.at)})
 	}
-	for trait := range t.untold {
+	for trait := range t.unsent {
 		news.Verdicts = append(news.Verdicts, t.verdicts[trait].update(now))
 	}
-	clear(t.untold)
+	clear(t.unsent)
 	t.expireCompletions(now)
 	return news
 }
 
 // matters reports whether a completed request with the trait can change a verdict.
 func (t *Tracker) matters(trait Trait) bool {
-	_, isRipe := t.ripe[trait]
+	_, isCandidate := t.candidates[trait]
 	v, ok := t.verdicts[trait]
-	return isRipe || ok && v.IsQuarantined
+	return isCandidate || ok && v.IsQuarantined
 }
 
 func (t *Tracker) expireCompletions(now time.Time) {
