List the shared parts of a prompt in one place, and hash them once for each request

Found by reading the whole change: traits and loggedParts had the same loop over all parts but the last, and identify, which runs twice for each request (for the head, then for the whole), hashed the parts both times, the first time without the digest. Request.sharedParts serves both, and Serve hashes once, before admission.

--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -171,7 +171,6 @@
 	a.deadline = deadline(request, route)
 	a.pauseDeadline = p.PauseClock().Add(a.deadline.Sub(p.Clock()))
 	a.tokens = cost(request, a.account)
-	a.traits = traits(request)
 	return a, nil
 }
 
@@ -187,16 +186,6 @@
 	return request.Received.Add(timeout - replyMargin)
 }
 
-// traits returns the content of the request as a whole and the parts of its prompt that others may share, which are all but the last.
-func traits(request *Request) lrquarantine.Request {
-	shared := request.Blocks[:max(len(request.Blocks)-1, 0)]
-	parts := make([]string, 0, len(shared))
-	for _, b := range shared {
-		parts = append(parts, b.ID)
-	}
-	return lrquarantine.NewRequest(request.Digest, parts...)
-}
-
 // cost returns what the request costs in the token bucket of the account: one for accounts that count requests, otherwise its tokens.
 func cost(request *Request, account lrtable.Account) float64 {
 	switch {
@@ -214,6 +203,7 @@
 	now := p.Clock()
 	a, refusal := p.identify(request)
 	if refusal == nil {
+		a.traits = lrquarantine.NewRequest(request.Digest, request.sharedParts()...)
 		refusal = p.admit(now, a)
 	}
 	if refusal != nil {
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -43,6 +43,16 @@
 	Payload any
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share, which are all but the last.
+func (r *Request) sharedParts() []string {
+	shared := r.Blocks[:max(len(r.Blocks)-1, 0)]
+	ids := make([]string, 0, len(shared))
+	for _, b := range shared {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
+
 // An Attempt is a request as it is sent to one backend server.
 type Attempt struct {
 	Request *Request
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -253,15 +253,10 @@
 	return mustFail
 }
 
-// loggedParts returns the IDs of the first parts of the prompt that other requests may share, which are all but the last.
+// loggedParts returns the IDs of the first parts of the prompt that other requests may share.
 func (r *run) loggedParts() []string {
-	shared := r.Blocks[:max(len(r.Blocks)-1, 0)]
-	shared = shared[:min(len(shared), maxLoggedParts)]
-	ids := make([]string, 0, len(shared))
-	for _, b := range shared {
-		ids = append(ids, b.ID)
-	}
-	return ids
+	parts := r.sharedParts()
+	return parts[:min(len(parts), maxLoggedParts)]
 }
 
 // startOf returns a name that differs between the starts of the server.
