--- a/internal/lredge/caches.go
+++ b/internal/lredge/caches.go
@@ -32,7 +32,7 @@
 // readCaches waits for the routing table, engines and other instances, then reads the caches that this instance is responsible for.
 func (d *Daemon) readCaches(ctx context.Context) {
 	deadline := d.clock().Add(cacheDiscoveryTimeout)
-	for d.directory.Table() == nil || len(d.directory.All()) == 0 || d.instances.Latest() == 0 {
+	for d.directory.Table() == nil || len(d.directory.All()) == 0 || d.instances.Version().Revision == 0 {
 		if !lrsupervise.Sleep(ctx, cacheCheckInterval) || d.clock().After(deadline) {
 			return
 		}
--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -59,11 +59,24 @@
 	d.metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "lavenderrouter_edge_panics_total", Help: "Duties and other work that ended with a panic.",
 	}, func() float64 { return float64(d.supervisor.Panics()) }))
+	d.registerFeedGauges()
+}
+
+// registerFeedGauges registers how recent the entries of each feed are.
+func (d *Daemon) registerFeedGauges() {
 	for name, f := range d.feeds() {
-		d.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "lavenderrouter_edge_feed_age_seconds", Help: "Time since any instance is known to have read the feed.",
-			ConstLabels: prometheus.Labels{"feed": name},
-		}, func() float64 { return f.ReadAge(d.clock()).Seconds() }))
+		labels := prometheus.Labels{"feed": name}
+		d.metrics.registry.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "lavenderrouter_edge_feed_age_seconds", Help: "Time since any instance is known to have read the feed.", ConstLabels: labels,
+			}, func() float64 {
+				_, age := f.Report(d.clock())
+				return age.Seconds()
+			}),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "lavenderrouter_edge_feed_revision", Help: "Revision of the platform up to which this instance has every change of the feed.",
+				ConstLabels: labels,
+			}, func() float64 { return float64(f.Version().Revision) }))
 	}
 }
 
--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -14,53 +14,64 @@
 	fetchTimeout = time.Second
 )
 
-// lag is a revision that a feed has not reached yet, and since when that is known.
+// lag is a version that supersedes the own entries of a feed, and since when that is known.
 type lag struct {
-	since    time.Time
-	revision uint64
-	// source is an instance that has the revision.
+	since   time.Time
+	version FeedVersion
+	// source is an instance that has the version.
 	source string
 }
 
-// recordRevisions notes the feeds for which the sender has a later revision. It must be called with the mutex held.
-func (s *Sharer) recordRevisions(now time.Time, state *lrpeerpb.FleetState) {
-	for feed, revision := range state.GetRevisions() {
-		f, ok := s.Feeds[feed]
-		if !ok || revision <= f.Latest() {
+// recordReports applies what the sender reports of its feeds, and notes those of which it has later entries. It must be called with the
+// mutex held.
+func (s *Sharer) recordReports(now time.Time, state *lrpeerpb.FleetState) {
+	for feed, f := range s.Feeds {
+		age, ok := state.GetReadAges()[feed]
+		if !ok {
 			continue
 		}
-		if _, ok := s.lags[feed]; !ok {
-			s.lags[feed] = lag{since: now, revision: revision, source: state.GetName()}
+		version := FeedVersion{Revision: state.GetRevisions()[feed], Digest: state.GetFeedDigests()[feed]}
+		isBehind := f.RecordReport(now, version, millis(age))
+		if _, known := s.lags[feed]; isBehind && !known {
+			s.lags[feed] = lag{since: now, version: version, source: state.GetName()}
 		}
 	}
 }
 
-// catchUp fetches a feed from another instance when the own copy has lagged behind for catchUpAfter, or at once when it is empty. It runs
-// one fetch at a time.
+// catchUp fetches a feed from another instance when the own entries have lagged behind for catchUpAfter, or at once when there are none.
+// It runs one fetch at a time.
 func (s *Sharer) catchUp(ctx context.Context, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.fetching {
+	p, feed := s.nextFetch(now)
+	if p == nil {
 		return
 	}
+	s.fetching = true
+	s.Go("fetch", func() { s.fetch(ctx, p.Name, p.PeerAddress, feed) })
+}
+
+// nextFetch returns a feed to fetch now and the instance that has it, or nil. It must be called with the mutex held.
+func (s *Sharer) nextFetch(now time.Time) (*peer, string) {
+	if s.fetching {
+		return nil, ""
+	}
 	for feed, l := range s.lags {
-		latest := s.Feeds[feed].Latest()
-		if latest >= l.revision {
+		own := s.Feeds[feed].Version()
+		if !l.version.supersedes(own) {
 			delete(s.lags, feed)
 			continue
 		}
-		if now.Sub(l.since) < catchUpAfter && latest > 0 {
+		if now.Sub(l.since) < catchUpAfter && own.Revision > 0 {
 			continue
 		}
 		delete(s.lags, feed)
 		p, ok := s.peers[l.source]
-		if !ok {
-			continue
+		if ok {
+			return p, feed
 		}
-		s.fetching = true
-		s.Go("fetch", func() { s.fetch(ctx, p.Name, p.PeerAddress, feed) })
-		return
 	}
+	return nil, ""
 }
 
 func (s *Sharer) fetch(ctx context.Context, name, address, feed string) {
@@ -81,12 +92,20 @@
 		s.Log.Warn().Err(err).Str("peer", name).Str("feed", feed).Msg("fleet: feed could not be read from the instance")
 		return
 	}
-	err = s.Feeds[feed].Decode(s.Clock(), reply.GetEntries(), reply.GetRevision())
+	s.applyFeed(s.Clock(), name, feed, reply)
+}
+
+// applyFeed applies the entries of a feed that another instance has sent.
+func (s *Sharer) applyFeed(now time.Time, name, feed string, reply *lrpeerpb.FetchFeedReply) {
+	f := s.Feeds[feed]
+	before := f.Version().Revision
+	err := f.Decode(now, reply.GetEntries(), reply.GetRevision())
 	if err != nil {
 		s.Log.Warn().Err(err).Str("peer", name).Str("feed", feed).Msg("fleet: feed of the instance is unreadable")
 		return
 	}
-	s.Log.Info().Str("peer", name).Str("feed", feed).Uint64("revision", reply.GetRevision()).Msg("fleet: feed read from the instance")
+	s.Log.Info().Str("peer", name).Str("feed", feed).Uint64("before", before).Uint64("revision", reply.GetRevision()).
+		Msg("fleet: feed read from the instance")
 }
 
 // FetchFeed answers another instance with the entries of one feed. The reply is empty for an unknown feed.
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -85,8 +85,8 @@
 	state := &lrpeerpb.FleetState{
 		UptimeMillis: uint64(max(now.Sub(s.startedAt).Milliseconds(), 0)),
 		Name:         s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
-		Revisions: map[string]uint64{},
-		ReadAges:  map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsTimeout,
+		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{},
+		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsTimeout,
 		HeardNear: p.received.SameZone, HeardFar: p.received.OtherZones, HeardProcess: p.receivedProcess, SilentZones: s.unreachableZones(now), Rollout: s.rolloutState(now),
 		SilentInstances: s.silentFor(now, p),
 	}
@@ -104,8 +104,9 @@
 		})
 	}
 	for name, f := range s.Feeds {
-		state.Revisions[name] = f.Latest()
-		state.ReadAges[name] = uint32(min(f.ReadAge(now), maxReadAge).Milliseconds())
+		version, age := f.Report(now)
+		state.Revisions[name], state.FeedDigests[name] = version.Revision, version.Digest
+		state.ReadAges[name] = uint32(min(age, maxReadAge).Milliseconds())
 	}
 	for _, w := range s.Directory.DesiredAges(now) {
 		if w.Age < maxDesiredAge {
@@ -194,14 +195,6 @@
 	for _, l := range state.GetLoads() {
 		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
 	}
-	for name, f := range s.Feeds {
-		age, ok := state.GetReadAges()[name]
-		// A read by another instance counts only once its result has arrived here. An instance that lags behind keeps reading for
-		// itself.
-		if ok && state.GetRevisions()[name] <= f.Latest() {
-			f.RecordReadAge(now, time.Duration(age)*time.Millisecond)
-		}
-	}
 	hasLevels := s.recordState(now, state, sum, isAnswer)
 	if hasLevels {
 		s.Limiter.SetStartupShare(now, 1, false)
@@ -248,7 +241,7 @@
 		s.members.set(now, state.GetName(), state.GetProcess(), sum)
 	}
 	s.recordRollout(now, state.GetRollout())
-	s.recordRevisions(now, state)
+	s.recordReports(now, state)
 	hasLevels = s.wantsLevels && len(state.GetLevels()) > 0
 	if hasLevels {
 		s.wantsLevels = false
--- a/internal/lrfleet/feed.go
+++ b/internal/lrfleet/feed.go
@@ -16,8 +16,6 @@
 	Deleted []string
 	// Revision is the revision of the platform up to which the changes are complete.
 	Revision uint64
-	// Latest is the revision of the latest of these changes.
-	Latest uint64
 }
 
 // A Feed reads the entries of one kind from the platform.
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -62,10 +62,11 @@
 	log      zerolog.Logger
 	onChange func(now time.Time, entries map[string]T)
 
-	mutex    sync.Mutex
-	entries  map[string]T
-	revision uint64
-	latest   uint64
+	mutex   sync.Mutex
+	entries map[string]T
+	// digests holds the digest of each entry.
+	digests map[string]uint64
+	version FeedVersion
 	// lastReadAt is when any instance is known to have last read the feed from the platform.
 	lastReadAt time.Time
 	// failingSince is when the platform first failed to answer. It is zero while the platform answers.
@@ -83,7 +84,8 @@
 // NewFollower returns a Follower without entries. It calls onChange with all entries after each change.
 func NewFollower[T any](feed Feed[T], options FollowerOptions, log zerolog.Logger, onChange func(now time.Time, entries map[string]T)) *Follower[T] {
 	return &Follower[T]{
-		feed: feed, options: options, log: log, onChange: onChange, entries: map[string]T{}, missing: map[string]time.Time{},
+		feed: feed, options: options, log: log, onChange: onChange, entries: map[string]T{}, digests: map[string]uint64{},
+		missing: map[string]time.Time{},
 	}
 }
 
@@ -153,7 +155,7 @@
 	defer cancel()
 	f.recordWatch(time.Now())
 	defer f.recordWatch(time.Time{})
-	changes, err := f.feed.Watch(ctx, f.Revision(), f.options.Wait)
+	changes, err := f.feed.Watch(ctx, f.Version().Revision, f.options.Wait)
 	if err != nil {
 		return err
 	}
@@ -207,17 +209,15 @@
 	f.apply(now, changes)
 }
 
-// ReplaceFromPeer applies a list of all entries that another instance has read, and reports whether it did. A list that is not later than
+// ReplaceFromPeer applies a list of all entries that another instance holds, and reports whether it did. A list that is not later than
 // the own one is ignored.
 func (f *Follower[T]) ReplaceFromPeer(now time.Time, changes Changes[T]) bool {
 	f.mutex.Lock()
-	if changes.Latest <= f.latest {
+	if changes.Revision <= f.version.Revision {
 		f.mutex.Unlock()
 		return false
 	}
 	f.detectOutage(now, now)
-	f.latest = changes.Latest
-	changes.Revision = 0
 	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
 	f.apply(now, changes)
@@ -235,27 +235,37 @@
 	return missing
 }
 
+// apply applies changes unless the entries already include later ones: an answer of the platform may arrive after the newer list of
+// another instance.
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
+	if changes.Revision < f.version.Revision {
+		f.mutex.Unlock()
+		return
+	}
 	entries := maps.Clone(f.entries)
 	isSet := f.set(entries, changes.Set)
-	isRemoved, isLapsing := f.remove(now, entries, changes.Deleted)
+	isRemoved := f.remove(now, entries, changes.Deleted)
 	isExpired := f.expire(now, entries)
 	f.entries = entries
-	f.revision = max(f.revision, changes.Revision)
-	if isSet {
-		f.latest = max(f.latest, changes.Latest)
-	}
-	if isRemoved || isLapsing {
-		// No remaining entry has the revision of the removal, so Latest may lack it.
-		f.latest = max(f.latest, changes.Revision)
-	}
+	f.version = FeedVersion{Revision: changes.Revision, Digest: f.digest()}
 	f.mutex.Unlock()
 	if isSet || isRemoved || isExpired {
 		f.onChange(now, entries)
 	}
 }
 
+// digest returns the digest of the entries that the platform lists. It must be called with the mutex held.
+func (f *Follower[T]) digest() uint64 {
+	sum := uint64(0)
+	for name, digest := range f.digests {
+		if _, isMissing := f.missing[name]; !isMissing {
+			sum += digest
+		}
+	}
+	return sum
+}
+
 // set puts the listed entries into entries and reports whether one has changed. It must be called with the mutex held.
 func (f *Follower[T]) set(entries, listed map[string]T) bool {
 	changed := false
@@ -267,30 +277,45 @@
 		}
 		changed = true
 		entries[name] = entry
+		f.digests[name] = f.digestOf(name, entry)
 	}
 	return changed
 }
 
-// remove deletes entries that are no longer listed. Within the grace period after an outage it marks them as missing instead. It reports
-// whether an entry was removed and whether one was newly marked. It must be called with the mutex held.
-func (f *Follower[T]) remove(now time.Time, entries map[string]T, names []string) (isRemoved, isLapsing bool) {
+// digestOf returns the digest of an entry. An entry without a JSON form is sent to no other instance, so that its digest matches none.
+func (f *Follower[T]) digestOf(name string, entry T) uint64 {
+	digest, err := entryDigest(name, entry)
+	if err != nil {
+		f.log.Error().Err(err).Str("feed", f.options.Name).Str("name", name).Msg("fleet: entry cannot be sent to other instances")
+		return rand.Uint64()
+	}
+	return digest
+}
+
+// remove deletes entries that are no longer listed, and reports whether there was one. Within the grace period after an outage it marks
+// them as missing instead. It must be called with the mutex held.
+func (f *Follower[T]) remove(now time.Time, entries map[string]T, names []string) bool {
+	isRemoved := false
 	graceEnd := f.recoveredAt.Add(f.options.LapseGrace)
 	for _, name := range names {
 		if _, ok := entries[name]; !ok {
 			continue
 		}
-		if !now.Before(graceEnd) {
-			isRemoved = true
-			delete(entries, name)
-			delete(f.missing, name)
+		if now.Before(graceEnd) {
+			f.missing[name] = graceEnd
 			continue
 		}
-		if _, ok := f.missing[name]; !ok {
-			isLapsing = true
-		}
-		f.missing[name] = graceEnd
+		isRemoved = true
+		f.forget(entries, name)
 	}
-	return isRemoved, isLapsing
+	return isRemoved
+}
+
+// forget deletes the entry. It must be called with the mutex held.
+func (f *Follower[T]) forget(entries map[string]T, name string) {
+	delete(entries, name)
+	delete(f.digests, name)
+	delete(f.missing, name)
 }
 
 // expire deletes the missing entries whose grace period is over and reports whether there was one. It must be called with the mutex held.
@@ -299,8 +324,7 @@
 	for name, end := range f.missing {
 		if !now.Before(end) {
 			expired = true
-			delete(entries, name)
-			delete(f.missing, name)
+			f.forget(entries, name)
 		}
 	}
 	return expired
@@ -309,25 +333,18 @@
 // Expire deletes missing entries whose grace period after an outage is over. It must be called periodically.
 func (f *Follower[T]) Expire(now time.Time) {
 	f.mutex.Lock()
-	pending := len(f.missing)
+	pending, revision := len(f.missing), f.version.Revision
 	f.mutex.Unlock()
 	if pending > 0 {
-		f.apply(now, Changes[T]{})
+		f.apply(now, Changes[T]{Revision: revision})
 	}
 }
 
-// Latest returns the revision of the latest known change.
-func (f *Follower[T]) Latest() uint64 {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.latest
-}
-
-// Revision returns the revision of the platform up to which changes are known.
-func (f *Follower[T]) Revision() uint64 {
+// Version identifies the entries that this instance holds and sends to others.
+func (f *Follower[T]) Version() FeedVersion {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.revision
+	return f.version
 }
 
 // Snapshot returns the entries to send to another instance. Entries that are missing since an outage are omitted: each instance keeps
@@ -339,5 +356,5 @@
 	for name := range f.missing {
 		delete(entries, name)
 	}
-	return Changes[T]{Set: entries, Revision: f.revision, Latest: f.latest}
+	return Changes[T]{Set: entries, Revision: f.version.Revision}
 }
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -62,7 +62,7 @@
 		return Changes[string]{}, errDown
 	}
 	f.lists++
-	return Changes[string]{Set: maps.Clone(f.entries), Revision: f.revision, Latest: f.revision}, nil
+	return Changes[string]{Set: maps.Clone(f.entries), Revision: f.revision}, nil
 }
 
 func (f *fakeFeed) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes[string], error) {
@@ -90,7 +90,7 @@
 	}
 	f.calls++
 	var deleted []string
-	return Changes[string]{Set: maps.Clone(f.entries), Deleted: deleted, Revision: f.revision, Latest: f.revision}, true, nil
+	return Changes[string]{Set: maps.Clone(f.entries), Deleted: deleted, Revision: f.revision}, true, nil
 }
 
 // followed runs a follower of the feed. The function that it returns lists the names of the known entries.
@@ -177,10 +177,10 @@
 	now := time.Unix(1000, 0)
 	changes := 0
 	f := NewFollower(Feed[string](nil), FollowerOptions{LapseGrace: 2 * time.Second}, zerolog.Nop(), func(time.Time, map[string]string) { changes++ })
-	f.Replace(now, Changes[string]{Set: map[string]string{"a": "1"}, Latest: 1})
+	f.Replace(now, Changes[string]{Set: map[string]string{"a": "1"}, Revision: 1})
 	f.recordFailure(now, errDown)
-	f.Replace(now.Add(3*time.Second), Changes[string]{Set: map[string]string{}, Latest: 2})
-	f.Replace(now.Add(4*time.Second), Changes[string]{Set: map[string]string{"a": "1"}, Latest: 3})
+	f.Replace(now.Add(3*time.Second), Changes[string]{Set: map[string]string{}, Revision: 2})
+	f.Replace(now.Add(4*time.Second), Changes[string]{Set: map[string]string{"a": "1"}, Revision: 3})
 	f.Expire(now.Add(10 * time.Second))
 	requireEqual(t, "entries", len(f.Snapshot().Set), 1)
 	requireEqual(t, "changes", changes, 1)
@@ -195,7 +195,7 @@
 		time.Sleep(100 * time.Millisecond)
 		before, _ := feed.counts()
 		for range 50 {
-			f.RecordReadAge(time.Now(), 0)
+			readElsewhere(f, time.Now(), 0)
 			time.Sleep(100 * time.Millisecond)
 		}
 		lists, _ := feed.counts()
@@ -215,8 +215,9 @@
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{}, down: true}
 		f, _ := followed(ctx, feed, FollowerOptions{})
+		f.ReplaceFromPeer(time.Now(), listOf(1))
 		for range 100 {
-			f.RecordReadAge(time.Now(), 0)
+			readElsewhere(f, time.Now(), 0)
 			time.Sleep(100 * time.Millisecond)
 		}
 		_, calls := feed.counts()
@@ -230,13 +231,13 @@
 func TestListsFromPeersNeverGoBack(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(time.Time, map[string]string) {})
-	f.ReplaceFromPeer(now, Changes[string]{Set: map[string]string{"a": "2"}, Latest: 2})
-	requireEqual(t, "an older list is applied", f.ReplaceFromPeer(now, Changes[string]{Set: map[string]string{"a": "1"}, Latest: 1}), false)
+	f.ReplaceFromPeer(now, Changes[string]{Set: map[string]string{"a": "2"}, Revision: 2})
+	requireEqual(t, "an older list is applied", f.ReplaceFromPeer(now, Changes[string]{Set: map[string]string{"a": "1"}, Revision: 1}), false)
 	requireEqual(t, "value", f.Snapshot().Set["a"], "2")
-	entries, latest, err := f.Encode()
+	entries, revision, err := f.Encode()
 	requireEqual(t, "error", err, nil)
 	other := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(time.Time, map[string]string) {})
-	requireEqual(t, "error", other.Decode(now, entries, latest), nil)
+	requireEqual(t, "error", other.Decode(now, entries, revision), nil)
 	requireEqual(t, "value on the other instance", other.Snapshot().Set["a"], "2")
 }
 
@@ -247,15 +248,25 @@
 	return f
 }
 
-// listOf returns a list of all entries whose latest change was at the revision.
-func listOf(latest uint64, names ...string) Changes[string] {
-	changes := Changes[string]{Set: map[string]string{}, Revision: latest, Latest: latest}
+// listOf returns a list of all entries at the revision.
+func listOf(revision uint64, names ...string) Changes[string] {
+	changes := Changes[string]{Set: map[string]string{}, Revision: revision}
 	for _, n := range names {
 		changes.Set[n] = "1"
 	}
 	return changes
 }
 
+// readElsewhere reports a read by another instance that holds the same entries.
+func readElsewhere(f *Follower[string], now time.Time, age time.Duration) {
+	f.RecordReport(now, f.Version(), age)
+}
+
+func ageOf(f *Follower[string], now time.Time) time.Duration {
+	_, age := f.Report(now)
+	return age
+}
+
 func known(f *Follower[string]) string {
 	return strings.Join(slices.Sorted(maps.Keys(f.Snapshot().Set)), ",")
 }
@@ -268,7 +279,7 @@
 	f.recordFailure(now, errDown)
 	for range 30 {
 		now = now.Add(100 * time.Millisecond)
-		f.RecordReadAge(now, 50*time.Millisecond)
+		readElsewhere(f, now, 50*time.Millisecond)
 	}
 	f.Replace(now, listOf(11, "a"))
 	requireEqual(t, "known", known(f), "a")
@@ -284,7 +295,7 @@
 	f.Replace(now, listOf(10, "a", "b"))
 	f.recordFailure(now, errDown)
 	now = now.Add(3 * time.Second)
-	f.RecordReadAge(now, 50*time.Millisecond)
+	readElsewhere(f, now, 50*time.Millisecond)
 	f.ReplaceFromPeer(now, listOf(11, "a"))
 	f.Expire(now.Add(time.Second))
 	requireEqual(t, "changes within the grace", changes, 1)
@@ -293,13 +304,14 @@
 	requireEqual(t, "known after the grace", known(f), "a")
 }
 
-// TestRemovalAdvancesLatestRevision checks that a removal advances the revision that instances compare, although no remaining entry has
-// changed.
-func TestRemovalAdvancesLatestRevision(t *testing.T) {
+// TestRemovalChangesVersion checks that a removal changes the version that instances compare, although no remaining entry has changed.
+func TestRemovalChangesVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := followerWithGrace(now, "a", "b")
-	f.Replace(now.Add(time.Second), Changes[string]{Set: map[string]string{"a": "1"}, Revision: 12, Latest: 9})
-	requireEqual(t, "latest", f.Latest(), uint64(12))
+	before := f.Version()
+	f.Replace(now.Add(time.Second), listOf(12, "a"))
+	requireEqual(t, "revision", f.Version().Revision, uint64(12))
+	requireEqual(t, "supersedes the version before", f.Version().supersedes(before), true)
 }
 
 // TestLapsedEntryIsNotSentToPeers applies the list of an instance that still keeps a lapsed entry on one that has removed it.
@@ -309,9 +321,9 @@
 	dropped.Replace(now.Add(time.Second), listOf(11, "a"))
 	waiting.recordFailure(now, errDown)
 	waiting.Replace(now.Add(3*time.Second), listOf(12, "a", "c"))
-	entries, latest, err := waiting.Encode()
+	entries, revision, err := waiting.Encode()
 	requireEqual(t, "error", err, nil)
-	requireEqual(t, "error", dropped.Decode(now.Add(3*time.Second), entries, latest), nil)
+	requireEqual(t, "error", dropped.Decode(now.Add(3*time.Second), entries, revision), nil)
 	requireEqual(t, "known", known(dropped), "a,c")
 }
 
@@ -321,7 +333,7 @@
 	now := time.Unix(1000, 0)
 	f := followerWithGrace(now, "a")
 	f.ReplaceFromPeer(now, listOf(15, "a"))
-	requireEqual(t, "latest", f.Latest(), uint64(15))
+	requireEqual(t, "revision", f.Version().Revision, uint64(15))
 }
 
 // TestWatchInProgressCountsAsRead checks that a waiting watch on a feed without changes counts as a read, so that other instances need
@@ -332,10 +344,10 @@
 		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
 		f, _ := followed(ctx, feed, FollowerOptions{IsChanging: true, Interval: 400 * time.Millisecond})
 		time.Sleep(time.Second)
-		requireEqual(t, "age while a watch waits", f.ReadAge(time.Now()), 0)
+		requireEqual(t, "age while a watch waits", ageOf(f, time.Now()), 0)
 		feed.change(func(f *fakeFeed) { f.down = true })
 		time.Sleep(2 * time.Second)
-		requireEqual(t, "age while the platform does not answer", f.ReadAge(time.Now()) > time.Second, true)
+		requireEqual(t, "age while the platform does not answer", ageOf(f, time.Now()) > time.Second, true)
 		stop()
 		time.Sleep(time.Minute)
 	})
@@ -365,7 +377,7 @@
 	now = now.Add(3 * time.Second)
 	f.ReplaceFromPeer(now, listOf(11, "a"))
 	f.ReplaceFromPeer(now.Add(100*time.Millisecond), listOf(12, "a"))
-	f.RecordReadAge(now.Add(100*time.Millisecond), 50*time.Millisecond)
+	readElsewhere(f, now.Add(100*time.Millisecond), 50*time.Millisecond)
 	f.Expire(now.Add(time.Second))
 	requireEqual(t, "changes within the grace", changes, 0)
 	f.Expire(now.Add(3 * time.Second))
@@ -397,7 +409,7 @@
 		began := now.Add(time.Duration(n+2) * slot)
 		reader.recordWatch(began)
 		for _, f := range followers {
-			f.RecordReadAge(began.Add(slot/2), reader.ReadAge(began.Add(slot/2)))
+			readElsewhere(f, began.Add(slot/2), ageOf(reader, began.Add(slot/2)))
 		}
 	}
 	recovered := now.Add(8 * slot)
@@ -414,7 +426,7 @@
 	f := followerWithGrace(now, "a")
 	f.options.Wait = 800 * time.Millisecond
 	f.recordWatch(now.Add(400 * time.Millisecond))
-	requireEqual(t, "age in a watch that follows an answer", f.ReadAge(now.Add(time.Second)), 0)
+	requireEqual(t, "age in a watch that follows an answer", ageOf(f, now.Add(time.Second)), 0)
 	f.recordWatch(now.Add(2 * time.Second))
-	requireEqual(t, "age in a watch without an answer before it", f.ReadAge(now.Add(2100*time.Millisecond)), 2100*time.Millisecond)
+	requireEqual(t, "age in a watch without an answer before it", ageOf(f, now.Add(2100*time.Millisecond)), 2100*time.Millisecond)
 }
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -26,12 +26,18 @@
 	f.watchingSince = since
 }
 
-// ReadAge returns how long ago any instance is known to have read the feed from the platform. A feed that changes constantly counts as
-// read at this moment while a watch of this instance is waiting within its time, provided that the watch directly follows an answer. A
-// watch without an earlier answer may hang because the platform is unreachable.
-func (f *Follower[T]) ReadAge(now time.Time) time.Duration {
+// Report returns the version of the entries, and how long ago any instance is known to have read the feed from the platform. Both belong
+// together: the entries include every change up to that read.
+func (f *Follower[T]) Report(now time.Time) (FeedVersion, time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	return f.version, f.readAge(now)
+}
+
+// readAge returns how long ago any instance is known to have read the feed from the platform. A feed that changes constantly counts as
+// read at this moment while a watch of this instance is waiting within its time, provided that the watch directly follows an answer. A
+// watch without an earlier answer may hang because the platform is unreachable. It must be called with the mutex held.
+func (f *Follower[T]) readAge(now time.Time) time.Duration {
 	wait := f.options.Wait
 	isAnswered := f.failingSince.IsZero() && f.watchingSince.Sub(f.answeredAt) <= wait
 	if f.options.IsChanging && isAnswered && now.Sub(f.watchingSince) <= wait {
@@ -40,11 +46,23 @@
 	return now.Sub(f.lastReadAt)
 }
 
-// RecordReadAge merges how long ago another instance knows the feed to have been read.
-func (f *Follower[T]) RecordReadAge(now time.Time, age time.Duration) {
+// RecordReport applies the report of another instance, and reports whether its entries supersede the own ones. Equal entries include
+// every change up to the later of the two revisions. A read counts only once its result is known to have arrived here: an instance that
+// lags behind, or that cannot tell, goes on reading for itself.
+func (f *Follower[T]) RecordReport(now time.Time, version FeedVersion, age time.Duration) (isBehind bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.recordRead(now, now.Add(-age))
+	if version.Revision == 0 {
+		return false
+	}
+	isEqual := version.Digest == f.version.Digest
+	if isEqual {
+		f.version.Revision = max(f.version.Revision, version.Revision)
+	}
+	if isEqual || version.Revision < f.version.Revision {
+		f.recordRead(now, now.Add(-age))
+	}
+	return version.supersedes(f.version)
 }
 
 // recordRead records that an instance has read the feed at the given time. It must be called with the mutex held.
--- a/internal/lrfleet/shared_feed.go
+++ b/internal/lrfleet/shared_feed.go
@@ -6,21 +6,22 @@
 	"time"
 )
 
-// A SharedFeed feed can be fetched from another instance while the platform is unreachable.
+// A SharedFeed is a feed whose entries instances take over from one another, so that not all of them read the platform.
 type SharedFeed interface {
-	// Latest returns the revision of the latest known change.
-	Latest() uint64
-	// ReadAge returns how long ago any instance is known to have read the feed from the platform. RecordReadAge merges the age that
-	// another instance knows.
-	ReadAge(now time.Time) time.Duration
-	RecordReadAge(now time.Time, age time.Duration)
-	// Encode returns the JSON form of all entries by name, and the revision of the latest change.
+	// Version identifies the entries that this instance holds.
+	Version() FeedVersion
+	// Report returns what other instances need to know: the version of the entries, and how long ago any instance is known to have read
+	// the feed from the platform.
+	Report(now time.Time) (FeedVersion, time.Duration)
+	// RecordReport applies the report of another instance. It reports whether the entries of that instance supersede the own ones.
+	RecordReport(now time.Time, version FeedVersion, age time.Duration) (isBehind bool)
+	// Encode returns the JSON form of all entries by name, and the revision up to which they include every change.
 	Encode() (map[string][]byte, uint64, error)
-	// Decode applies entries that another instance has encoded.
-	Decode(now time.Time, entries map[string][]byte, latest uint64) error
+	// Decode applies entries that another instance has encoded, if they supersede the own ones.
+	Decode(now time.Time, entries map[string][]byte, revision uint64) error
 }
 
-// Encode returns the JSON form of all entries by name, and the revision of the latest change.
+// Encode returns the JSON form of all entries by name, and the revision up to which they include every change.
 func (f *Follower[T]) Encode() (map[string][]byte, uint64, error) {
 	snapshot := f.Snapshot()
 	encoded := make(map[string][]byte, len(snapshot.Set))
@@ -31,12 +32,13 @@
 		}
 		encoded[name] = data
 	}
-	return encoded, snapshot.Latest, nil
+	return encoded, snapshot.Revision, nil
 }
 
-// Decode applies the JSON form of all entries of another instance. It does nothing if the instance already has their revision.
-func (f *Follower[T]) Decode(now time.Time, entries map[string][]byte, latest uint64) error {
-	changes := Changes[T]{Set: make(map[string]T, len(entries)), Latest: latest}
+// Decode applies the JSON form of all entries of another instance. It does nothing if the own entries include changes up to their
+// revision.
+func (f *Follower[T]) Decode(now time.Time, entries map[string][]byte, revision uint64) error {
+	changes := Changes[T]{Set: make(map[string]T, len(entries)), Revision: revision}
 	for name, data := range entries {
 		var entry T
 		err := json.Unmarshal(data, &entry)
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -271,32 +271,24 @@
 	requireEqual(t, "address", b0.peers["a0"].PeerAddress, "127.0.0.1:1")
 }
 
-// laggingFeed is a feed with a fixed revision.
-type laggingFeed struct {
-	latest uint64
-	age    time.Duration
-}
-
-func (l *laggingFeed) Latest() uint64                                        { return l.latest }
-func (l *laggingFeed) ReadAge(time.Time) time.Duration                       { return l.age }
-func (l *laggingFeed) RecordReadAge(_ time.Time, age time.Duration)          { l.age = age }
-func (*laggingFeed) Encode() (map[string][]byte, uint64, error)              { return nil, 0, nil }
-func (*laggingFeed) Decode(_ time.Time, _ map[string][]byte, _ uint64) error { return nil }
-
 // TestLaggingInstanceIgnoresReadAgesOfOthers checks that a read by another instance does not count on an instance that has not received
 // its result yet.
 func TestLaggingInstanceIgnoresReadAgesOfOthers(t *testing.T) {
 	f := newTestFleet(1)
+	followers := map[string]*Follower[string]{}
 	for _, s := range f.sharers {
-		s.Feeds["feed"] = &laggingFeed{latest: 5}
+		followers[s.Self.Name] = followerWithGrace(f.now.Add(-time.Hour), "a")
+		s.Feeds["feed"] = followers[s.Self.Name]
+	}
+	for _, name := range []string{"a0", "c0"} {
+		followers[name].ReplaceFromPeer(f.now, listOf(11, "a", "b"))
 	}
-	behind, current := &laggingFeed{latest: 4, age: time.Hour}, &laggingFeed{latest: 5, age: time.Hour}
-	f.find("b0").Feeds["feed"], f.find("c0").Feeds["feed"] = behind, current
+	followers["a0"].Replace(f.now, listOf(11, "a", "b"))
 	for _, s := range f.sharers {
 		_, _ = s.Share(context.Background(), f.find("a0").firstState(f.now))
 	}
-	requireEqual(t, "age on the lagging instance", behind.age, time.Hour)
-	requireEqual(t, "age on the current instance", current.age, 0)
+	requireEqual(t, "age on the lagging instance", ageOf(followers["b0"], f.now), time.Hour)
+	requireEqual(t, "age on the current instance", ageOf(followers["c0"], f.now), 0)
 }
 
 // firstState returns what the sharer sends to an instance from which it has received nothing yet.
