Hand changes of a feed on in their order

What callers would see: a removed backend server, or an older routing of it, stays in use until the next change of the list.

Cause: found by reading, as a further way to believe an entry after its source took it back. A follower releases its mutex before it calls onChange, and three goroutines change it (watch, refresh, fetch from an instance). The caller that is slower overwrites the directory with the older entries.

Test: TestChangesAreAppliedInTheirOrder; before: "entries in use: got 2, want 1".

--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -62,8 +62,10 @@
 	log      zerolog.Logger
 	onChange func(now time.Time, entries map[string]T)
 
-	mutex   sync.Mutex
-	entries map[string]T
+	// applyMutex serializes changes of the entries, so that onChange is called with one after the other. It is locked before mutex.
+	applyMutex sync.Mutex
+	mutex      sync.Mutex
+	entries    map[string]T
 	// digests holds the digest of each entry.
 	digests map[string]uint64
 	version FeedVersion
@@ -190,6 +192,8 @@
 
 // Replace applies a list of all entries that the platform has just answered.
 func (f *Follower[T]) Replace(now time.Time, changes Changes[T]) {
+	f.applyMutex.Lock()
+	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
 	f.recordRead(now, now)
 	f.recordContact(now)
@@ -200,6 +204,8 @@
 
 // Apply applies changes that the platform has just answered.
 func (f *Follower[T]) Apply(now time.Time, changes Changes[T]) {
+	f.applyMutex.Lock()
+	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
 	if f.options.IsChanging {
 		f.recordRead(now, now)
@@ -212,6 +218,8 @@
 // ReplaceFromPeer applies a list of all entries that another instance holds, and reports whether it did. A list that is not later than
 // the own one is ignored.
 func (f *Follower[T]) ReplaceFromPeer(now time.Time, changes Changes[T]) bool {
+	f.applyMutex.Lock()
+	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
 	if changes.Revision <= f.version.Revision {
 		f.mutex.Unlock()
@@ -236,7 +244,7 @@
 }
 
 // apply applies changes unless the entries already include later ones: an answer of the platform may arrive after the newer list of
-// another instance.
+// another instance. It must be called with applyMutex held.
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	if changes.Revision < f.version.Revision {
@@ -332,6 +340,8 @@
 
 // Expire deletes missing entries whose grace period after an outage is over. It must be called periodically.
 func (f *Follower[T]) Expire(now time.Time) {
+	f.applyMutex.Lock()
+	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
 	pending, revision := len(f.missing), f.version.Revision
 	f.mutex.Unlock()
--- a/internal/lrfleet/removal_test.go
+++ b/internal/lrfleet/removal_test.go
@@ -359,3 +359,32 @@
 	}
 	return count
 }
+
+// TestChangesAreAppliedInTheirOrder delays the first of two changes while the second one arrives, as when the platform and another
+// instance answer at the same moment. Without order the user of the feed would end with the entries before the removal.
+func TestChangesAreAppliedInTheirOrder(t *testing.T) {
+	const patience = 50 * time.Millisecond
+	inUse, entered, release := 0, make(chan struct{}), make(chan struct{})
+	f := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(_ time.Time, entries map[string]string) {
+		if len(entries) == 2 {
+			close(entered)
+			<-release
+		}
+		inUse = len(entries)
+	})
+	var group sync.WaitGroup
+	group.Go(func() { f.Replace(time.Now(), listOf(10, "a", "b")) })
+	<-entered
+	second := make(chan struct{})
+	group.Go(func() {
+		f.ReplaceFromPeer(time.Now(), listOf(11, "a"))
+		close(second)
+	})
+	select {
+	case <-second:
+	case <-time.After(patience):
+	}
+	close(release)
+	group.Wait()
+	requireEqual(t, "entries in use", inUse, 1)
+}
