Bound the heads and bodies of answers on our own interface

Report of another operator: a faulty engine sent bytes without end, in a head or in a body, and the machine that had called it ran out of memory. It can happen on our own interface: the clients of engines and of the platform decoded bodies without a bound (1 GB allocated in 2 s before the call timed out), and the heads of engines, plain services and the platform were bounded by the 10 MB of net/http for each, with interim answers beside them (up to 18 MB a call).

Change: 64 KiB for a head with its interim answers; 16 MiB for an engine's answer, 32 MiB for one of the platform. Events (1 MiB), errors (1 KiB) and answers of plain services (the settings' limit) were bounded before.

--- a/internal/lrdaemon/wire_routing.go
+++ b/internal/lrdaemon/wire_routing.go
@@ -61,7 +61,7 @@
 func engineHTTPClient() *http.Client {
 	dialer := net.Dialer{Timeout: engineDialTimeout}
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: idleEngineConnections, DialContext: dialer.DialContext},
+		Transport:     lrengine.NewTransport(idleEngineConnections, dialer.DialContext),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/lrdaemon/wire_tls.go
+++ b/internal/lrdaemon/wire_tls.go
@@ -39,7 +39,9 @@
 	if s.PlatformCA != "" {
 		config, err := lrtls.NewClient(s.PlatformCA)
 		d.settingsError = errors.Join(d.settingsError, err)
-		transport := &http.Transport{MaxIdleConnsPerHost: idlePlatformConnections, TLSClientConfig: config}
+		transport := &http.Transport{
+			MaxIdleConnsPerHost: idlePlatformConnections, TLSClientConfig: config, MaxResponseHeaderBytes: lrplatform.MaxHeadBytes,
+		}
 		d.transports.platform = append(d.transports.platform, lrplatform.WithHTTPClient(&http.Client{Transport: transport}))
 	}
 }
--- a/internal/lrengine/client.go
+++ b/internal/lrengine/client.go
@@ -16,7 +16,18 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 )
 
-const maxErrorBytes = 1024
+const (
+	maxErrorBytes = 1024
+	// maxAnswerBytes bounds the answers to calls other than Generate. The largest ones are batches of cache events.
+	maxAnswerBytes = 16 << 20
+	// maxHeadBytes bounds the head of an answer with its interim answers.
+	maxHeadBytes = 64 << 10
+)
+
+// NewTransport returns a transport to engines, which bounds the heads of their answers.
+func NewTransport(idleConnections int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: idleConnections, DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes}
+}
 
 type dialer struct {
 	http *http.Client
@@ -75,7 +86,14 @@
 	if result == nil {
 		return nil
 	}
-	err = json.NewDecoder(response.Body).Decode(result)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return ErrBroken.Wrap(err)
+	case len(data) > maxAnswerBytes:
+		return ErrProtocol.New("answer above %d bytes", maxAnswerBytes)
+	}
+	err = json.Unmarshal(data, result)
 	if err != nil {
 		return ErrBroken.Wrap(err)
 	}
--- a/internal/lrplatform/client.go
+++ b/internal/lrplatform/client.go
@@ -19,6 +19,9 @@
 	defaultCallTimeout  = 2 * time.Second
 	defaultWatchTimeout = 30 * time.Second
 	maxErrorBytes       = 1024
+	// maxAnswerBytes bounds the body of an answer, and MaxHeadBytes its head.
+	maxAnswerBytes = 32 << 20
+	MaxHeadBytes   = 64 << 10
 	// WatchSecondsParameter is the query parameter that bounds the duration of a watch, in seconds.
 	WatchSecondsParameter = "waitSeconds"
 )
@@ -47,7 +50,7 @@
 func NewClient(base string, options ...ClientOption) Platform {
 	c := &client{
 		base:         strings.TrimSuffix(base, "/"),
-		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: MaxHeadBytes}},
 		callTimeout:  defaultCallTimeout,
 		watchTimeout: defaultWatchTimeout,
 	}
@@ -124,7 +127,10 @@
 	if result == nil || response.StatusCode == http.StatusNoContent {
 		return nil
 	}
-	err = json.NewDecoder(response.Body).Decode(result)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err == nil {
+		err = json.Unmarshal(data, result)
+	}
 	if err != nil {
 		return classifyTransport(method, err)
 	}
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -14,8 +14,12 @@
 	"github.com/zeebo/errs"
 )
 
-// dialTimeout limits the time to connect, in which nothing is sent yet.
-const dialTimeout = time.Second
+const (
+	// dialTimeout limits the time to connect, in which nothing is sent yet.
+	dialTimeout = time.Second
+	// maxHeadBytes bounds the head of an answer with its interim answers.
+	maxHeadBytes = 64 << 10
+)
 
 // The classes of errors of a plain service.
 var (
@@ -59,7 +63,7 @@
 // NewClient returns a Client that accepts answers with a body of up to maxBytes bytes.
 func NewClient(maxBytes int64) Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialWithSendDeadline(&dialer)}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialWithSendDeadline(&dialer), MaxResponseHeaderBytes: maxHeadBytes}
 	return &client{http: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, maxBytes: maxBytes}
 }
 
