Leave out malformed entries of the own platform's list of instances

Report of another operator, on our own interface: one odd entry, nested deeply, of another type or with a port out of range, failed the whole list, so that no instance saw a change of it while the entry stayed.

Change: the list is split (pkg/lrjson) and each entry decoded by itself; an entry without a name, with an unknown role or with an address at which nobody can listen is left out and logged. The values of stored objects are texts in base64, which nesting does not concern.

Test: TestMalformedInstancesAreOmitted, ten odd entries beside a good one; all failed before.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -90,7 +90,7 @@
 	}
 	d.wireTransports()
 	d.platform = lrplatform.NewClient(settings.Platform.URL,
-		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout))...)
+		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout), lrplatform.WithLog(log))...)
 	d.services = lrservice.NewClient(settings.Server.MaxBodyBytes)
 	d.wirePeers()
 	d.wireConfiguration()
--- a/internal/lrplatform/client.go
+++ b/internal/lrplatform/client.go
@@ -9,10 +9,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrjson"
 )
 
 const (
@@ -31,6 +36,7 @@
 	http         *http.Client
 	callTimeout  time.Duration
 	watchTimeout time.Duration
+	log          zerolog.Logger
 }
 
 // A ClientOption configures the client returned by NewClient.
@@ -46,11 +52,17 @@
 	return func(c *client) { c.callTimeout = timeout }
 }
 
+// WithLog sets where malformed entries are logged.
+func WithLog(log zerolog.Logger) ClientOption {
+	return func(c *client) { c.log = log }
+}
+
 // NewClient returns a Platform that calls the API at the base URL, such as "http://127.0.0.1:9000".
 func NewClient(base string, options ...ClientOption) Platform {
 	c := &client{
 		base:         strings.TrimSuffix(base, "/"),
 		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: MaxHeadBytes}},
+		log:          zerolog.Nop(),
 		callTimeout:  defaultCallTimeout,
 		watchTimeout: defaultWatchTimeout,
 	}
@@ -99,10 +111,53 @@
 	return changes, err
 }
 
+// Instances returns the instances that the platform lists. Malformed entries, which other writers may have left, are omitted.
 func (c *client) Instances(ctx context.Context) ([]Instance, error) {
-	var instances []Instance
-	err := c.call(ctx, http.MethodGet, "/instances", nil, &instances)
-	return instances, err
+	var list instanceList
+	err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
+	if err != nil {
+		return nil, err
+	}
+	instances := make([]Instance, 0, len(list.entries))
+	for _, entry := range list.entries {
+		i, err := decodeInstance(entry)
+		if err != nil {
+			c.log.Warn().Err(err).Msg("platform: entry of an instance is malformed")
+			continue
+		}
+		instances = append(instances, i)
+	}
+	return instances, nil
+}
+
+// instanceList holds the entries of a list that are not decoded yet.
+type instanceList struct{ entries []json.RawMessage }
+
+func (l *instanceList) decode(data []byte) error {
+	var err error
+	l.entries, err = lrjson.SplitArray(data)
+	return err
+}
+
+func decodeInstance(entry json.RawMessage) (Instance, error) {
+	var i Instance
+	err := json.Unmarshal(entry, &i)
+	if err != nil {
+		return i, err
+	}
+	if i.Name == "" || !i.Role.isKnown() {
+		return i, ErrInvalid.New("instance %.64q has no name or the unknown role %.64q", i.Name, i.Role)
+	}
+	for _, address := range []string{i.Address, i.PeerAddress, i.AdminAddress} {
+		if address == "" {
+			continue
+		}
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil || parsed.Port() == 0 {
+			return i, ErrInvalid.New("nobody can listen at address %.64q of instance %.64q", address, i.Name)
+		}
+	}
+	return i, nil
 }
 
 func (c *client) call(ctx context.Context, method, path string, body []byte, result any) error {
@@ -129,7 +184,7 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err == nil {
-		err = json.Unmarshal(data, result)
+		err = decodeAnswer(data, result)
 	}
 	if err != nil {
 		return classifyTransport(method, err)
@@ -137,6 +192,15 @@
 	return nil
 }
 
+// decodeAnswer decodes an answer. One that was cut off, because it is too long or the connection broke, is malformed.
+func decodeAnswer(data []byte, result any) error {
+	list, ok := result.(*instanceList)
+	if ok {
+		return list.decode(data)
+	}
+	return json.Unmarshal(data, result)
+}
+
 // classifyTransport returns ErrUnknown for a write that may have reached the platform, and ErrUnavailable otherwise.
 func classifyTransport(method string, err error) error {
 	var dial *net.OpError
--- a/internal/lrplatform/client_test.go
+++ b/internal/lrplatform/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -40,6 +41,29 @@
 	}
 }
 
+// TestMalformedInstancesAreOmitted lists an entry of another writer beside good ones. Decoding the list at once failed, so that no change of
+// the list was seen while the entry stayed.
+func TestMalformedInstancesAreOmitted(t *testing.T) {
+	const good = `{"name":"a","role":"engine","address":"127.0.0.1:80","zone":"z"}`
+	for name, odd := range map[string]string{
+		"deep": strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), "deep field": `{"name":"b","role":"engine","x":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}",
+		"null": "null", "a number": "1e999", "a text": `"]["`, "no name": `{"role":"engine","address":"127.0.0.1:80"}`,
+		"another role": `{"name":"b","role":"oracle","address":"127.0.0.1:80"}`, "a port out of range": `{"name":"b","role":"engine","address":"127.0.0.1:70000"}`,
+		"no port": `{"name":"b","role":"router","peerAddress":"127.0.0.1:0"}`, "another type": `{"name":"b","role":"engine","leaving":7}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "["+odd+","+good+"]")
+			}))
+			defer server.Close()
+			instances, err := NewClient(server.URL).Instances(t.Context())
+			if err != nil || len(instances) != 1 || instances[0].Name != "a" {
+				t.Fatalf("got %v, %v", instances, err)
+			}
+		})
+	}
+}
+
 // startFlood starts a server that answers each request with the beginning, and then with the text until the connection is closed.
 func startFlood(t *testing.T, begin, again string) string {
 	t.Helper()
--- a/internal/lrplatform/instance.go
+++ b/internal/lrplatform/instance.go
@@ -14,6 +14,10 @@
 	RoleKVStore Role = "kvStore"
 )
 
+func (r Role) isKnown() bool {
+	return r == RoleRouter || r == RoleEngine || r == RoleService || r == RoleKVStore
+}
+
 // An Instance is one entry of the platform's list of instances, which may be stale.
 type Instance struct {
 	Name string `json:"name"`
