Refuse late requests in a planned stop of our own interface

It can happen on our own interface: a request whose body ends after the signal was passed on however little of the drain timeout was left; a paid action then ran with its outcome unknown to the caller.

Change: after drainDelay, the gateway refuses what it has not passed on yet with 503 and the outcome notRun, before and after the body is read.

Test: TestLateRequestIsRefusedInAPlannedStop; without the change the answer does not say that the request has not run.

--- a/internal/lrdaemon/drain.go
+++ b/internal/lrdaemon/drain.go
@@ -18,11 +18,12 @@
 // StopNow makes a graceful shutdown in progress abort the requests that still run.
 func (d *Daemon) StopNow() { d.stopNowOnce.Do(func() { close(d.stopNow) }) }
 
-// drain ends readiness, waits until the load balancer has noticed, and waits for the running requests to finish.
+// drain ends readiness, waits until the load balancer has noticed, refuses later requests, and waits for the running ones to finish.
 func (d *Daemon) drain(server *http.Server) error {
 	d.draining.Store(true)
 	d.log.Info().Int("running", d.gateway.ActiveCalls()).Msg("daemon: draining")
 	d.awaitLoadBalancer()
+	d.gateway.StopAccepting()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Server.DrainTimeout)
 	defer cancel()
 	d.supervisor.Go("hurry", func() {
--- a/internal/lrdaemon/stop_test.go
+++ b/internal/lrdaemon/stop_test.go
@@ -1,12 +1,18 @@
 package lrdaemon
 
 import (
+	"bufio"
 	"io"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrtls/lrtlstest"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
@@ -46,6 +52,38 @@
 	}
 }
 
+// TestLateRequestIsRefusedInAPlannedStop sends the rest of a paid request when the instance has been stopping for a while. It was passed on,
+// ran, and was cut at the end of the drain timeout with its outcome unknown. It must be refused as not run, so that another instance may
+// run it.
+func TestLateRequestIsRefusedInAPlannedStop(t *testing.T) {
+	const drainTimeout, work, late = time.Second, 3 * time.Second, 300 * time.Millisecond
+	h := newHarness(t, 1)
+	d := h.startDaemon("router-1", func(s *lrsettings.Settings) {
+		s.Server.DrainDelay, s.Server.DrainTimeout = 10*time.Millisecond, drainTimeout
+	})
+	h.control(h.service, "/control/faults", lrstub.Faults{Delay: work})
+	c, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
+	requireNoError(t, err)
+	defer func() { _ = c.Close() }()
+	head := "POST /disbursements HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + h.key.Reveal() + "\r\nIdempotency-Key: action-1\r\n"
+	_, err = io.WriteString(c, head+"Content-Length: "+strconv.Itoa(len(paidBody))+"\r\n\r\n"+paidBody[:1])
+	requireNoError(t, err)
+	time.Sleep(late)
+	d.stop()
+	time.Sleep(late)
+	_, err = io.WriteString(c, paidBody[1:])
+	requireNoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	requireNoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	requireNoError(t, err)
+	_ = response.Body.Close()
+	requireEqual(t, response.StatusCode, http.StatusServiceUnavailable, "status")
+	requireEqual(t, strings.Contains(string(text), string(lrerror.NotRun)), true, "the answer says that the request has not run")
+	requireNoError(t, <-d.result)
+	requireEqual(t, h.effects("action-1"), 0, "effects")
+}
+
 func TestInstancesJoinOnlyOverTrustedTLS(t *testing.T) {
 	h := newHarness(t, 1)
 	trustedAuthority, otherAuthority := lrtlstest.NewAuthority(t), lrtlstest.NewAuthority(t)
--- a/internal/lrgateway/call.go
+++ b/internal/lrgateway/call.go
@@ -87,14 +87,30 @@
 }
 
 func (g *Gateway) admit(call *Call) error {
+	err := g.checkNotStopping()
+	if err != nil {
+		return err
+	}
 	for _, guard := range g.guards {
-		err := guard.Check(g.Clock(), call)
+		err = guard.Check(g.Clock(), call)
 		if err != nil {
 			return err
 		}
 	}
 	call.explanation.Account = call.Account.Name
-	return nil
+	// The body may have taken long to arrive.
+	return g.checkNotStopping()
+}
+
+// stopRetryAfter is when a request that this instance no longer takes may be sent to another one.
+const stopRetryAfter = 100 * time.Millisecond
+
+func (g *Gateway) checkNotStopping() error {
+	if !g.isStopping.Load() {
+		return nil
+	}
+	return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "this instance is about to end; send the request to another one").
+		WithRetryAfter(stopRetryAfter)
 }
 
 func (g *Gateway) finish(call *Call, err error) {
--- a/internal/lrgateway/gateway.go
+++ b/internal/lrgateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -83,6 +84,8 @@
 	guards      []Guard
 	activeCalls *activeCalls
 	router      *mux.Router
+	// isStopping is set when new requests might not end before the instance does.
+	isStopping atomic.Bool
 }
 
 // New returns a Gateway with the default guards.
@@ -115,6 +118,9 @@
 	g.activeCalls.cancelDisallowed(snapshot)
 }
 
+// StopAccepting makes the gateway refuse requests that it has not passed on yet, since they might not end before the instance does.
+func (g *Gateway) StopAccepting() { g.isStopping.Store(true) }
+
 // CancelAll cancels every running request with an error that states the reason.
 func (g *Gateway) CancelAll(reason string) {
 	g.activeCalls.cancelAll(lrerror.New(lrerror.KindUnavailable, lrerror.Unknown, "%s; retry on another instance", reason))
