--- a/internal/lrplatform/client.go
+++ b/internal/lrplatform/client.go
@@ -24,9 +24,10 @@
 	defaultCallTimeout  = 2 * time.Second
 	defaultWatchTimeout = 30 * time.Second
 	maxErrorBytes       = 1024
-	// maxAnswerBytes bounds the body of an answer, and MaxHeadBytes its head.
+	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 32 << 20
-	MaxHeadBytes   = 64 << 10
+	// MaxHeadBytes bounds the head of an answer with its interim answers.
+	MaxHeadBytes = 64 << 10
 	// WatchSecondsParameter is the query parameter that bounds the duration of a watch, in seconds.
 	WatchSecondsParameter = "waitSeconds"
 )
