Tell other instances of marks alone, so that the list can take back that a server leaves

Instances handed the marks back to one another, also to those that had restarted; for a plain service, whose incarnation nobody knows, a mark applied to every start. After the list said ready again, nothing was sent to the server any more, anywhere.

Change: instances tell one another only of servers that were found leaving; what the list says reaches them with the list, which is ordered by the time at which it was read. A mark ends when the list drops the server, moves it, or takes back that it leaves.

Test: TestLeavingThatTheListTakesBackIsOver; before: "services of instance 0: got 0, want 1".

--- a/internal/lrregistry/leaving_servers.go
+++ b/internal/lrregistry/leaving_servers.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
-	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 )
 
 type leavingServers struct{ registry *Registry }
@@ -15,16 +16,14 @@
 	return &leavingServers{registry: registry}
 }
 
-// NextUpdates returns the backend servers that are leaving.
+// NextUpdates returns the backend servers that were found leaving.
 func (l *leavingServers) NextUpdates(_ time.Time, limit int) []lrpeer.ServerUpdate {
+	l.registry.mutex.RLock()
+	defer l.registry.mutex.RUnlock()
 	var servers []lrpeer.ServerUpdate
-	for _, role := range []lrplatform.Role{lrplatform.RoleEngine, lrplatform.RoleService} {
-		for _, s := range l.registry.Servers(role) {
-			if s.Leaving && len(servers) < limit {
-				servers = append(servers, lrpeer.ServerUpdate{
-					Name: s.Name, Leaving: true, Incarnation: l.registry.incarnation(s.Name),
-				})
-			}
+	for _, name := range slices.Sorted(maps.Keys(l.registry.leaving)) {
+		if l.registry.isMarked(name) && len(servers) < limit {
+			servers = append(servers, lrpeer.ServerUpdate{Name: name, Leaving: true, Incarnation: l.registry.reports[name].incarnation})
 		}
 	}
 	return servers
@@ -40,9 +39,3 @@
 	}
 	l.registry.PublishChanges(context.Background(), now)
 }
-
-func (r *Registry) incarnation(name string) string {
-	r.mutex.RLock()
-	defer r.mutex.RUnlock()
-	return r.reports[name].incarnation
-}
--- a/internal/lrregistry/registry.go
+++ b/internal/lrregistry/registry.go
@@ -145,12 +145,15 @@
 	r.publish(now)
 }
 
-// isLeaving reports whether the platform lists the server as leaving or it was found leaving in its current
-// incarnation. A mark without a known incarnation applies to any.
-func (r *Registry) isLeaving(i lrplatform.Instance) bool {
-	marked, ok := r.leaving[i.Name]
-	present := r.reports[i.Name].incarnation
-	return i.Leaving || ok && (marked == "" || present == "" || marked == present)
+// isLeaving reports whether the platform lists the server as leaving or it was found leaving in its current incarnation.
+func (r *Registry) isLeaving(i lrplatform.Instance) bool { return i.Leaving || r.isMarked(i.Name) }
+
+// isMarked reports whether the server was found leaving in its current incarnation. A mark without a known incarnation applies to any. Other
+// instances are told of marks alone: what the platform lists reaches them with the list, and so does that it is over.
+func (r *Registry) isMarked(name string) bool {
+	marked, ok := r.leaving[name]
+	present := r.reports[name].incarnation
+	return ok && (marked == "" || present == "" || marked == present)
 }
 
 // HasInstances reports whether any instance of a server is known, that is, whether the platform's list has been read.
@@ -181,7 +184,12 @@
 			r.engines[i.Name] = r.dialer.Dial(i.Address)
 			delete(r.reports, i.Name)
 			delete(r.cursors, i.Name)
-			delete(r.leaving, i.Name)
+		}
+	}
+	for name := range r.leaving {
+		i, ok := r.instances[name]
+		if !ok || previous[name].Leaving && !i.Leaving || previous[name].Address != i.Address {
+			delete(r.leaving, name)
 		}
 	}
 	for name := range r.engines {
--- a/internal/lrregistry/registry_test.go
+++ b/internal/lrregistry/registry_test.go
@@ -195,6 +195,48 @@
 	requireEqual(t, len(placers[0].engines), 3, "engines after the leaving one has come back")
 }
 
+// TestLeavingThatTheListTakesBackIsOver lists a plain service and an engine as leaving, and then as ready again, while instances tell one another
+// what they know and one of them restarts. The instances handed the old state back to one another, so that it outlived the list: nothing was
+// sent to these servers any more.
+func TestLeavingThatTheListTakesBackIsOver(t *testing.T) {
+	const service = "service-a"
+	members := testMembers(3, 1)
+	listWith := func(leaving bool) []lrplatform.Instance {
+		instances := append(testInstances(3), lrplatform.Instance{Name: service, Address: service, Role: lrplatform.RoleService, Service: "pay", Leaving: leaving})
+		instances[1].Leaving = leaving
+		return instances
+	}
+	registries, placers := newTestRegistries(members, listWith(false), &fakeEngines{incarnation: "1"})
+	exchange := func() {
+		for _, from := range registries {
+			from.RefreshLoads(context.Background(), testStart())
+			updates, loads := NewLeavingServers(from).NextUpdates(testStart(), 10), from.TakeUpdates(testStart())
+			for _, to := range registries {
+				NewLeavingServers(to).ApplyUpdates(testStart(), updates)
+				to.Apply(testStart(), loads)
+			}
+		}
+	}
+	set := func(instances []lrplatform.Instance, readers ...int) {
+		for _, n := range readers {
+			registries[n].SetInstances(testStart(), instances)
+		}
+		exchange()
+	}
+	set(listWith(true), 0)
+	set(listWith(true), 1, 2)
+	set(listWith(false), 0)
+	set(listWith(false), 1)
+	restarted, _ := newTestRegistries(members[2:], listWith(false), &fakeEngines{incarnation: "1"})
+	registries[2] = restarted[0]
+	exchange()
+	for n, r := range registries {
+		requireEqual(t, len(r.Services("pay")), 1, fmt.Sprint("services of instance ", n))
+	}
+	registries[0].publish(testStart())
+	requireEqual(t, len(placers[0].engines), 3, "engines")
+}
+
 func TestEnginesWithoutReportAreUsable(t *testing.T) {
 	_, placers := newTestRegistries(testMembers(1, 1), testInstances(3), &fakeEngines{})
 	requireEqual(t, len(placers[0].engines), 3, "engines")
--- a/internal/lrregistry/server_update.go
+++ b/internal/lrregistry/server_update.go
@@ -44,7 +44,7 @@
 		}
 		updates = append(updates, ServerUpdate{
 			Name: name, Incarnation: report.incarnation, QueuedTokens: report.queuedTokens, Running: report.running,
-			Leaving: r.isLeaving(r.instances[name]), Unreachable: report.unreachable, Age: age,
+			Leaving: r.isMarked(name), Unreachable: report.unreachable, Age: age,
 			Versions: r.versionsToSend(name),
 		})
 	}
