--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -73,6 +74,10 @@
 			restarted = append(restarted, id)
 			delete(d.displaced, id)
 		}
+		if hasGoneBack(before, s) {
+			restarted = append(restarted, id)
+			d.log.Warn().Str("server", id).Interface("versions", s.Versions).Msg("fleet: backend server has gone back to earlier weights")
+		}
 		if !known || before.IsLeaving != s.IsLeaving || before.Incarnation != s.Incarnation {
 			d.log.Info().Str("server", id).Str("service", s.Service).Str("address", s.Address).Bool("leaving", s.IsLeaving).
 				Interface("versions", s.Versions).Msg("fleet: backend server")
@@ -89,21 +94,43 @@
 	d.restarted(restarted...)
 }
 
-// merge keeps what was seen in the server's responses, because the list lags behind them.
+// merge keeps what was seen in the server's responses, because the list lags behind them. A version that the list itself named and has taken
+// back is not kept: an order that was carried out late has brought the server back to an earlier one.
 func merge(before, listed Server) Server {
+	listed.listed = listed.Versions
 	if before.Incarnation != listed.Incarnation {
 		return listed
 	}
 	listed.hasSaidLeaving = before.hasSaidLeaving
 	listed.IsLeaving = listed.IsLeaving || before.hasSaidLeaving
+	listed.takenBack = maps.Clone(before.takenBack)
 	for model, version := range before.Versions {
-		if listed.Versions[model] < version {
+		now := listed.listed[model]
+		switch {
+		case now >= version:
+			delete(listed.takenBack, model)
+		case before.listed[model] > now || before.takenBack[model] > now:
+			listed = listed.withTakenBack(model, max(version, before.takenBack[model]))
+		default:
 			listed = listed.WithVersion(model, version)
 		}
 	}
 	return listed
 }
 
+// hasGoneBack reports whether a model of the server has earlier weights than before in the same start of the server.
+func hasGoneBack(before, after Server) bool {
+	if before.Incarnation != after.Incarnation {
+		return false
+	}
+	for model, version := range after.Versions {
+		if version < before.Versions[model] {
+			return true
+		}
+	}
+	return false
+}
+
 // restarted calls the OnRestart functions with the servers. It is called after the mutex is released.
 func (d *Directory) restarted(servers ...string) {
 	for _, s := range servers {
@@ -113,15 +140,25 @@
 	}
 }
 
-// RecordVersion records the version of a model's weights that a server has reported. Versions up to the known one are ignored.
+// RecordVersion records the version of a model's weights that a server has reported to an instance. Versions up to the known one, and up to
+// one that the list has taken back, are ignored: the report may be older than the list.
 func (d *Directory) RecordVersion(server, model string, version int64) {
+	d.recordVersion(server, model, version, func(s Server) bool { return version > s.takenBack[model] })
+}
+
+// RecordLoaded records the version that a server has just loaded on an order of this instance.
+func (d *Directory) RecordLoaded(server, model string, version int64) {
+	d.recordVersion(server, model, version, func(Server) bool { return true })
+}
+
+func (d *Directory) recordVersion(server, model string, version int64, isCredible func(Server) bool) {
 	d.mutex.Lock()
 	s, ok := d.servers[server]
-	if !ok || s.Versions[model] >= version {
+	if !ok || s.Versions[model] >= version || !isCredible(s) {
 		d.mutex.Unlock()
 		return
 	}
-	d.servers[server] = s.WithVersion(model, version)
+	d.servers[server] = s.WithVersion(model, version).withTakenBack(model, 0)
 	d.mutex.Unlock()
 	d.restarted(server)
 }
--- a/internal/lrfleet/directory_test.go
+++ b/internal/lrfleet/directory_test.go
@@ -49,6 +49,40 @@
 	requireEqual(t, "restarted", restarted, "e")
 }
 
+// TestListTakesBackAVersion has an order that is carried out late bring a server back to earlier weights, which its entry says. The version
+// that it had was believed for good, so that no order brought it forward again. Reports that are older than the list must not restore it.
+func TestListTakesBackAVersion(t *testing.T) {
+	d := NewDirectory(zerolog.Nop())
+	list := func(version int64) {
+		d.SetServers(map[string]Server{"e": {ID: "e", Service: "s", Incarnation: 1, Versions: map[string]int64{"m": version}}})
+	}
+	requireVersion := func(what string, want int64) {
+		t.Helper()
+		s, _ := d.Server("e")
+		requireEqual(t, what, s.Versions["m"], want)
+	}
+	list(2)
+	list(3)
+	restarted := ""
+	d.OnRestart(func(server string) { restarted = server })
+	list(2)
+	requireVersion("taken back", 2)
+	requireEqual(t, "has lost its cache", restarted, "e")
+	d.RecordVersion("e", "m", 3)
+	list(2)
+	requireVersion("after an old report", 2)
+	d.RecordLoaded("e", "m", 3)
+	list(2)
+	requireVersion("after an order, before the list says so", 3)
+	list(3)
+	list(2)
+	requireVersion("taken back again", 2)
+	list(3)
+	d.RecordVersion("e", "m", 4)
+	list(3)
+	requireVersion("reported by the server", 4)
+}
+
 // TestDisplacedServerReturnsAfterRestart checks that a displaced server is omitted until the list shows another start of it.
 func TestDisplacedServerReturnsAfterRestart(t *testing.T) {
 	d := NewDirectory(zerolog.Nop())
--- a/internal/lrfleet/server.go
+++ b/internal/lrfleet/server.go
@@ -33,6 +33,10 @@
 	Versions map[string]int64 `json:"versions,omitempty"`
 	// hasSaidLeaving is set when the server itself has said in an answer that it is leaving.
 	hasSaidLeaving bool
+	// listed maps each model to the version of its weights that the list named last, and takenBack to the one that the list has taken back:
+	// the server has gone back to an earlier one since.
+	listed    map[string]int64
+	takenBack map[string]int64
 }
 
 // WithVersion returns a copy of the server that has the given version of the model's weights.
@@ -46,6 +50,20 @@
 	return s
 }
 
+// withTakenBack returns a copy of the server whose list has taken back the version of the model's weights. Zero means none.
+func (s Server) withTakenBack(model string, version int64) Server {
+	takenBack := maps.Clone(s.takenBack)
+	if takenBack == nil {
+		takenBack = map[string]int64{}
+	}
+	delete(takenBack, model)
+	if version > 0 {
+		takenBack[model] = version
+	}
+	s.takenBack = takenBack
+	return s
+}
+
 // An Instance is a router instance as it is registered in the platform.
 type Instance struct {
 	Name        string `json:"name"`
--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -221,7 +221,7 @@
 	defer func() { d.endUpdate(server.ID, done) }()
 	done = d.closeAndOrder(ctx, server, step)
 	if done {
-		d.Directory.RecordVersion(server.ID, step.Model, step.Version)
+		d.Directory.RecordLoaded(server.ID, step.Model, step.Version)
 		d.Report(time.Now(), lrfleet.WeightsUpdate{Server: server.ID, Model: step.Model, Version: step.Version})
 	}
 	d.Log.Info().Str("server", server.ID).Str("model", step.Model).Int64("version", step.Version).Bool("done", done).
