--- a/pkg/lrtable/spec.go
+++ b/pkg/lrtable/spec.go
@@ -26,7 +26,9 @@
 	// callers.
 	KVStores []KVStore `json:"keptStores,omitempty"`
 	Accounts []Account `json:"accounts"`
-	Limits   Limits    `json:"limits"`
+	// RequiresKeys is set if requests on routes that are not public must carry a key, even if there is no account whose key would be accepted.
+	RequiresKeys bool   `json:"requiresKeys"`
+	Limits       Limits `json:"limits"`
 }
 
 // A Route directs the requests of a host and path prefix to services.
--- a/pkg/lrtable/table.go
+++ b/pkg/lrtable/table.go
@@ -52,7 +52,9 @@
 }
 
 // NeedsKey reports whether requests of the route must carry an API key.
-func (t *Table) NeedsKey(route Route) bool { return !route.Public && len(t.spec.Accounts) > 0 }
+func (t *Table) NeedsKey(route Route) bool {
+	return !route.Public && (t.spec.RequiresKeys || len(t.spec.Accounts) > 0)
+}
 
 // AccountOf returns the client account to which the API key belongs.
 func (t *Table) AccountOf(key string) (Account, bool) {
