Keep a version taken back until the list or an order restores it

Found by reading the diff: the next list that repeated the earlier version lifted the block of, so that a late report restored the later version. TestListTakesBackAVersion has the step "after an old report that follows the list", which failed before.

--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -106,9 +106,11 @@
 	listed.takenBack = maps.Clone(before.takenBack)
 	for model, version := range before.Versions {
 		now := listed.listed[model]
+		if now >= before.takenBack[model] {
+			delete(listed.takenBack, model)
+		}
 		switch {
 		case now >= version:
-			delete(listed.takenBack, model)
 		case before.listed[model] > now || before.takenBack[model] > now:
 			listed = listed.withTakenBack(model, max(version, before.takenBack[model]))
 		default:
--- a/internal/lrfleet/directory_test.go
+++ b/internal/lrfleet/directory_test.go
@@ -71,6 +71,8 @@
 	d.RecordVersion("e", "m", 3)
 	list(2)
 	requireVersion("after an old report", 2)
+	d.RecordVersion("e", "m", 3)
+	requireVersion("after an old report that follows the list", 2)
 	d.RecordLoaded("e", "m", 3)
 	list(2)
 	requireVersion("after an order, before the list says so", 3)
