--- a/internal/lrfleet/removal_test.go
+++ b/internal/lrfleet/removal_test.go
@@ -132,8 +132,8 @@
 	options := f.options
 	options.Name = removedFeed
 	// The rank delay grows as that of lredge does.
-	options.Delay = func() time.Duration { return min(time.Duration(s.Rank(f.now))*s.PropagationDelay(), time.Second) }
-	options.Watches = func() bool { return s.Rank(f.now) < 8 }
+	options.Delay = func() time.Duration { return min(time.Duration(s.Rank(time.Now()))*s.PropagationDelay(), time.Second) }
+	options.Watches = func() bool { return s.Rank(time.Now()) < 8 }
 	follower := NewFollower(Feed[string](f.platform), options, zerolog.Nop(), func(time.Time, map[string]string) {})
 	s.Feeds[removedFeed] = follower
 	ctx, stop := context.WithCancel(context.Background())
