Move the soak of paid actions to the package whose names it calls

It did not compile since its names had moved to lrcluster. It needs settings that the package does not export, so it moves there; checks, seed and counts are as they were, and names that the package has already got are prefixed.

--- a/scripts/demo/paid_soak_test.go
+++ b/internal/lrcluster/paid_soak_test.go
@@ -1,6 +1,6 @@
 //go:build soak
 
-package main
+package lrcluster
 
 import (
 	"encoding/json"
@@ -17,12 +17,12 @@
 )
 
 const (
-	soakActions   = 400
-	soakCallers   = 16
-	soakSends     = 6
-	soakSeed      = 1
-	faultInterval = 400 * time.Millisecond
-	inDoubtAfter  = 9 * time.Second
+	paidActions       = 400
+	paidCallers       = 16
+	paidSends         = 6
+	paidSeed          = 1
+	paidFaultInterval = 400 * time.Millisecond
+	inDoubtAfter      = 9 * time.Second
 )
 
 // paidOutcome is the answer to one send of an action.
@@ -36,14 +36,14 @@
 // services lose replies, delay calls and go down. It guards against actions that run twice or contrary to their answer.
 func TestPaidAcrossProcesses(t *testing.T) {
 	t.Chdir("../..")
-	c, err := newCluster()
+	c, err := New()
 	requireNoError(t, err)
-	defer c.stop()
+	defer c.Stop()
 	c.extraSettings = "[paid]\ncallTimeout = 2s\n"
-	requireNoError(t, c.start())
-	key, err := c.addKey("north-school")
+	requireNoError(t, c.Start())
+	key, err := c.AddKey("north-school")
 	requireNoError(t, err)
-	requireNoError(t, waitForKey(c, key))
+	requireNoError(t, c.AwaitKey(key, http.StatusOK))
 
 	outcomes := &paidOutcomes{}
 	stop, stopped := make(chan struct{}), make(chan struct{})
@@ -56,7 +56,7 @@
 	<-stopped
 	clearFaults(t, c)
 	time.Sleep(inDoubtAfter)
-	for n := range soakActions {
+	for n := range paidActions {
 		outcomes.add(sendPaid(c, key, actionName(n), n%3))
 	}
 	checkOutcomes(t, c, outcomes)
@@ -64,14 +64,14 @@
 
 func actionName(n int) string { return fmt.Sprintf("action-%d", n) }
 
-func sendActions(c *cluster, key string, outcomes *paidOutcomes) {
+func sendActions(c *Cluster, key string, outcomes *paidOutcomes) {
 	actions := make(chan int)
 	var group sync.WaitGroup
-	for caller := range soakCallers {
+	for caller := range paidCallers {
 		group.Go(func() {
-			random := rand.New(rand.NewPCG(soakSeed, uint64(caller)))
+			random := rand.New(rand.NewPCG(paidSeed, uint64(caller)))
 			for n := range actions {
-				for range soakSends {
+				for range paidSends {
 					got := sendPaid(c, key, actionName(n), random.IntN(3))
 					outcomes.add(got)
 					if got.status == http.StatusOK && random.IntN(2) == 0 {
@@ -82,15 +82,15 @@
 			}
 		})
 	}
-	for n := range soakActions {
+	for n := range paidActions {
 		actions <- n
 	}
 	close(actions)
 	group.Wait()
 }
 
-func sendPaid(c *cluster, key, action string, zone int) paidOutcome {
-	got, err := call(http.MethodPost, c.address(zones()[zone]), "/disbursements", key, action, `{"amount":100}`)
+func sendPaid(c *Cluster, key, action string, zone int) paidOutcome {
+	got, err := Call(http.MethodPost, c.Address(Zones()[zone]), "/disbursements", key, action, `{"amount":100}`)
 	if err != nil {
 		return paidOutcome{action: action, outcome: "cut"}
 	}
@@ -99,9 +99,9 @@
 			Outcome string `json:"outcome"`
 		} `json:"error"`
 	}
-	_ = json.Unmarshal([]byte(got.body), &failure)
+	_ = json.Unmarshal([]byte(got.Body), &failure)
 	return paidOutcome{
-		action: action, body: got.body, outcome: failure.Error.Outcome, status: got.status, requestID: got.header.Get("X-Request-Id"),
+		action: action, body: got.Body, outcome: failure.Error.Outcome, status: got.Status, requestID: got.Header.Get("X-Request-Id"),
 	}
 }
 
@@ -117,35 +117,35 @@
 }
 
 // injectFaults injects one random fault after another until stop is closed.
-func injectFaults(t *testing.T, c *cluster, stop <-chan struct{}) {
+func injectFaults(t *testing.T, c *Cluster, stop <-chan struct{}) {
 	t.Helper()
-	random := rand.New(rand.NewPCG(soakSeed, soakCallers))
+	random := rand.New(rand.NewPCG(paidSeed, paidCallers))
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(faultInterval):
+		case <-time.After(paidFaultInterval):
 		}
-		zone := zones()[random.IntN(3)]
-		service := c.instance("service-" + zone).Address
+		zone := Zones()[random.IntN(3)]
+		service := c.Instance("service-" + zone).Address
 		router := c.processes[routerName(zone)]
 		var err error
 		switch random.IntN(8) {
 		case 0:
 			router.kill()
-			err = c.startRouter(zone)
+			err = c.StartRouter(zone)
 		case 1:
 			err = suspend(router, time.Duration(random.IntN(7000))*time.Millisecond)
 		case 2:
-			err = c.setFaults(c.platform, lrstub.Faults{Down: true})
+			err = c.SetFaults(c.platform, lrstub.Faults{Down: true})
 		case 3:
-			err = c.setFaults(c.platform, lrstub.Faults{LoseReplies: 4})
+			err = c.SetFaults(c.platform, lrstub.Faults{LoseReplies: 4})
 		case 4:
-			err = c.setFaults(c.platform, lrstub.Faults{Delay: 700 * time.Millisecond})
+			err = c.SetFaults(c.platform, lrstub.Faults{Delay: 700 * time.Millisecond})
 		case 5:
-			err = c.setFaults(service, lrstub.Faults{LoseReplies: 3})
+			err = c.SetFaults(service, lrstub.Faults{LoseReplies: 3})
 		case 6:
-			err = c.setFaults(service, lrstub.Faults{Delay: 2500 * time.Millisecond})
+			err = c.SetFaults(service, lrstub.Faults{Delay: 2500 * time.Millisecond})
 		case 7:
 			clearFaults(t, c)
 		}
@@ -164,23 +164,23 @@
 	return p.command.Process.Signal(syscall.SIGCONT)
 }
 
-func clearFaults(t *testing.T, c *cluster) {
+func clearFaults(t *testing.T, c *Cluster) {
 	t.Helper()
-	requireNoError(t, c.setFaults(c.platform, lrstub.Faults{}))
-	for _, z := range zones() {
-		requireNoError(t, c.setFaults(c.instance("service-"+z).Address, lrstub.Faults{}))
+	requireNoError(t, c.SetFaults(c.platform, lrstub.Faults{}))
+	for _, z := range Zones() {
+		requireNoError(t, c.SetFaults(c.Instance("service-"+z).Address, lrstub.Faults{}))
 	}
 }
 
 // checkOutcomes compares the answers to the callers with the ledgers of the services.
-func checkOutcomes(t *testing.T, c *cluster, outcomes *paidOutcomes) {
+func checkOutcomes(t *testing.T, c *Cluster, outcomes *paidOutcomes) {
 	t.Helper()
 	byAction, byRequest := map[string][]lrstub.Effect{}, map[string]bool{}
-	for _, z := range zones() {
-		got, err := call(http.MethodGet, c.instance("service-"+z).Address, "/control/ledger", "", "", "")
+	for _, z := range Zones() {
+		got, err := Call(http.MethodGet, c.Instance("service-"+z).Address, "/control/ledger", "", "", "")
 		requireNoError(t, err)
 		var effects []lrstub.Effect
-		requireNoError(t, json.Unmarshal([]byte(got.body), &effects))
+		requireNoError(t, json.Unmarshal([]byte(got.Body), &effects))
 		for _, e := range effects {
 			byAction[e.IdempotencyKey] = append(byAction[e.IdempotencyKey], e)
 			byRequest[e.RequestID] = true
@@ -206,12 +206,5 @@
 			t.Errorf("%s was reported as ran and has not run", o.action)
 		}
 	}
-	t.Logf("%d actions, %d effects, answers by status and outcome: %v", soakActions, len(byRequest), counts)
-}
-
-func requireNoError(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
+	t.Logf("%d actions, %d effects, answers by status and outcome: %v", paidActions, len(byRequest), counts)
 }
