Answer 503 while an instance of our own interface has no configuration

What callers see: 401 for a valid key, after which they do not come back, from an instance that starts while the platform is down.

Cause: the guards judged keys by an empty configuration, version zero.

Change: until there is a configuration, every request is refused as not run, with Retry-After. Test: TestInstanceWithoutConfigurationRefusesAsNotRun ("got 401, want 503" before).

--- a/internal/lrdaemon/restart_test.go
+++ b/internal/lrdaemon/restart_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstub"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
@@ -24,6 +26,27 @@
 	requireEqual(t, status, http.StatusOK, "status")
 }
 
+// TestInstanceWithoutConfigurationRefusesAsNotRun starts an instance while the platform is down and no other instance has the configuration.
+// It answered 401 to valid keys, after which callers do not come back.
+func TestInstanceWithoutConfigurationRefusesAsNotRun(t *testing.T) {
+	h := newHarness(t, 1)
+	h.control(h.platform, "/control/faults", lrstub.Faults{Down: true})
+	d := h.launchDaemon("router-1", nil)
+	var got paidAnswer
+	eventually(t, "the instance answers", func() bool {
+		response, err := http.DefaultClient.Do(h.paidRequest(d, "action-1", paidBody))
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		got = paidAnswer{status: response.StatusCode, body: string(text)}
+		return err == nil
+	})
+	requireEqual(t, got.status, http.StatusServiceUnavailable, "status")
+	requireEqual(t, strings.Contains(got.body, string(lrerror.NotRun)), true, "the answer says that the request has not run")
+}
+
 func TestInstancesDiscoverOneAnother(t *testing.T) {
 	h := newHarness(t, 1)
 	daemons := h.startDaemons("router-1", "router-2", "router-3")
--- a/internal/lrgateway/call.go
+++ b/internal/lrgateway/call.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if call.Snapshot.Version() == 0 {
+		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "this instance has no configuration yet; try again").WithRetryAfter(startRetryAfter)
+	}
 	for _, guard := range g.guards {
 		err = guard.Check(g.Clock(), call)
 		if err != nil {
@@ -102,6 +105,9 @@
 	return g.checkNotStopping()
 }
 
+// startRetryAfter is when a request that came before the configuration may be sent again.
+const startRetryAfter = 200 * time.Millisecond
+
 // stopRetryAfter is when a request that this instance no longer takes may be sent to another one.
 const stopRetryAfter = 100 * time.Millisecond
 
