--- a/internal/lrengine/endless_test.go
+++ b/internal/lrengine/endless_test.go
@@ -1,15 +1,12 @@
 package lrengine
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"strings"
 	"testing"
-	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrconn/lrfloodtest"
 )
 
 const (
@@ -23,14 +20,14 @@
 func TestEndlessAnswersAreBounded(t *testing.T) {
 	dialer := net.Dialer{}
 	engines := NewDialer(&http.Client{Transport: NewTransport(1, dialer.DialContext)})
-	call := func(t *testing.T, answer [2]string, maxAllocated uint64) {
+	call := func(t *testing.T, answer lrfloodtest.Answer, maxAllocated uint64) {
 		t.Helper()
-		engine := engines.Dial(startFlood(t, answer[0], answer[1]))
-		requireBounded(t, maxAllocated, func(ctx context.Context) error {
+		engine := engines.Dial(lrfloodtest.Start(t, answer))
+		lrfloodtest.RequireBounded(t, maxAllocated, func(ctx context.Context) error {
 			_, err := engine.Load(ctx)
 			return err
 		})
-		requireBounded(t, maxAllocated, func(ctx context.Context) error {
+		lrfloodtest.RequireBounded(t, maxAllocated, func(ctx context.Context) error {
 			stream, err := engine.Generate(ctx, Request{})
 			if err != nil {
 				return err
@@ -40,75 +37,10 @@
 			return err
 		})
 	}
-	for name, answer := range endlessHeads() {
+	for name, answer := range lrfloodtest.Heads() {
 		t.Run(name, func(t *testing.T) { call(t, answer, maxHeadAllocated) })
 	}
-	for name, answer := range endlessBodies() {
+	for name, answer := range lrfloodtest.Bodies() {
 		t.Run("body "+name, func(t *testing.T) { call(t, answer, maxBodyAllocated) })
 	}
 }
-
-// startFlood starts a server that answers each request with the beginning, and then with the text until the connection is closed.
-func startFlood(t *testing.T, begin, again string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	text := []byte(again)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil {
-					_, err = io.WriteString(c, begin)
-				}
-				for err == nil {
-					_, err = c.Write(text)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
-// endlessHeads returns the beginnings of answers whose heads never end, with the text that follows again and again.
-func endlessHeads() map[string][2]string {
-	many := strings.Repeat("x", 16<<10)
-	return map[string][2]string{
-		"status line": {"HTTP/1.1 200 ", many}, "one header": {"HTTP/1.1 200 OK\r\nField: ", many},
-		"many headers":    {"HTTP/1.1 200 OK\r\n", strings.Repeat("Field: value\r\n", 1000)},
-		"interim answers": {"", strings.Repeat("HTTP/1.1 103 Early\r\nLink: a\r\n\r\n", 500)}, "rubbish": {"", many},
-		"trailers": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nnull\r\n0\r\n", strings.Repeat("Field: value\r\n", 1000)},
-	}
-}
-
-// endlessBodies returns the same of bodies.
-func endlessBodies() map[string][2]string {
-	many := strings.Repeat("x", 16<<10)
-	return map[string][2]string{
-		"with a length": {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n\"", many}, "without a length": {"HTTP/1.1 200 OK\r\n\r\n\"", many},
-		"in chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\"\r\n", "4000\r\n" + many + "\r\n"},
-		"chunk extension": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", many},
-	}
-}
-
-// requireBounded checks that the call fails in time and with no more memory than allowed.
-func requireBounded(t *testing.T, maxAllocated uint64, call func(ctx context.Context) error) {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	err := call(ctx)
-	runtime.ReadMemStats(&after)
-	if err == nil || after.TotalAlloc-before.TotalAlloc > maxAllocated {
-		t.Fatalf("error %v after %d MB, at most %d are allowed", err, (after.TotalAlloc-before.TotalAlloc)>>20, maxAllocated>>20)
-	}
-}
