--- a/internal/lrconn/lrfloodtest/flood.go
+++ b/internal/lrconn/lrfloodtest/flood.go
@@ -2,11 +2,10 @@
 package lrfloodtest
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -19,31 +18,21 @@
 // Start starts a server that answers each request without end, until the connection is closed, and returns its address.
 func Start(t *testing.T, answer Answer) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	text := []byte(answer.Again)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil {
-					_, err = io.WriteString(c, answer.Begin)
-				}
-				for err == nil {
-					_, err = c.Write(text)
-				}
-			}()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, answer.Begin)
+		for err == nil {
+			_, err = c.Write(text)
 		}
-	}()
-	return l.Addr().String()
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
 }
 
 // Heads returns answers whose heads never end.
