--- a/internal/lrplatform/client.go
+++ b/internal/lrplatform/client.go
@@ -134,7 +134,8 @@
 // instanceList holds the entries of a list that are not decoded yet.
 type instanceList struct{ entries []json.RawMessage }
 
-func (l *instanceList) decode(data []byte) error {
+// DecodeDocument splits the list.
+func (l *instanceList) DecodeDocument(data []byte) error {
 	var err error
 	l.entries, err = lrjson.SplitArray(data)
 	return err
@@ -185,7 +186,8 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err == nil {
-		err = decodeAnswer(data, result)
+		// An answer that was cut off, because it is too long or the connection broke, is malformed.
+		err = lrjson.Decode(data, result)
 	}
 	if err != nil {
 		return classifyTransport(method, err)
@@ -193,15 +195,6 @@
 	return nil
 }
 
-// decodeAnswer decodes an answer. One that was cut off, because it is too long or the connection broke, is malformed.
-func decodeAnswer(data []byte, result any) error {
-	list, ok := result.(*instanceList)
-	if ok {
-		return list.decode(data)
-	}
-	return json.Unmarshal(data, result)
-}
-
 // classifyTransport returns ErrUnknown for a write that may have reached the platform, and ErrUnavailable otherwise.
 func classifyTransport(method string, err error) error {
 	var dial *net.OpError
--- a/pkg/lrjson/list.go
+++ b/pkg/lrjson/list.go
@@ -18,7 +18,7 @@
 // Split returns the elements of the list in the field of the document, which is an object. The field is a plain name. It decodes the document without them into
 // envelope, if that is not nil.
 func Split(document []byte, field string, envelope any) ([]json.RawMessage, error) {
-	list := gjson.Get(string(document), field)
+	list := gjson.GetBytes(document, field)
 	if !list.IsArray() || list.Raw[len(list.Raw)-1] != ']' {
 		return nil, ErrNoList.New("field %q is no list", field)
 	}
@@ -46,7 +46,7 @@
 
 // Text returns the text at the path of a document that may be malformed elsewhere, or an empty one.
 func Text(document []byte, path string) string {
-	value := gjson.Get(string(document), path)
+	value := gjson.GetBytes(document, path)
 	if value.Type != gjson.String {
 		return ""
 	}
@@ -55,5 +55,19 @@
 
 // Raw returns the value at the path of a document that may be malformed elsewhere, or nothing.
 func Raw(document []byte, path string) json.RawMessage {
-	return json.RawMessage(gjson.Get(string(document), path).Raw)
+	return json.RawMessage(gjson.GetBytes(document, path).Raw)
+}
+
+// A Document decodes itself from a text of which parts may be malformed.
+type Document interface {
+	DecodeDocument(text []byte) error
+}
+
+// Decode decodes the text into a Document, or as encoding/json does.
+func Decode(text []byte, into any) error {
+	document, ok := into.(Document)
+	if ok {
+		return document.DecodeDocument(text)
+	}
+	return json.Unmarshal(text, into)
 }
