Pace the loading of new weights by the deadline in the settings

Cause: on a deployment whose engines take 1.8 s and more to load weights, four versions within eleven seconds put a third of the engines out of use at a time; updates that took longer than 2.5 s counted as failed, and no request was sent to engines with older weights after 5 s, although the platform allows 20 s there. 7,183 answers were 503.

Change: [orders] versionDeadline, taken from the platform's settings, replaces the constants that suited fast engines: the age up to which older weights are used, the time of an update, and the share for late rollouts scale with it. The holder learns the time of a load. While requests wait at the engines, only so many load at once as the deadline needs.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -128,7 +128,7 @@
 		pool: lrpeer.NewPool(insecure.NewCredentials()),
 	}
 	d.balancer = lrbalance.New(lrbalance.Options{
-		PrefillPerMilli: float64(settings.Routing.PrefillPerSecond) / 1000, Zone: settings.Instance.Zone, Seed: uint64(clock().UnixNano()),
+		PrefillPerMilli: float64(settings.Routing.PrefillPerSecond) / 1000, Zone: settings.Instance.Zone, OutdatedLimit: outdatedLimit(settings.Orders.VersionDeadline), Seed: uint64(clock().UnixNano()),
 	})
 	d.directory.OnRestart(d.balancer.Forget)
 	d.wireFeeds()
@@ -146,6 +146,13 @@
 	return d
 }
 
+// deadlineMargin is the part of the deadline of newer weights that is left for the way of a request to its engine, and for the time after
+// which an instance hears of the weights.
+const deadlineMargin = time.Second
+
+// outdatedLimit returns how long after an update requests are still sent to engines with outdated weights, or zero for the default.
+func outdatedLimit(deadline time.Duration) time.Duration { return max(deadline-deadlineMargin, 0) }
+
 // followerOptions returns the options for a feed that rarely changes.
 func (d *Daemon) followerOptions(name string, interval time.Duration) lrfleet.FollowerOptions {
 	p := d.settings.Platform
@@ -199,7 +206,7 @@
 	d.leaseKeeper = lrlease.NewKeeper(d.ports.Store, rolloutLease, d.settings.Instance.Name, o.LeaseValidity, lrclock.BootTime)
 	d.weights = lrweights.NewUpdater(lrweights.Dependencies{
 		Instance: d.settings.Instance.Name, Keeper: d.leaseKeeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
-		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter},
+		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter}.WithDeadline(o.VersionDeadline),
 		LeaseClock: lrclock.BootTime, Observer: d.metrics, Go: d.supervisor.Go, Log: d.log,
 		Report: func(now time.Time, update lrfleet.WeightsUpdate) { d.sharer.ReportWeights(now, update) },
 	})
--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -29,12 +29,16 @@
 	// orderTimeout limits each order. An order without an answer is sent again: the engine accepts it at most once, because of the
 	// precondition Order.Accepted.
 	orderTimeout = 150 * time.Millisecond
-	// loadTime is approximately how long an engine takes to load weights. The state is read for the first time after that.
-	loadTime = 230 * time.Millisecond
+	// minLoadTime is how long an engine takes at least to load weights. Its state is not read before.
+	minLoadTime = 230 * time.Millisecond
+	// pollEarlyShare is the share of the learned load time after which the state of an engine is read for the first time.
+	pollEarlyShare = 0.85
 	// pollInterval is the interval between two reads of the state of an engine that is loading weights.
 	pollInterval = 60 * time.Millisecond
-	// updateTimeout limits the update of one engine. An update that timed out is started again later.
-	updateTimeout = 2500 * time.Millisecond
+	// minUpdateTimeout and updateTimeoutShare, of the deadline of a rollout, limit the update of one engine. An update that timed out is
+	// started again later.
+	minUpdateTimeout   = 2500 * time.Millisecond
+	updateTimeoutShare = 0.5
 	// failureDelay is the minimum time between the failed update of an engine and the next one.
 	failureDelay = 400 * time.Millisecond
 )
@@ -128,6 +132,8 @@
 	closing  map[string]bool
 	// failedAt is the time of the last failed update of an engine.
 	failedAt map[string]time.Time
+	// loadTime is how long engines have taken to load weights.
+	loadTime lrrollout.LoadTime
 	// leaseWasHeld is set when the lease was held at the last step.
 	leaseWasHeld bool
 }
@@ -192,6 +198,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	engines := make([]lrrollout.Engine, 0, len(servers))
+	conditions := lrrollout.Conditions{UpdateTime: d.loadTime.Mean(minLoadTime) + drainTimeout, Wait: d.meanWait(servers)}
 	for _, s := range servers {
 		if now.Sub(d.failedAt[s.ID]) < failureDelay {
 			continue
@@ -201,7 +208,19 @@
 			OutdatedFor: d.outdatedFor(now, s),
 		})
 	}
-	return lrrollout.Next(d.Options, engines, d.Directory.DesiredVersions(), d.updating)
+	return lrrollout.Next(d.Options, conditions, engines, d.Directory.DesiredVersions(), d.updating)
+}
+
+// meanWait returns the mean expected wait of requests at the servers that have weights.
+func (d *Updater) meanWait(servers []lrfleet.Server) time.Duration {
+	total, engines := time.Duration(0), 0
+	for _, s := range servers {
+		if len(s.Versions) > 0 {
+			total += d.Balancer.QueueTime(s.ID)
+			engines++
+		}
+	}
+	return total / time.Duration(max(engines, 1))
 }
 
 // outdatedFor returns how long a newer version of the weights of any of the server's models has been desired.
@@ -215,7 +234,7 @@
 
 // update brings one engine to the version, or delays its next update when that fails.
 func (d *Updater) update(ctx context.Context, server lrfleet.Server, step lrrollout.Step) {
-	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(minUpdateTimeout, time.Duration(updateTimeoutShare*float64(d.Options.Deadline))))
 	defer cancel()
 	began, done := time.Now(), false
 	defer func() { d.endUpdate(server.ID, done) }()
@@ -275,8 +294,10 @@
 // orderUntilLoaded sends the order, again if necessary, and waits until it has been carried out. It reports whether the engine has loaded
 // the version.
 func (d *Updater) orderUntilLoaded(ctx context.Context, server lrfleet.Server, step lrrollout.Step, state State) bool {
+	var startedAt time.Time
 	for ctx.Err() == nil {
 		if state.Versions[step.Model] >= step.Version && !state.IsBusy {
+			d.recordLoad(startedAt)
 			return true
 		}
 		pause := pollInterval
@@ -293,7 +314,8 @@
 			case Fenced, Refused:
 				return false
 			case Started:
-				pause = loadTime
+				startedAt = time.Now()
+				pause = d.firstPoll()
 			}
 		}
 		lrsupervise.Sleep(ctx, pause)
@@ -307,6 +329,23 @@
 	return false
 }
 
+// recordLoad records the load that an order has started, if there was one.
+func (d *Updater) recordLoad(startedAt time.Time) {
+	if startedAt.IsZero() {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.loadTime = d.loadTime.WithSample(time.Since(startedAt))
+}
+
+// firstPoll returns how long after an order the state of the engine is read for the first time.
+func (d *Updater) firstPoll() time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return max(minLoadTime, time.Duration(pollEarlyShare*float64(d.loadTime.Mean(minLoadTime))))
+}
+
 // leaseCheck returns the check that runs just before an order is sent: the lease must be held under the same fencing number as when the
 // order was decided. The process may have been paused in between, and another instance may hold the lease now.
 func (d *Updater) leaseCheck(fence uint64) func() error {
--- a/internal/lrweights/updater_test.go
+++ b/internal/lrweights/updater_test.go
@@ -162,7 +162,7 @@
 		}()
 	}
 	<-ctx.Done()
-	time.Sleep(updateTimeout)
+	time.Sleep(minUpdateTimeout)
 }
 
 func (r *rollout) atVersion(version int64) int {
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -1,6 +1,7 @@
 package lrbalance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,6 +13,9 @@
 	PrefillPerMilli float64
 	// Zone is the availability zone of this instance.
 	Zone string
+	// OutdatedLimit is how long after an update a request may still start on the outdated weights. The wait at the engine counts. Zero
+	// means defaultOutdatedLimit.
+	OutdatedLimit time.Duration
 	// Seed seeds the random generator that breaks ties.
 	Seed uint64
 }
@@ -33,9 +37,8 @@
 	outdatedGrace = 1400 * time.Millisecond
 	// outdatedCost is the cost of an engine with outdated weights after outdatedGrace.
 	outdatedCost = 400 * time.Millisecond
-	// outdatedLimit is how long after an update a request may still start on the outdated weights. The wait at the
-	// engine counts.
-	outdatedLimit = 5 * time.Second
+	// defaultOutdatedLimit is the limit that applies where Options set none.
+	defaultOutdatedLimit = 5 * time.Second
 	// targetThreshold is the share of the request's target time above which any further wait is also counted lateWeight
 	// times.
 	targetThreshold = 0.7
@@ -63,6 +66,7 @@
 
 // New returns a Balancer without load or cache estimates.
 func New(options Options) *Balancer {
+	options.OutdatedLimit = cmp.Or(options.OutdatedLimit, defaultOutdatedLimit)
 	return &Balancer{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		ownLoads: map[string]Load{}, otherLoads: map[string]Load{}, estimates: newEstimates(),
@@ -75,7 +79,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	p, candidates := b.newPlacement(now, request, engines)
-	order := p.ranked(usable(request, candidates))
+	order := p.ranked(usable(request, candidates, b.options.OutdatedLimit))
 	best, ok := p.cheapest(order, p.compared(order))
 	if !ok {
 		best, ok = p.cheapest(order, nil)
@@ -141,6 +145,13 @@
 	return b.ownLoads[engine].Plus(b.otherLoads[engine])
 }
 
+// QueueTime returns the expected time until the engine has computed the prompts that wait there.
+func (b *Balancer) QueueTime(engine string) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.prefill(b.load(engine).Waiting)
+}
+
 // Load returns the known load that all instances together put on the engine.
 func (b *Balancer) Load(engine string) Load {
 	b.mutex.Lock()
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -98,7 +98,7 @@
 		}
 		e := candidate.engine
 		c := p.estimate(candidate, rank)
-		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > outdatedLimit {
+		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > p.balancer.options.OutdatedLimit {
 			continue
 		}
 		cost := p.balancer.cost(p.request, c)
--- a/pkg/lrbalance/rank.go
+++ b/pkg/lrbalance/rank.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
 )
@@ -25,9 +26,9 @@
 	score uint64
 }
 
-// usable leaves out the engines that failed the request, those that want none now, and those whose weights have been outdated for outdatedLimit.
+// usable leaves out the engines that failed the request, those that want none now, and those whose weights have been outdated for the limit.
 // Engines that are about to be interrupted are returned only if there are no others.
-func usable(request Request, candidates []candidate) []candidate {
+func usable(request Request, candidates []candidate, outdatedLimit time.Duration) []candidate {
 	usable := make([]candidate, 0, len(candidates))
 	var closing []candidate
 	for _, c := range candidates {
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -168,6 +168,9 @@
 	LateShare float64
 	// LateAfter is the time for which weights must have been outdated before LateShare applies.
 	LateAfter time.Duration
+	// VersionDeadline is how long after newer weights were named a request may still begin on older ones. Zero means that no deadline is
+	// known, and that engines are updated as fast as Share allows.
+	VersionDeadline time.Duration
 }
 
 // Retries bounds how often requests are retried, over all instances.
