Use older weights until the deadline, without a slower rollout

Cause: the pace that was merged with the deadline (fewer engines load at once while requests wait, the late share in proportion to the deadline) keeps two versions in use for longer. Shared blocks are then computed for both, and requests gather at the engines that have the new one.

Change: the pace and the scaled late share are removed; the limits that follow from the deadline stay (age of usable weights, timeout of an update, learned time of the first poll).

--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -35,8 +35,8 @@
 	pollEarlyShare = 0.85
 	// pollInterval is the interval between two reads of the state of an engine that is loading weights.
 	pollInterval = 60 * time.Millisecond
-	// minUpdateTimeout and updateTimeoutShare, of the deadline of a rollout, limit the update of one engine. An update that timed out is
-	// started again later.
+	// minUpdateTimeout and updateTimeoutShare, of VersionDeadline, limit the update of one engine. An update that timed out is started
+	// again later.
 	minUpdateTimeout   = 2500 * time.Millisecond
 	updateTimeoutShare = 0.5
 	// failureDelay is the minimum time between the failed update of an engine and the next one.
@@ -105,6 +105,8 @@
 	Directory *lrfleet.Directory
 	Balancer  *lrbalance.Balancer
 	Options   lrrollout.Options
+	// VersionDeadline is how long after newer weights were named a request may still begin on older ones. Zero means unknown.
+	VersionDeadline time.Duration
 	// Report informs the other instances that an engine has loaded new weights.
 	Report func(now time.Time, note lrfleet.WeightsUpdate)
 	// LeaseClock is the clock of the lease. It also advances while the machine is suspended.
@@ -198,7 +200,6 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	engines := make([]lrrollout.Engine, 0, len(servers))
-	conditions := lrrollout.Conditions{UpdateTime: d.loadTime.Mean(minLoadTime) + drainTimeout, Wait: d.meanWait(servers)}
 	for _, s := range servers {
 		if now.Sub(d.failedAt[s.ID]) < failureDelay {
 			continue
@@ -208,19 +209,7 @@
 			OutdatedFor: d.outdatedFor(now, s),
 		})
 	}
-	return lrrollout.Next(d.Options, conditions, engines, d.Directory.DesiredVersions(), d.updating)
-}
-
-// meanWait returns the mean expected wait of requests at the servers that have weights.
-func (d *Updater) meanWait(servers []lrfleet.Server) time.Duration {
-	total, engines := time.Duration(0), 0
-	for _, s := range servers {
-		if len(s.Versions) > 0 {
-			total += d.Balancer.QueueTime(s.ID)
-			engines++
-		}
-	}
-	return total / time.Duration(max(engines, 1))
+	return lrrollout.Next(d.Options, engines, d.Directory.DesiredVersions(), d.updating)
 }
 
 // outdatedFor returns how long a newer version of the weights of any of the server's models has been desired.
@@ -234,7 +223,7 @@
 
 // update brings one engine to the version, or delays its next update when that fails.
 func (d *Updater) update(ctx context.Context, server lrfleet.Server, step lrrollout.Step) {
-	ctx, cancel := context.WithTimeout(ctx, max(minUpdateTimeout, time.Duration(updateTimeoutShare*float64(d.Options.Deadline))))
+	ctx, cancel := context.WithTimeout(ctx, max(minUpdateTimeout, time.Duration(updateTimeoutShare*float64(d.VersionDeadline))))
 	defer cancel()
 	began, done := time.Now(), false
 	defer func() { d.endUpdate(server.ID, done) }()
--- a/pkg/lrrollout/plan.go
+++ b/pkg/lrrollout/plan.go
@@ -39,8 +39,6 @@
 	// disables it.
 	LateShare float64
 	LateAfter time.Duration
-	// Deadline is how long after a newer version was named a request may still begin on outdated weights. Zero means that there is none.
-	Deadline time.Duration
 }
 
 // share returns the share of the engines that may be updated at the same time.
@@ -53,15 +51,15 @@
 
 // Next returns the orders to send now: engines with the oldest weights first, and among them those with the fewest
 // requests. Engines in busy are being updated already.
-func Next(options Options, conditions Conditions, engines []Engine, desired map[string]int64, busy map[string]bool) []Step {
+func Next(options Options, engines []Engine, desired map[string]int64, busy map[string]bool) []Step {
 	steps := make([]Step, 0, len(engines))
 	for _, model := range sortedKeys(desired) {
-		steps = append(steps, nextOfModel(options, conditions, engines, model, desired[model], busy)...)
+		steps = append(steps, nextOfModel(options, engines, model, desired[model], busy)...)
 	}
 	return steps
 }
 
-func nextOfModel(options Options, conditions Conditions, engines []Engine, model string, desired int64, busy map[string]bool) []Step {
+func nextOfModel(options Options, engines []Engine, model string, desired int64, busy map[string]bool) []Step {
 	var old []Engine
 	total, changing := 0, 0
 	oldest := time.Duration(0)
@@ -84,7 +82,7 @@
 	slices.SortFunc(old, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Versions[model], b.Versions[model]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
-	allowed := options.atOnce(total, len(old)+changing, oldest, conditions) - changing
+	allowed := max(options.MinAtOnce, int(options.share(oldest)*float64(total))) - changing
 	begin := old[:max(min(allowed, len(old)), 0)]
 	steps := make([]Step, 0, len(begin))
 	for _, e := range begin {
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -169,7 +169,7 @@
 	// LateAfter is the time for which weights must have been outdated before LateShare applies.
 	LateAfter time.Duration
 	// VersionDeadline is how long after newer weights were named a request may still begin on older ones. Zero means that no deadline is
-	// known, and that engines are updated as fast as Share allows.
+	// known, and that the limits of fast engines apply.
 	VersionDeadline time.Duration
 }
 
