Suspect backend servers that stop responding, and repeat what waits there

Cause: an engine that stops without closing its connections keeps its load and gets new requests.

Ruled out: a fixed limit for the first event, which fires under overload or is too long for the short kind; probes by requests of their own, since no interface of engines for them is known; a vote of several instances, which costs an exchange more than a contradiction by any of them.

Change: - lrretry.ResponseMonitor compares the silence of each server with the expected time of its attempts, the usual lateness of the route, and other servers that answered later requests of no higher urgency. A time in which this instance was paused or cut off does not count. - Suspicions and the bytes that contradict them are told to other instances (FleetState 37 and 38) for each start of a server. - Placement decides in one function which servers are left out: failed, ejected or suspected ones. Suspected servers get one trial at a time; they are used as before when they are more than half of the service's servers. - An attempt without a first event at a suspected server is given up if the route may be repeated, max_attempts and the retry budget allow it, and there is another server. Such a server is not ejected for it. - One log line for each change, one gauge, the outcome "unresponsive".

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -90,6 +90,7 @@
 	limiter      *lrlimit.SharedLimiter
 	quarantine   *lrquarantine.Tracker
 	notices      *lrnotice.Board
+	responses    *lrretry.ResponseMonitor
 	sharer       *lrfleet.Sharer
 	kvStoreWatch *lrfleet.KVStoreWatch
 	leaseKeeper  *lrlease.Keeper
@@ -131,6 +132,7 @@
 		PrefillPerMilli: float64(settings.Routing.PrefillPerSecond) / 1000, Zone: settings.Instance.Zone, Seed: uint64(clock().UnixNano()),
 	})
 	d.directory.OnRestart(d.balancer.Forget)
+	d.wireResponses()
 	d.wireFeeds()
 	d.wireQuarantine()
 	d.wireWeights()
@@ -235,7 +237,7 @@
 func (d *Daemon) wireSharer() {
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerDependencies{
 		Self:      d.self(),
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, Notices: d.notices, KVStores: d.kvStoreWatch, Rollout: d.weights, Pool: d.pool,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, Notices: d.notices, Responses: d.responses, KVStores: d.kvStoreWatch, Rollout: d.weights, Pool: d.pool,
 		Feeds: d.feeds(), Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
@@ -298,7 +300,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectFailures, Duration: ejectDuration, MaxDuration: maxEjectDuration, ProbeTimeout: ejectProbeTimeout,
 		}),
-		Quarantine: d.quarantine, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Responses: d.responses, Quarantine: d.quarantine, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 		PauseClock: lrclock.BootTime, IsStopping: d.stopping.Load,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainInterval, func(context.Context, time.Time) {
--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -33,6 +33,9 @@
 	gauge("lavenderrouter_edge_quarantined", "Requests and parts of prompts that are rejected because servers crash on them.", func() float64 {
 		return float64(d.quarantine.Quarantined())
 	})
+	gauge("lavenderrouter_edge_suspected_servers", "Backend servers that are suspected to have stopped responding.", func() float64 {
+		return float64(len(d.responses.Suspected(d.clock())))
+	})
 	d.registerNoticeGauges()
 	gauge("lavenderrouter_edge_outdated_seconds", "How long the engine that is furthest behind has lacked newer weights.", func() float64 {
 		return d.directory.LongestOutdated(d.clock()).Seconds()
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -17,6 +17,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 )
 
 const (
@@ -67,10 +68,12 @@
 	Limiter    *lrlimit.SharedLimiter
 	Quarantine *lrquarantine.Tracker
 	Notices    *lrnotice.Board
-	KVStores   *KVStoreWatch
-	Rollout    Rollout
-	Pool       *lrpeer.Pool
-	Feeds      map[string]SharedFeed
+	// Responses holds which backend servers have stopped responding.
+	Responses *lrretry.ResponseMonitor
+	KVStores  *KVStoreWatch
+	Rollout   Rollout
+	Pool      *lrpeer.Pool
+	Feeds     map[string]SharedFeed
 	// Go runs work in its own goroutine, beside the supervised loops.
 	Go    func(name string, work func())
 	Clock func() time.Time
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -67,7 +67,9 @@
 	Limiter      *lrlimit.SharedLimiter
 	RetryBudgets RetryBudgets
 	Ejector      *lrretry.Ejector
-	Quarantine   Quarantine
+	// Responses holds which backend servers have stopped responding.
+	Responses  *lrretry.ResponseMonitor
+	Quarantine Quarantine
 	// Notices holds what backend servers say of themselves in their answers.
 	Notices *lrnotice.Board
 	// Memory limits the bytes of request bodies and answers that are buffered at the same time.
--- a/internal/lrpipeline/place.go
+++ b/internal/lrpipeline/place.go
@@ -37,7 +37,7 @@
 	for n, s := range servers {
 		decisions[n] = p.Notices.Check(now, startedServer(s.Server))
 	}
-	excluded := r.excludedServers(servers, decisions, p.Ejector.Ejected(now))
+	excluded, trials := r.excludedServers(now, servers, decisions)
 	unreachable := p.UnreachableZones(now)
 	r.heldBack = heldBack{}
 	for n, s := range servers {
@@ -49,7 +49,7 @@
 		engines = append(engines, lrbalance.Engine{
 			ID: s.ID, Zone: s.Zone, Slots: s.Slots, Version: s.Versions[r.Model], OutdatedFor: s.OutdatedFor,
 			IsDraining: s.IsClosing, IsZoneUnreachable: unreachable[s.Zone],
-			IsHeldBack: !decision.Admission.IsAllowed(), Preference: preference(decision, len(servers)),
+			IsHeldBack: !decision.Admission.IsAllowed(), Preference: max(preference(decision, len(servers)), trials[s.ID]),
 		})
 	}
 	if len(r.heldBack.servers) > 0 {
@@ -61,6 +61,12 @@
 		Stores: r.kvStores(now),
 	}
 	choice, ok := p.Balancer.Choose(now, request, engines)
+	if _, isTrial := trials[choice.Engine.ID]; ok && isTrial && !p.Responses.TakeTrial(now, choice.Engine.ID, r.route.IsRetryable()) {
+		// Another request has become the trial since.
+		p.Balancer.End(choice, false)
+		excluded[choice.Engine.ID] = true
+		choice, ok = p.Balancer.Choose(now, request, engines)
+	}
 	if !ok {
 		return choice, lrfleet.Server{}, false
 	}
@@ -70,23 +76,58 @@
 	return choice, byID[choice.Engine.ID], true
 }
 
-// excludedServers returns the servers that have failed the request and those that are ejected. Ejected servers are tried where all others want
-// no request now.
-func (r *run) excludedServers(servers []lrfleet.Candidate, decisions []lrnotice.Decision, ejected []string) map[string]bool {
-	excluded := make(map[string]bool, len(r.excluded)+len(ejected))
+// excludedServers returns the servers that have failed the request, those that do not respond and those that are ejected, and the preference
+// of the servers for which the request is a trial whether they respond again. Where all others want no request now, servers that do not
+// respond are tried before those that are ejected.
+func (r *run) excludedServers(now time.Time, servers []lrfleet.Candidate, decisions []lrnotice.Decision) (excluded map[string]bool, trials map[string]float64) {
+	p := r.pipeline
+	excluded = make(map[string]bool, len(r.excluded))
 	for id := range r.excluded {
 		excluded[id] = true
 	}
-	hasOther := false
-	for n, s := range servers {
-		hasOther = hasOther || decisions[n].Admission.IsAllowed() && !slices.Contains(ejected, s.ID)
-	}
-	if hasOther {
-		for _, id := range ejected {
+	ejected, suspected := p.Ejector.Ejected(now), suspectedOf(servers, p.Responses.Suspected(now))
+	hasOther := func(isLeftOut func(id string) bool) bool {
+		for n, s := range servers {
+			if decisions[n].Admission.IsAllowed() && !isLeftOut(s.ID) {
+				return true
+			}
+		}
+		return false
+	}
+	isEjected := func(id string) bool { return slices.Contains(ejected, id) }
+	isLeftOut := func(id string) bool { return isEjected(id) || slices.Contains(suspected, id) || r.excluded[id] }
+	switch {
+	case len(suspected) > 0 && hasOther(isLeftOut):
+		trials = map[string]float64{}
+		for _, id := range suspected {
+			if !isEjected(id) && !excluded[id] && p.Responses.AllowsTrial(now, id, r.route.IsRetryable()) {
+				trials[id] = 1
+				continue
+			}
 			excluded[id] = true
 		}
+	case !hasOther(isEjected):
+		return excluded, nil
+	}
+	for _, id := range ejected {
+		excluded[id] = true
+	}
+	return excluded, trials
+}
+
+// suspectedOf returns those of the servers that are suspected not to respond. If they are more than half of the servers, they are all slow,
+// or the reports of other instances are wrong, and none is returned.
+func suspectedOf(servers []lrfleet.Candidate, suspected []string) []string {
+	var found []string
+	for _, s := range servers {
+		if slices.Contains(suspected, s.ID) {
+			found = append(found, s.ID)
+		}
+	}
+	if 2*len(found) > len(servers) {
+		return nil
 	}
-	return excluded
+	return found
 }
 
 // preference returns for which part of the requests a server at its limit is preferred, so that the few instances that may send to it together
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -24,6 +24,7 @@
 
 // relayAnswer sends a complete answer to the caller. An error answer is kept and sent only if no other server succeeds.
 func (r *run) relayAnswer(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
+	r.received(true)
 	r.noteComputed(choice)
 	if r.headSent {
 		// The stream has begun: an error answer cannot be relayed any more.
@@ -67,6 +68,7 @@
 	for err == nil {
 		n, readErr := rest.Read(chunk)
 		if n > 0 {
+			r.received(false)
 			err = r.caller.Event(Event{Bytes: chunk[:n]})
 		}
 		switch {
@@ -97,6 +99,7 @@
 		if err != nil && !r.headSent && reply.EndsWithConnection {
 			return r.handleBroken(ctx, server, lrconn.ErrBroken.New("the stream ended with its connection before the first event"))
 		}
+		r.received(first)
 		r.noteComputed(choice)
 		if err != nil {
 			return r.completeStream(server, reply)
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -56,6 +56,9 @@
 	unsentAttempts int
 	// lastUnsent is set when no byte of the last attempt was sent.
 	lastUnsent bool
+	// current is the attempt in progress. isRetryGranted is set when the retry budget has granted the next one.
+	current        monitoredAttempt
+	isRetryGranted bool
 	// promptComputed is set when the server of the last attempt has computed the prompt.
 	promptComputed bool
 	// answerBegun is set when the head of an answer to the last attempt has arrived.
@@ -140,14 +143,14 @@
 	if r.attempts-r.unsentAttempts >= maxSentAttempts || r.unsentAttempts >= maxUnsentAttempts || r.possibleRuns >= max(r.route.MaxAttempts, 1) {
 		return false
 	}
-	return r.lastUnsent || r.pipeline.RetryBudgets.Spend(r.pipeline.Clock(), r.service.Name)
+	return r.lastUnsent || r.isRetryGranted || r.pipeline.RetryBudgets.Spend(r.pipeline.Clock(), r.service.Name)
 }
 
 // attempt sends the request to the server, and relays the answer when it is final.
 func (r *run) attempt(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server) verdict {
 	p := r.pipeline
 	began := p.Clock()
-	r.promptComputed, r.answerBegun = false, false
+	r.promptComputed, r.answerBegun, r.isRetryGranted = false, false, false
 	defer func() { p.Balancer.End(choice, r.promptComputed) }()
 	decision := p.Quarantine.Begin(began, r.traits)
 	if decision.Admission == lrquarantine.Rejected {
@@ -157,7 +160,10 @@
 	}
 	r.attempts++
 	p.Ejector.Started(began, server.ID)
-	reply, err := p.Backend.Send(ctx, Attempt{
+	sendCtx, current := r.monitor(ctx, began, choice, server)
+	r.current = current
+	defer current.end()
+	reply, err := p.Backend.Send(sendCtx, Attempt{
 		Request: r.Request, Server: server, MaxConnections: r.maxConnections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
 		Urgency: r.route.PriorityOf(r.account), TimeLeft: r.deadline.Sub(began), ResumeAfter: r.lastEventID,
 		Version: server.Versions[r.Model], BeforeSend: r.sendCheck(), FetchFrom: r.fetchFrom(choice), SaveTo: r.saveTo(choice),
@@ -177,6 +183,7 @@
 		return r.handleBroken(ctx, server, err)
 	}
 	defer reply.Close()
+	r.received(false)
 	r.observeNotice(began, server, reply)
 	r.answerBegun = reply.Refusal == Accepted
 	if r.Model != "" && reply.Version > 0 {
@@ -224,6 +231,9 @@
 	r.lastUnsent = true
 	r.unsentAttempts++
 	r.pipeline.Notices.Return(r.pipeline.Clock(), startedServer(server))
+	if ctx.Err() == nil && r.current.isGivenUp.Load() {
+		return r.handleUnresponsive(server)
+	}
 	r.pipeline.Observer.Attempted("heldBack")
 	r.logAttempt(zerolog.WarnLevel, server, "heldBack").Err(err).Msg("request: sent")
 	if ctx.Err() != nil || !errors.Is(err, errStaleChoice) {
@@ -235,6 +245,9 @@
 // handleBroken handles an attempt that ended without a complete answer.
 func (r *run) handleBroken(ctx context.Context, server lrfleet.Server, err error) verdict {
 	p := r.pipeline
+	if ctx.Err() == nil && r.current.isGivenUp.Load() {
+		return r.handleUnresponsive(server)
+	}
 	r.excluded[server.ID] = true
 	p.Observer.Attempted("broken")
 	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", !r.lastUnsent).Bool("begun", r.answerBegun).
