Learn the speed of services and engines from first events

Change: - A model of each service corrects overhead, compute time and delay per running request by a tenth of the error of each first event, bounded, with a half-life of a minute without samples. - A slowness of each engine against its service, with a half-life of 0.4 s, from the samples of all instances: ServerLoad 5 and 6 are sums and weights. The factor is 0.7 to 4, a sample counts at most 2.5 times, a report at most 100 samples. - Samples are taken from streams and from plain answers that succeeded; a restart of the engine drops its slowness. - Choice.Wait and the cost of computing use both.

No existing test was changed.

--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -101,6 +101,7 @@
 	for server, l := range sum.loads {
 		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
 			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
+			SlownessSum: int32(l.SlownessSum), SlownessWeight: uint32(max(l.SlownessWeight, 0)),
 		})
 	}
 	for name, f := range s.Feeds {
@@ -137,6 +138,7 @@
 // those of all other instances to members of the own zone. It must be called with the mutex held.
 func (s *Sharer) sumFor(now time.Time, p *peer) totals {
 	own := totals{loads: s.Balancer.OwnLoads(), used: s.Limiter.Used(), reached: 1}
+	own.add(totals{loads: s.Balancer.OwnSpeeds(now)})
 	relay := s.relayOf(now, s.Self.Zone)
 	if p.Zone == s.Self.Zone && relay != nil && relay.Name == p.Name {
 		return own
@@ -194,7 +196,8 @@
 	sum.used, sum.reached = state.GetUsed(), int(state.GetReached())
 	sum.uptime = time.Duration(state.GetUptimeMillis()) * time.Millisecond
 	for _, l := range state.GetLoads() {
-		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
+		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}.
+			WithSlowness(int(l.GetSlownessSum()), int(l.GetSlownessWeight()))
 	}
 	hasLevels := s.recordState(now, state, sum, isAnswer)
 	if hasLevels {
--- a/internal/lrpipeline/place.go
+++ b/internal/lrpipeline/place.go
@@ -56,7 +56,7 @@
 		p.Observer.HeldBack(len(r.heldBack.servers))
 	}
 	request := lrbalance.Request{
-		Scope: balanceScope(r.account.Name, r.Model), Blocks: r.Blocks, Tokens: r.PromptTokens, Excluded: excluded,
+		Service: r.service.Name, Scope: balanceScope(r.account.Name, r.Model), Blocks: r.Blocks, Tokens: r.PromptTokens, Excluded: excluded,
 		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
 		Stores: r.kvStores(now),
 	}
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -25,6 +25,10 @@
 // relayAnswer sends a complete answer to the caller. An error answer is kept and sent only if no other server succeeds.
 func (r *run) relayAnswer(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
 	r.received(true)
+	if reply.IsSuccess() && r.Model == "" {
+		// The answer of a model arrives after the generation, and an error answer may come at once: neither tells how fast the server is.
+		r.pipeline.Balancer.FirstEventAfter(r.pipeline.Clock(), choice)
+	}
 	r.noteComputed(choice)
 	if r.headSent {
 		// The stream has begun: an error answer cannot be relayed any more.
@@ -106,6 +110,7 @@
 		}
 		if first {
 			first = false
+			p.Balancer.FirstEventAfter(p.Clock(), choice)
 			p.Observer.FirstEvent(r.route.Name, p.Clock().Sub(r.Received))
 		}
 		err = r.relayEvent(reply, event)
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -8,7 +8,7 @@
 
 // Options configure a Balancer.
 type Options struct {
-	// PrefillPerMilli is the number of prompt tokens that an engine computes in a millisecond.
+	// PrefillPerMilli is the number of prompt tokens that an engine computes in a millisecond, before the speed of its service is learned.
 	PrefillPerMilli float64
 	// Zone is the availability zone of this instance.
 	Zone string
@@ -17,7 +17,7 @@
 }
 
 const (
-	// decodeDelayPerRequest is the time that each running request adds to the first token of another request.
+	// decodeDelayPerRequest is the time that each running request adds to the first token of another request, before it is learned.
 	decodeDelayPerRequest = 500 * time.Microsecond
 	// computeWeight is the weight of the time to compute missing tokens, which is added to the caller's wait because the
 	// computation delays other requests too.
@@ -59,6 +59,9 @@
 	ownLoads   map[string]Load
 	otherLoads map[string]Load
 	estimates  *estimates
+	// models holds what was learned of each service, speeds the samples of this instance of each engine.
+	models map[string]serviceModel
+	speeds map[string]slowness
 }
 
 // New returns a Balancer without load or cache estimates.
@@ -66,6 +69,7 @@
 	return &Balancer{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		ownLoads: map[string]Load{}, otherLoads: map[string]Load{}, estimates: newEstimates(),
+		models: map[string]serviceModel{}, speeds: map[string]slowness{},
 	}
 }
 
@@ -93,6 +97,7 @@
 	default:
 		best.Source = p.secondSource(order, best)
 	}
+	best.chosenAt, best.service = now, request.Service
 	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
 	b.estimates.markComputing(now, best.Engine.ID, best.blocks)
@@ -103,7 +108,7 @@
 }
 
 func (b *Balancer) cost(request Request, choice Choice) time.Duration {
-	cost := choice.Wait + time.Duration(computeWeight*float64(b.prefill(choice.Missing)))
+	cost := choice.Wait + time.Duration(computeWeight*float64(choice.compute))
 	if choice.Engine.Zone != b.options.Zone {
 		cost += crossZoneCost
 	}
@@ -247,9 +252,10 @@
 	b.Merge(now, updates, false)
 }
 
-// Forget drops the cache estimate of an engine or KV store, because it has restarted or changed its weights.
+// Forget drops the cache estimate and the learned speed of an engine or KV store, because it has restarted or changed its weights.
 func (b *Balancer) Forget(engine string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.estimates.forget(engine)
+	delete(b.speeds, engine)
 }
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -48,6 +48,8 @@
 	Blocks []Block
 	// Tokens is the length of the whole prompt.
 	Tokens int
+	// Service is the service of the engines. Speeds are learned for each service.
+	Service string
 	// Target is the time within which the caller wants the first event. Zero means that there is no target.
 	Target time.Duration
 	// Instances is the number of instances that choose among the same backend servers.
@@ -64,11 +66,17 @@
 	Waiting int `json:"waiting"`
 	// Running is the number of requests in progress.
 	Running int `json:"running"`
+	// SlownessSum and SlownessWeight are what recent samples say of the speed of the server. See WithSlowness.
+	SlownessSum    int `json:"slownessSum,omitempty"`
+	SlownessWeight int `json:"slownessWeight,omitempty"`
 }
 
 // Plus returns the sum of both loads.
 func (l Load) Plus(other Load) Load {
-	return Load{Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running}
+	return Load{
+		Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running,
+		SlownessSum: l.SlownessSum + other.SlownessSum, SlownessWeight: l.SlownessWeight + other.SlownessWeight,
+	}
 }
 
 // A Choice is the decision for one request.
@@ -98,4 +106,12 @@
 	// cached is the number of tokens that the engine is assumed to hold or to be computing.
 	cached int
 	blocks []prefixBlock
+	// chosenAt is when the choice was made for the service. features are the parts of Wait, usual is Wait at an engine of usual speed, and
+	// compute the expected time to compute the missing tokens. isQueued means that the request is expected to wait for a slot or memory.
+	chosenAt time.Time
+	service  string
+	features features
+	usual    time.Duration
+	compute  time.Duration
+	isQueued bool
 }
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -15,7 +15,10 @@
 // mutex of the Balancer must be held.
 type placement struct {
 	balancer *Balancer
-	request  Request
+	now      time.Time
+	// model is the model of the engines' service.
+	model   serviceModel
+	request Request
 	// home is the key of the shared blocks. It is empty where there are none.
 	home string
 	// store is the KV store for the shared blocks.
@@ -41,7 +44,7 @@
 func (b *Balancer) newPlacement(now time.Time, request Request, engines []Engine) (placement, []candidate) {
 	home := homeKey(request)
 	p := placement{
-		balancer: b, request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
+		balancer: b, now: now, model: b.model(now, request.Service), request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
 		sources: map[int64]source{}, stored: map[int64]int{},
 	}
 	candidates := make([]candidate, len(engines))
@@ -178,10 +181,16 @@
 		c.Missing = min(c.Missing, p.request.Tokens-int(homeCachedShare*float64(p.shared)))
 	}
 	load := b.load(engine.ID)
-	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens) + transfer +
-		time.Duration(load.Running)*decodeDelayPerRequest
+	c.features = features{
+		compute: b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens),
+		running: time.Duration(load.Running) * decodeDelayPerRequest, fixed: transfer,
+	}
 	if engine.Slots > 0 && load.Running >= engine.Slots {
-		c.Wait += time.Duration(load.Running-engine.Slots+1) * overSlotCost
+		c.isQueued = true
+		c.features.fixed += time.Duration(load.Running-engine.Slots+1) * overSlotCost
 	}
+	slowness := b.slowness(p.now, engine.ID)
+	c.Wait, c.usual = p.model.expected(c.features, slowness), p.model.expected(c.features, 1)
+	c.compute = time.Duration(slowness * p.model.compute * float64(b.prefill(c.Missing)))
 	return c
 }
