Place requests by the memory that engines have left

Cause: an engine of S holds about 20 long prompts at 64 slots. One that is full has free slots and no waiting tokens, so that it looks idle and gets more requests, which wait until memory is freed.

Ruled out: counting a shared block only where no other instance has used it lately, since reports of blocks are up to 4 s apart and the sum would jump; reporting the keys in use, which is too large for 8 KB a second at 420 instances.

Change: - kv_capacity of a service's engines becomes lrtable.Service.Memory. Missing, implausible or of another type it means unknown: nothing is counted or reported, and one log line names the services. - Each instance counts the own prompt tokens, the output and each shared block once; ServerLoad 4 carries the sums. - The expected wait for memory is the residence of requests (learned) times the part of the capacity that is lacking, a quarter for requests for which less urgent ones are preempted. It is part of Choice.Wait; such requests are no samples of speed. - Engines that can never hold a request are chosen only if there is no other.

Result, in tests: with 20 long prompts at one engine and none waiting there, a long request goes to the engine that has room, and as before where the memory is not known. 74 and 420 instances send 24,120 and 108,540 tokens to the one engine with room for 258,782 among 60. After 2,000 requests begun and ended in random order nothing stays counted. No existing test was changed.

--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -28,6 +28,8 @@
 	// displaced holds servers whose address another server has taken over. Each stays here until the list omits it or shows another
 	// start of it.
 	displaced map[string]bool
+	// withoutMemory are the services of engines whose memory the routing table in force does not name.
+	withoutMemory []string
 	// onRestart functions are called with servers that have lost their cache.
 	onRestart []func(server string)
 }
@@ -59,6 +61,21 @@
 	d.table.Store(lrtable.New(spec))
 	d.log.Info().Uint64("version", spec.Version).Int("routes", len(spec.Routes)).Int("accounts", len(spec.Accounts)).
 		Msg("fleet: routing table in force")
+	d.logMissingMemory(spec)
+}
+
+// logMissingMemory logs the services of engines whose memory is not known, when they have changed. It must be called with the mutex held.
+func (d *Directory) logMissingMemory(spec lrtable.Spec) {
+	var missing []string
+	for _, s := range spec.Services {
+		if s.Slots > 0 && s.Memory == 0 {
+			missing = append(missing, s.Name)
+		}
+	}
+	if len(missing) > 0 && !slices.Equal(missing, d.withoutMemory) {
+		d.log.Info().Strs("services", missing).Msg("fleet: memory of engines is not known")
+	}
+	d.withoutMemory = missing
 }
 
 // SetServers replaces the list of backend servers. It calls the OnRestart functions for servers that have restarted.
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
@@ -101,7 +102,7 @@
 	for server, l := range sum.loads {
 		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
 			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
-			SlownessSum: int32(l.SlownessSum), SlownessWeight: uint32(max(l.SlownessWeight, 0)),
+			HeldTokens: uint32(min(max(l.Held, 0), math.MaxUint32)), SlownessSum: int32(l.SlownessSum), SlownessWeight: uint32(max(l.SlownessWeight, 0)),
 		})
 	}
 	for name, f := range s.Feeds {
@@ -196,7 +197,7 @@
 	sum.used, sum.reached = state.GetUsed(), int(state.GetReached())
 	sum.uptime = time.Duration(state.GetUptimeMillis()) * time.Millisecond
 	for _, l := range state.GetLoads() {
-		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}.
+		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning()), Held: int(l.GetHeldTokens())}.
 			WithSlowness(int(l.GetSlownessSum()), int(l.GetSlownessWeight()))
 	}
 	hasLevels := s.recordState(now, state, sum, isAnswer)
--- a/internal/lrpipeline/place.go
+++ b/internal/lrpipeline/place.go
@@ -47,7 +47,7 @@
 		}
 		byID[s.ID] = s.Server
 		engines = append(engines, lrbalance.Engine{
-			ID: s.ID, Zone: s.Zone, Slots: s.Slots, Version: s.Versions[r.Model], OutdatedFor: s.OutdatedFor,
+			ID: s.ID, Zone: s.Zone, Slots: s.Slots, Memory: r.service.Memory, Version: s.Versions[r.Model], OutdatedFor: s.OutdatedFor,
 			IsDraining: s.IsClosing, IsZoneUnreachable: unreachable[s.Zone],
 			IsHeldBack: !decision.Admission.IsAllowed(), Preference: max(preference(decision, len(servers)), trials[s.ID]),
 		})
@@ -56,7 +56,8 @@
 		p.Observer.HeldBack(len(r.heldBack.servers))
 	}
 	request := lrbalance.Request{
-		Service: r.service.Name, Scope: balanceScope(r.account.Name, r.Model), Blocks: r.Blocks, Tokens: r.PromptTokens, Excluded: excluded,
+		Service: r.service.Name, Scope: balanceScope(r.account.Name, r.Model), Blocks: r.Blocks, Tokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+		Urgency: r.route.PriorityOf(r.account), Excluded: excluded,
 		Target: r.route.TargetLatency - now.Sub(r.Received), Instances: p.Instances(),
 		Stores: r.kvStores(now),
 	}
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -62,6 +62,11 @@
 	// models holds what was learned of each service, speeds the samples of this instance of each engine.
 	models map[string]serviceModel
 	speeds map[string]slowness
+	// memories holds how requests of each service use memory, held the shared blocks that requests of this instance hold at each engine.
+	memories map[string]memoryModel
+	held     map[string]map[Key]heldBlock
+	// now is the latest time of which a caller has told.
+	now time.Time
 }
 
 // New returns a Balancer without load or cache estimates.
@@ -69,7 +74,8 @@
 	return &Balancer{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		ownLoads: map[string]Load{}, otherLoads: map[string]Load{}, estimates: newEstimates(),
-		models: map[string]serviceModel{}, speeds: map[string]slowness{},
+		models: map[string]serviceModel{}, speeds: map[string]slowness{}, memories: map[string]memoryModel{},
+		held: map[string]map[Key]heldBlock{},
 	}
 }
 
@@ -78,6 +84,8 @@
 func (b *Balancer) Choose(now time.Time, request Request, engines []Engine) (Choice, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.now = now
+	b.noteUrgency(now, request.Service, request.Urgency)
 	p, candidates := b.newPlacement(now, request, engines)
 	order := p.ranked(usable(request, candidates))
 	best, ok := p.cheapest(order, p.compared(order))
@@ -97,9 +105,10 @@
 	default:
 		best.Source = p.secondSource(order, best)
 	}
-	best.chosenAt, best.service = now, request.Service
+	best.chosenAt, best.service, best.ownTokens = now, request.Service, p.ownTokens
 	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
+	b.hold(best)
 	b.estimates.markComputing(now, best.Engine.ID, best.blocks)
 	if best.SavesToStore {
 		b.estimates.markComputing(now, best.Store.name(), best.blocks)
@@ -157,6 +166,7 @@
 func (b *Balancer) FirstEvent(now time.Time, choice Choice) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.now = now
 	b.estimates.markReady(now, choice.Engine.ID, choice.blocks)
 	if choice.SavesToStore {
 		b.estimates.markReady(now, choice.Store.name(), choice.blocks)
@@ -177,7 +187,11 @@
 			b.estimates.abandon(choice.Store.name(), choice.blocks)
 		}
 	}
+	if computed {
+		b.learnResidence(b.now, choice)
+	}
 	b.count(choice.Engine.ID, load)
+	b.release(choice)
 }
 
 func (b *Balancer) count(engine string, load Load) {
@@ -220,6 +234,7 @@
 func (b *Balancer) Updates(now time.Time, cursors Cursors, otherZones bool) ([]CacheUpdate, Cursors) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.now = now
 	updates, sameZone := b.estimates.sameZone.since(now, cursors.SameZone)
 	cursors.SameZone = sameZone
 	if otherZones {
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -14,9 +14,11 @@
 
 // An Engine is the known state of one backend server at the time of a decision.
 type Engine struct {
-	ID      string
-	Zone    string
-	Slots   int
+	ID    string
+	Zone  string
+	Slots int
+	// Memory is the number of tokens that the engine can hold for running requests. With zero, memory is not considered.
+	Memory  int
 	Version int64
 	// OutdatedFor is how long weights newer than those of the engine have been desired.
 	OutdatedFor time.Duration
@@ -48,6 +50,10 @@
 	Blocks []Block
 	// Tokens is the length of the whole prompt.
 	Tokens int
+	// OutputTokens is the maximum number of tokens to generate.
+	OutputTokens int
+	// Urgency is the priority of the request. The lowest value is served first, and others are preempted for it.
+	Urgency int
 	// Service is the service of the engines. Speeds are learned for each service.
 	Service string
 	// Target is the time within which the caller wants the first event. Zero means that there is no target.
@@ -66,6 +72,9 @@
 	Waiting int `json:"waiting"`
 	// Running is the number of requests in progress.
 	Running int `json:"running"`
+	// Held is the number of tokens that requests in progress hold or will hold: prompts and outputs. It is zero where the memory of the
+	// server is not known.
+	Held int `json:"held,omitempty"`
 	// SlownessSum and SlownessWeight are what recent samples say of the speed of the server. See WithSlowness.
 	SlownessSum    int `json:"slownessSum,omitempty"`
 	SlownessWeight int `json:"slownessWeight,omitempty"`
@@ -74,7 +83,7 @@
 // Plus returns the sum of both loads.
 func (l Load) Plus(other Load) Load {
 	return Load{
-		Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running,
+		Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running, Held: l.Held + other.Held,
 		SlownessSum: l.SlownessSum + other.SlownessSum, SlownessWeight: l.SlownessWeight + other.SlownessWeight,
 	}
 }
@@ -113,5 +122,7 @@
 	features features
 	usual    time.Duration
 	compute  time.Duration
-	isQueued bool
+	// ownTokens are the tokens that the request holds at the engine beside its shared blocks.
+	ownTokens int
+	isQueued  bool
 }
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -17,8 +17,11 @@
 	balancer *Balancer
 	now      time.Time
 	// model is the model of the engines' service.
-	model   serviceModel
-	request Request
+	model serviceModel
+	// memory is the use of memory by the requests of the service, ownTokens what the request holds beside its shared blocks.
+	memory    memoryModel
+	ownTokens int
+	request   Request
 	// home is the key of the shared blocks. It is empty where there are none.
 	home string
 	// store is the KV store for the shared blocks.
@@ -44,7 +47,8 @@
 func (b *Balancer) newPlacement(now time.Time, request Request, engines []Engine) (placement, []candidate) {
 	home := homeKey(request)
 	p := placement{
-		balancer: b, now: now, model: b.model(now, request.Service), request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
+		balancer: b, now: now, model: b.model(now, request.Service), memory: b.memoryModel(request.Service),
+		ownTokens: request.ownTokens(), request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
 		sources: map[int64]source{}, stored: map[int64]int{},
 	}
 	candidates := make([]candidate, len(engines))
@@ -189,6 +193,10 @@
 		c.isQueued = true
 		c.features.fixed += time.Duration(load.Running-engine.Slots+1) * overSlotCost
 	}
+	if wait := p.memoryWait(candidate, load); wait > 0 {
+		c.isQueued = true
+		c.features.fixed += wait
+	}
 	slowness := b.slowness(p.now, engine.ID)
 	c.Wait, c.usual = p.model.expected(c.features, slowness), p.model.expected(c.features, 1)
 	c.compute = time.Duration(slowness * p.model.compute * float64(b.prefill(c.Missing)))
--- a/pkg/lrbalance/rank.go
+++ b/pkg/lrbalance/rank.go
@@ -26,24 +26,31 @@
 }
 
 // usable leaves out the engines that failed the request, those that want none now, and those whose weights have been outdated for outdatedLimit.
-// Engines that are about to be interrupted are returned only if there are no others.
+// Engines that are about to be interrupted are returned only if there are no others, and engines whose memory the request exceeds only if
+// there are none of these either.
 func usable(request Request, candidates []candidate) []candidate {
 	usable := make([]candidate, 0, len(candidates))
-	var closing []candidate
+	var closing, small []candidate
 	for _, c := range candidates {
 		switch {
 		case request.Excluded[c.engine.ID] || c.engine.IsHeldBack:
 		case c.engine.OutdatedFor >= outdatedLimit:
+		case request.isTooLarge(c.engine):
+			small = append(small, c)
 		case c.engine.IsDraining:
 			closing = append(closing, c)
 		default:
 			usable = append(usable, c)
 		}
 	}
-	if len(usable) == 0 {
+	switch {
+	case len(usable) > 0:
+		return usable
+	case len(closing) > 0:
 		return closing
+	default:
+		return small
 	}
-	return usable
 }
 
 // ranked sorts the candidates in place by the hash of the shared blocks. Where an engine is known to hold the blocks,
--- a/pkg/lrtable/spec.go
+++ b/pkg/lrtable/spec.go
@@ -68,6 +68,8 @@
 	// Slots is the number of requests that one engine of the service processes at the same time. It is zero for plain
 	// services.
 	Slots int `json:"slots"`
+	// Memory is the number of tokens that one engine of the service holds for running requests. Zero means unknown.
+	Memory int `json:"memory"`
 	// Models are the names of the models that the engines of the service run.
 	Models []string `json:"models"`
 }
