Cross availability zones where the target needs it

Cause: another zone is chosen for any difference above 12 ms, also where the own zone meets the caller's target. Bytes between zones are expensive (deployment O), and the way there and back is not part of the expected wait.

Ruled out: never crossing while the own zone meets the target, which would compute prompts again that another zone holds.

Change: - Crossing costs 30 ms more where an engine of the own zone is expected to answer within 0.7 of the target. Without a target, or after it has passed, nothing changes. - The model of a service learns the delay of requests to other zones, as part of Choice.Wait. - Of two holders of a prompt the one of the own zone is the source. - make bench has an area "place" for the cost of a decision.

Result, in tests: a request with 29 ms of work before it in its zone stays there if that is in time, crosses if it is not; with 235 ms before it, it crosses.

--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -27,8 +27,6 @@
 	homeCachedShare = 0.7
 	// fetchTimePerToken is the time that an engine takes to fetch the cache of one prompt token from another engine.
 	fetchTimePerToken = 3 * time.Microsecond
-	// crossZoneCost is the cost of the traffic to another availability zone.
-	crossZoneCost = 12 * time.Millisecond
 	// outdatedGrace is how long an engine with outdated weights costs no more than one with the newest weights.
 	outdatedGrace = 1400 * time.Millisecond
 	// outdatedCost is the cost of an engine with outdated weights after outdatedGrace.
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -41,6 +41,8 @@
 type source struct {
 	engine string
 	tokens int
+	// isNear is set when the engine is in the own availability zone.
+	isNear bool
 }
 
 // newPlacement returns the placement of the request, and the engines as its candidates.
@@ -63,8 +65,9 @@
 		c.ready = b.estimates.fetchable(now, e.ID, c.blocks, p.sourceTTL(e.Version))
 		candidates[n] = c
 		p.isCached = p.isCached || c.cached == p.shared
-		if !request.Excluded[e.ID] && c.ready > p.sources[e.Version].tokens {
-			p.sources[e.Version] = source{engine: e.ID, tokens: c.ready}
+		isNear := e.Zone == b.options.Zone
+		if !request.Excluded[e.ID] && p.sources[e.Version].isBetter(c.ready, isNear) {
+			p.sources[e.Version] = source{engine: e.ID, tokens: c.ready, isNear: isNear}
 		}
 	}
 	return p, candidates
@@ -98,7 +101,7 @@
 // cheapest returns the choice of the lowest cost among the engines that compared marks, or among all when compared is
 // nil.
 func (p placement) cheapest(order []candidate, compared []bool) (Choice, bool) {
-	best, bestCost, found := Choice{}, time.Duration(0), false
+	var best zoneChoice
 	for rank, candidate := range order {
 		if compared != nil && !compared[rank] {
 			continue
@@ -108,12 +111,9 @@
 		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > outdatedLimit {
 			continue
 		}
-		cost := p.balancer.cost(p.request, c)
-		if !found || cost < bestCost {
-			best, bestCost, found = c, cost, true
-		}
+		best.add(p.request, c, p.balancer.cost(p.request, c), e.Zone == p.balancer.options.Zone)
 	}
-	return best, found
+	return best.cheapest()
 }
 
 // compared marks the ranked engines to be compared, or returns nil to compare all. A few instances compare all engines.
@@ -189,6 +189,9 @@
 		compute: b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens),
 		running: time.Duration(load.Running) * decodeDelayPerRequest, fixed: transfer,
 	}
+	if engine.Zone != b.options.Zone {
+		c.features.crossing = crossZoneUnit
+	}
 	if engine.Slots > 0 && load.Running >= engine.Slots {
 		c.isQueued = true
 		c.features.fixed += time.Duration(load.Running-engine.Slots+1) * overSlotCost
--- a/pkg/lrbalance/speed.go
+++ b/pkg/lrbalance/speed.go
@@ -42,8 +42,8 @@
 // serviceModel predicts the time to the first event at an engine of a service that is as fast as the others. Its factors multiply the
 // units of the features.
 type serviceModel struct {
-	overhead, compute, running float64
-	at                         time.Time
+	overhead, compute, running, crossing float64
+	at                                   time.Time
 }
 
 func newServiceModel() serviceModel { return serviceModel{overhead: 0, compute: 1, running: 1} }
@@ -52,6 +52,8 @@
 type features struct {
 	// compute is the time to compute the waiting and the own tokens, running the delay by the running requests.
 	compute, running time.Duration
+	// crossing is crossZoneUnit for an engine of another availability zone.
+	crossing time.Duration
 	// fixed is the time that is not learned: transfers, and waits for slots or memory.
 	fixed time.Duration
 }
@@ -59,7 +61,7 @@
 // expected returns the expected time to the first event at an engine that is slower than others by the given factor.
 func (m serviceModel) expected(f features, slowness float64) time.Duration {
 	loaded := m.compute*float64(f.compute) + m.running*float64(f.running)
-	return f.fixed + time.Duration(m.overhead*float64(overheadUnit)+slowness*loaded)
+	return f.fixed + time.Duration(m.overhead*float64(overheadUnit)+m.crossing*float64(f.crossing)+slowness*loaded)
 }
 
 // decayed returns the model after a time without samples.
@@ -72,6 +74,7 @@
 	m.overhead = prior.overhead + keep*(m.overhead-prior.overhead)
 	m.compute = prior.compute + keep*(m.compute-prior.compute)
 	m.running = prior.running + keep*(m.running-prior.running)
+	m.crossing *= keep
 	m.at = now
 	return m
 }
@@ -86,10 +89,12 @@
 	bound := max(maxErrorShare*expected, float64(overheadUnit)/2)
 	miss := min(max(float64(took)-expected, -bound), bound)
 	overhead, compute, running := float64(overheadUnit), slowness*float64(f.compute), slowness*float64(f.running)
-	step := learningRate * miss / (overhead*overhead + compute*compute + running*running)
+	crossing := float64(f.crossing)
+	step := learningRate * miss / (overhead*overhead + compute*compute + running*running + crossing*crossing)
 	m.overhead = min(max(m.overhead+step*overhead, 0), maxOverhead)
 	m.compute = min(max(m.compute+step*compute, minComputeFactor), maxComputeFactor)
 	m.running = min(max(m.running+step*running, minRunningFactor), maxRunningFactor)
+	m.crossing = min(max(m.crossing+step*crossing, 0), maxCrossing)
 	return m
 }
 
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -31,6 +31,7 @@
 func areas() []area {
 	return []area{
 		{name: "route", measure: measureRoute},
+		{name: "place", measure: measurePlace},
 		{name: "limit", measure: measureLimit},
 		{name: "state", measure: measureState},
 		{name: "stream", measure: measureStream},
