--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -63,6 +63,8 @@
 	// memories holds how requests of each service use memory, held the shared blocks that requests of this instance hold at each engine.
 	memories map[string]memoryModel
 	held     map[string]map[Key]heldBlock
+	// scratch holds the candidates of a placement.
+	scratch []candidate
 	// now is the latest time of which a caller has told.
 	now time.Time
 }
@@ -94,6 +96,9 @@
 		return Choice{}, false
 	}
 	best.Candidates = len(order)
+	if p.home != "" {
+		best.Rank = rankOf(best.Engine.ID, order)
+	}
 	best.SavesToStore = p.isWorthSaving(now, best)
 	switch {
 	case best.Source != "" || best.FetchesFromStore:
--- a/pkg/lrbalance/estimates.go
+++ b/pkg/lrbalance/estimates.go
@@ -135,9 +135,29 @@
 	}
 }
 
-// cached returns the number of tokens in the leading blocks that the engine is assumed to hold or to be computing.
-func (b *estimates) cached(now time.Time, engine string, blocks []prefixBlock) int {
-	return b.sum(now, engine, blocks, estimateTTL, false)
+// held returns the number of tokens in the leading blocks that the engine is assumed to hold or to be computing, and how many of them other
+// engines may fetch from it, provided that it used them within the TTL, which is at most estimateTTL.
+func (b *estimates) held(now time.Time, engine string, blocks []prefixBlock, ttl time.Duration) (cached, ready int) {
+	if len(blocks) == 0 {
+		return 0, 0
+	}
+	known, isFetchable := b.engines[engine], true
+	for _, r := range blocks {
+		h, ok := known[r.key]
+		if !ok {
+			return cached, ready
+		}
+		age := now.Sub(h.usedAt)
+		if age > estimateTTL {
+			return cached, ready
+		}
+		cached += r.tokens
+		isFetchable = isFetchable && h.isReady && age <= ttl
+		if isFetchable {
+			ready += r.tokens
+		}
+	}
+	return cached, ready
 }
 
 // fetchable returns the number of tokens in the leading blocks that other engines may fetch from the engine, provided
--- a/pkg/lrbalance/memory.go
+++ b/pkg/lrbalance/memory.go
@@ -56,12 +56,12 @@
 }
 
 // ownTokens returns the tokens that the request holds beside its shared blocks: the rest of its prompt and its output.
-func (r Request) ownTokens() int {
-	return max(r.Tokens-sharedTokens(r), 0) + max(r.OutputTokens, 0)
+func (r *Request) ownTokens() int {
+	return max(r.Tokens-sharedTokens(*r), 0) + max(r.OutputTokens, 0)
 }
 
 // isTooLarge reports whether the engine can never hold the request. It refuses such a request.
-func (r Request) isTooLarge(engine Engine) bool {
+func (r *Request) isTooLarge(engine *Engine) bool {
 	return engine.Memory > 0 && r.Tokens+max(r.OutputTokens, 0) > engine.Memory
 }
 
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -1,6 +1,9 @@
 package lrbalance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxInstancesComparingAll is the number of instances up to which each one compares all engines, because load
@@ -53,26 +56,47 @@
 		ownTokens: request.ownTokens(), request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
 		sources: map[int64]source{}, stored: map[int64]int{},
 	}
-	candidates := make([]candidate, len(engines))
-	blocks := map[int64][]prefixBlock{}
-	for n, e := range engines {
-		if _, ok := blocks[e.Version]; !ok {
-			blocks[e.Version] = prefixBlocks(request, e.Version)
-			p.stored[e.Version] = p.storedTokens(now, blocks[e.Version])
+	// The candidates of the last placement are overwritten: they are large, and used only while the mutex is held.
+	b.scratch = slices.Grow(b.scratch[:0], len(engines))[:len(engines)]
+	candidates := b.scratch
+	var state versionState
+	states := map[int64]versionState{}
+	for n := range engines {
+		e, c := &engines[n], &candidates[n]
+		if n == 0 || e.Version != engines[n-1].Version {
+			state = p.versionState(states, e.Version)
 		}
-		c := candidate{engine: e, blocks: blocks[e.Version], isPreferred: e.Preference > 0 && b.random.Float64() < e.Preference}
-		c.cached = b.estimates.cached(now, e.ID, c.blocks)
-		c.ready = b.estimates.fetchable(now, e.ID, c.blocks, p.sourceTTL(e.Version))
-		candidates[n] = c
+		*c = candidate{engine: *e, blocks: state.blocks}
+		c.isPreferred = e.Preference > 0 && b.random.Float64() < e.Preference
+		c.cached, c.ready = b.estimates.held(now, e.ID, c.blocks, state.sourceTTL)
 		p.isCached = p.isCached || c.cached == p.shared
 		isNear := e.Zone == b.options.Zone
-		if !request.Excluded[e.ID] && p.sources[e.Version].isBetter(c.ready, isNear) {
+		if c.ready > 0 && !request.Excluded[e.ID] && p.sources[e.Version].isBetter(c.ready, isNear) {
 			p.sources[e.Version] = source{engine: e.ID, tokens: c.ready, isNear: isNear}
 		}
 	}
 	return p, candidates
 }
 
+// versionState is what is the same for all engines of one version of the weights.
+type versionState struct {
+	blocks    []prefixBlock
+	sourceTTL time.Duration
+}
+
+// versionState returns the state of the version, from those that are known already or a new one.
+func (p placement) versionState(known map[int64]versionState, version int64) versionState {
+	state, ok := known[version]
+	if ok {
+		return state
+	}
+	state.blocks = prefixBlocks(p.request, version)
+	p.stored[version] = p.storedTokens(p.now, state.blocks)
+	state.sourceTTL = p.sourceTTL(version)
+	known[version] = state
+	return state
+}
+
 // storedTokens returns the number of tokens in the leading blocks that the KV store is assumed to hold.
 func (p placement) storedTokens(now time.Time, blocks []prefixBlock) int {
 	if !p.store.exists() {
@@ -102,12 +126,12 @@
 // nil.
 func (p placement) cheapest(order []candidate, compared []bool) (Choice, bool) {
 	var best zoneChoice
-	for rank, candidate := range order {
+	for rank := range order {
 		if compared != nil && !compared[rank] {
 			continue
 		}
-		e := candidate.engine
-		c := p.estimate(candidate, rank)
+		e := &order[rank].engine
+		c := p.estimate(order[rank], rank)
 		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > outdatedLimit {
 			continue
 		}
@@ -116,15 +140,21 @@
 	return best.cheapest()
 }
 
+// comparesAll reports whether all of the candidates are compared.
+func (p placement) comparesAll(candidates int) bool {
+	return p.request.Instances <= maxInstancesComparingAll || candidates <= firstCompared+randomCompared
+}
+
 // compared marks the ranked engines to be compared, or returns nil to compare all. A few instances compare all engines.
 // Many instances would all choose the same idle engine and overload it before they receive one another's load reports,
 // so they compare the first engines by hash, those that hold the prompt, and some random ones.
 func (p placement) compared(order []candidate) []bool {
-	if p.request.Instances <= maxInstancesComparingAll || len(order) <= firstCompared+randomCompared {
+	if p.comparesAll(len(order)) {
 		return nil
 	}
 	compared := make([]bool, len(order))
-	for rank, c := range order {
+	for rank := range order {
+		c := &order[rank]
 		compared[rank] = c.isPreferred || len(c.blocks) > 0 && (rank < firstCompared || c.cached == p.shared)
 	}
 	for range randomCompared {
@@ -160,8 +190,8 @@
 		return ""
 	}
 	best, bestTokens, bestScore := "", 0, uint64(0)
-	for _, c := range candidates {
-		e := c.engine
+	for n := range candidates {
+		c, e := &candidates[n], &candidates[n].engine
 		if e.ID == chosen.Engine.ID || e.Version != chosen.Engine.Version || e.IsZoneUnreachable || e.IsDraining {
 			continue
 		}
--- a/pkg/lrretry/responses.go
+++ b/pkg/lrretry/responses.go
@@ -34,6 +34,8 @@
 	// forgetAfter is how long a server without attempts is remembered, maxServers how many servers reports of others may add.
 	forgetAfter = 30 * time.Second
 	maxServers  = 4096
+	// expireInterval is the time between two searches for what is no longer used.
+	expireInterval = time.Second
 	// minWitnesses is the number of other servers that must have answered later requests, where there are as many.
 	minWitnesses = 2
 )
@@ -51,6 +53,7 @@
 	countedFrom time.Time
 	lastByteAt  time.Time
 	steppedAt   time.Time
+	expiredAt   time.Time
 }
 
 // serverResponses is what is known of the responses of one server.
--- a/pkg/lrretry/silence.go
+++ b/pkg/lrretry/silence.go
@@ -20,8 +20,11 @@
 	}
 	m.steppedAt = now
 	m.findSilent(now)
-	changes, proposals := m.changes(now), m.proposals(now)
-	m.expire(now)
+	changes, proposals := m.review(now)
+	if now.Sub(m.expiredAt) >= expireInterval {
+		m.expiredAt = now
+		m.expire(now)
+	}
 	m.mutex.Unlock()
 	for _, a := range proposals {
 		isGivenUp := a.GiveUp()
@@ -35,16 +38,20 @@
 // findSilent suspects silent servers. Nothing is suspected in a service of which more servers are silent than answer.
 func (m *ResponseMonitor) findSilent(now time.Time) {
 	answering, silent := map[string]int{}, map[string]int{}
-	for _, s := range m.servers {
+	quiet := map[string]*serverResponses{}
+	for name, s := range m.servers {
 		switch {
 		case now.Sub(s.ownByteAt) < answeringWithin:
 			answering[s.service]++
-		case len(s.attempts) > 0 && m.silence(now, s) >= minSilence && !s.isSuspected(now):
-			silent[s.service]++
+		case len(s.attempts) > 0 && now.Sub(s.byteAt) >= minSilence && m.silence(now, s) >= minSilence:
+			quiet[name] = s
+			if !s.isSuspected(now) {
+				silent[s.service]++
+			}
 		}
 	}
-	for name, s := range m.servers {
-		if len(s.attempts) == 0 || answering[s.service] == 0 || answering[s.service] < silent[s.service] || m.silence(now, s) < minSilence {
+	for name, s := range quiet {
+		if answering[s.service] == 0 || answering[s.service] < silent[s.service] {
 			continue
 		}
 		if s.isSuspected(now) && now.Sub(s.suspectedAt) < confirmAfter {
@@ -130,34 +137,35 @@
 	s.suspectedAt, s.changedAt = at, now
 }
 
-// changes returns the servers whose suspicion has changed since the last call.
-func (m *ResponseMonitor) changes(now time.Time) []SuspicionChange {
-	var changes []SuspicionChange
+// review returns the servers whose suspicion has changed since the last call, and the attempts at suspected servers that wait for a first
+// event for too long and can be given up.
+func (m *ResponseMonitor) review(now time.Time) (changes []SuspicionChange, proposals []*MonitoredAttempt) {
 	for name, s := range m.servers {
+		if s.suspectedAt.IsZero() && !s.wasSuspected {
+			continue
+		}
 		isSuspected := s.isSuspected(now)
 		if isSuspected != s.wasSuspected {
 			s.wasSuspected = isSuspected
 			changes = append(changes, SuspicionChange{Server: name, IsSuspected: isSuspected, Silence: m.silence(now, s), Attempts: len(s.attempts)})
 		}
+		if isSuspected {
+			proposals = append(proposals, m.proposals(now, s)...)
+		}
 	}
-	return changes
+	return changes, proposals
 }
 
-// proposals returns the attempts at suspected servers that wait for a first event for too long and can be given up.
-func (m *ResponseMonitor) proposals(now time.Time) []*MonitoredAttempt {
+// proposals returns the attempts at the suspected server that can be given up.
+func (m *ResponseMonitor) proposals(now time.Time, s *serverResponses) []*MonitoredAttempt {
 	var proposals []*MonitoredAttempt
-	for _, s := range m.servers {
-		if !s.isSuspected(now) {
+	for a := range s.attempts {
+		if a.hasFirst || a.isGivenUp || a.GiveUp == nil || now.Before(a.nextGiveUp) {
 			continue
 		}
-		for a := range s.attempts {
-			if a.hasFirst || a.isGivenUp || a.GiveUp == nil || now.Before(a.nextGiveUp) {
-				continue
-			}
-			if now.Sub(later(a.sentAt, m.countedFrom)) >= minSilence+a.Expected {
-				a.nextGiveUp = now.Add(giveUpRetryDelay)
-				proposals = append(proposals, a)
-			}
+		if now.Sub(later(a.sentAt, m.countedFrom)) >= minSilence+a.Expected {
+			a.nextGiveUp = now.Add(giveUpRetryDelay)
+			proposals = append(proposals, a)
 		}
 	}
 	return proposals
--- a/scripts/bench/place.go
+++ b/scripts/bench/place.go
@@ -4,7 +4,8 @@
 	"context"
 	"fmt"
 	"math"
-	"testing"
+	"runtime"
+	"syscall"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
@@ -15,21 +16,22 @@
 	placeEngines  = 95
 	placePrompts  = 512
 	placeSharedID = "rules"
+	// placeWarmUp and placeOperations are the operations before and during a measurement.
+	placeWarmUp     = 2000
+	placeOperations = 5000
 	// placeTarget is the bound of a decision on one request, in nanoseconds.
 	placeTarget = 20_000
 	// stepTarget is a tenth of the processor time for control work between two steps of the response monitor.
 	stepTarget = 0.0037 * 40e6
 )
 
-// measurePlace measures the cost of choosing a backend server, and of finding those that do not respond.
+// measurePlace measures the processor time of choosing a backend server, and of finding those that do not respond.
 func measurePlace(context.Context) ([]figure, error) {
-	few, many := chooseCost(placeEngines, 8), chooseCost(placeEngines, futureInstances)
 	return []figure{
-		{"chooseTime", perOperation(many), perOperation(few), placeTarget, "ns"},
-		{"chooseAllocations", float64(many.AllocsPerOp()), float64(few.AllocsPerOp()), math.NaN(), "allocations"},
-		{"attemptTime", perOperation(attemptCost(placeEngines)), math.NaN(), placeTarget, "ns"},
-		{"stepTime", perOperation(stepCost(placeEngines)), math.NaN(), stepTarget, "ns"},
-		{"stepTimeAllEngines", perOperation(stepCost(900)), math.NaN(), stepTarget, "ns"},
+		{"chooseTime", chooseCost(placeEngines, futureInstances), chooseCost(placeEngines, 8), placeTarget, "ns"},
+		{"attemptTime", attemptCost(placeEngines), math.NaN(), placeTarget, "ns"},
+		{"stepTime", stepCost(placeEngines), math.NaN(), stepTarget, "ns"},
+		{"stepTimeAllEngines", stepCost(900), math.NaN(), stepTarget, "ns"},
 	}, nil
 }
 
@@ -53,8 +55,31 @@
 	}
 }
 
+// threadTimeOf returns the processor time of one operation in nanoseconds, which does not depend on what else the machine runs.
+func threadTimeOf(operation func(n int)) float64 {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for n := range placeWarmUp {
+		operation(n)
+	}
+	before := threadTime()
+	for n := range placeOperations {
+		operation(placeWarmUp + n)
+	}
+	return float64(threadTime()-before) / placeOperations
+}
+
+func threadTime() time.Duration {
+	var usage syscall.Rusage
+	err := syscall.Getrusage(syscall.RUSAGE_THREAD, &usage)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // chooseCost measures a placement with its end, with loads and speeds of other instances for every engine.
-func chooseCost(count, instances int) testing.BenchmarkResult {
+func chooseCost(count, instances int) float64 {
 	engines := placeEngineList(count)
 	balancer := lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: 1})
 	loads := map[string]lrbalance.Load{}
@@ -63,44 +88,32 @@
 	}
 	balancer.SetOtherLoads(loads)
 	now := time.Unix(1_000_000, 0)
-	return testing.Benchmark(func(b *testing.B) {
-		b.Helper()
-		b.ReportAllocs()
-		for n := range b.N {
-			at := now.Add(time.Duration(n) * time.Millisecond)
-			choice, _ := balancer.Choose(at, placeRequest(n, instances), engines)
-			balancer.FirstEventAfter(at.Add(choice.Wait), choice)
-			balancer.FirstEvent(at, choice)
-			balancer.End(choice, true)
-		}
+	return threadTimeOf(func(n int) {
+		at := now.Add(time.Duration(n) * time.Millisecond)
+		choice, _ := balancer.Choose(at, placeRequest(n, instances), engines)
+		balancer.FirstEventAfter(at.Add(choice.Wait), choice)
+		balancer.FirstEvent(at, choice)
+		balancer.End(choice, true)
 	})
 }
 
 // attemptCost measures what the response monitor adds to a request: the suspected servers, and an attempt with 60 events.
-func attemptCost(count int) testing.BenchmarkResult {
+func attemptCost(count int) float64 {
 	m, now := suspectingMonitor(count)
-	return testing.Benchmark(func(b *testing.B) {
-		b.Helper()
-		for range b.N {
-			_ = m.Suspected(now)
-			a := m.Sent(now, lrretry.AttemptOptions{Server: "engine-gulf-south-a-1", Service: "engines", Route: "long"})
-			for range 60 {
-				a.Received(now, true)
-			}
-			a.End()
+	return threadTimeOf(func(int) {
+		_ = m.Suspected(now)
+		a := m.Sent(now, lrretry.AttemptOptions{Server: "engine-gulf-south-a-1", Service: "engines", Route: "long"})
+		for range 60 {
+			a.Received(now, true)
 		}
+		a.End()
 	})
 }
 
 // stepCost measures one step of the response monitor with a quarter of the servers suspected.
-func stepCost(count int) testing.BenchmarkResult {
+func stepCost(count int) float64 {
 	m, now := suspectingMonitor(count)
-	return testing.Benchmark(func(b *testing.B) {
-		b.Helper()
-		for range b.N {
-			_ = m.Step(now)
-		}
-	})
+	return threadTimeOf(func(int) { _ = m.Step(now) })
 }
 
 func suspectingMonitor(count int) (*lrretry.ResponseMonitor, time.Time) {
