--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -100,6 +100,7 @@
 	s.mutex.Unlock()
 	state.Used, state.Reached = sum.used, uint32(sum.reached)
 	for server, l := range sum.loads {
+		l = l.WithoutUsualSlowness()
 		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
 			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
 			HeldTokens: uint32(min(max(l.Held, 0), math.MaxUint32)), SlownessSum: int32(l.SlownessSum), SlownessWeight: uint32(max(l.SlownessWeight, 0)),
--- a/pkg/lrbalance/speed.go
+++ b/pkg/lrbalance/speed.go
@@ -23,7 +23,8 @@
 	// maxServiceModels bounds the services of which something is known.
 	maxServiceModels = 1024
 	// slownessUnit is the weight of one sample of an engine's speed, and slownessPrior that of the assumption that it is as fast as others.
-	slownessUnit  = 1000
+	// It is small because each instance tells the others of all engines.
+	slownessUnit  = 10
 	slownessPrior = 4 * slownessUnit
 	// slownessHalfLife is the time after which a sample of an engine's speed has half its weight. Engines are slower for less than a second.
 	slownessHalfLife = 400 * time.Millisecond
@@ -34,7 +35,10 @@
 	maxSampleRatio = 2.5
 	// maxSlownessWeight bounds the weight in one report, minSlownessWeight is the weight below which nothing is reported.
 	maxSlownessWeight = 100 * slownessUnit
-	minSlownessWeight = slownessUnit / 20
+	minSlownessWeight = 1
+	// usualSlowness is the logarithm of a factor that need not be reported, if it rests on minUsualWeight.
+	usualSlowness  = 0.05
+	minUsualWeight = 2 * slownessUnit
 	// slownessDamping is added to both times of a sample, so that short times do not give large factors.
 	slownessDamping = 20 * time.Millisecond
 )
@@ -99,7 +103,7 @@
 }
 
 // slowness is what recent samples say of how much slower an engine is than the others of its service: the sum of the logarithms of observed
-// by expected times, and the number of samples, both in units of a thousandth and decayed.
+// by expected times, and the number of samples, both in units of a tenth and decayed.
 type slowness struct {
 	sum, weight float64
 	at          time.Time
@@ -112,11 +116,11 @@
 
 // slownessOf returns the factor by which an engine is slower than the others of its service. Few samples have little weight, because the sum
 // is divided by more than their number.
-func slownessOf(sum, weight int) float64 {
+func slownessOf(sum, weight float64) float64 {
 	if weight <= 0 {
 		return 1
 	}
-	return min(max(math.Exp(float64(sum)/float64(weight+slownessPrior)), minSlowness), maxSlowness)
+	return min(max(math.Exp(sum/(weight+slownessPrior)), minSlowness), maxSlowness)
 }
 
 // WithSlowness returns the load with the reported slowness of its server, bounded so that a false report cannot outweigh all others.
@@ -127,6 +131,15 @@
 	return l
 }
 
+// WithoutUsualSlowness returns the load without a slowness that rests on several samples and changes nothing, which need not be reported.
+func (l Load) WithoutUsualSlowness() Load {
+	weight := float64(l.SlownessWeight)
+	if weight >= minUsualWeight && math.Abs(float64(l.SlownessSum)) < usualSlowness*(weight+slownessPrior) {
+		l.SlownessSum, l.SlownessWeight = 0, 0
+	}
+	return l
+}
+
 // FirstEventAfter learns the speed of the engine and its service from a first event that arrived now. It must be called only for requests
 // that the engine has served.
 func (b *Balancer) FirstEventAfter(now time.Time, choice Choice) {
@@ -167,10 +180,10 @@
 	others := b.otherLoads[engine]
 	own, ok := b.speeds[engine]
 	if !ok {
-		return slownessOf(others.SlownessSum, others.SlownessWeight)
+		return slownessOf(float64(others.SlownessSum), float64(others.SlownessWeight))
 	}
 	own = own.decayed(now)
-	return slownessOf(int(own.sum)+others.SlownessSum, int(own.weight)+others.SlownessWeight)
+	return slownessOf(own.sum+float64(others.SlownessSum), own.weight+float64(others.SlownessWeight))
 }
 
 // OwnSpeeds returns the slowness of each engine from the samples of this instance, to be added to those of other instances.
@@ -184,7 +197,7 @@
 			delete(b.speeds, engine)
 			continue
 		}
-		speeds[engine] = Load{}.WithSlowness(int(s.sum), int(s.weight))
+		speeds[engine] = Load{}.WithSlowness(int(math.Round(s.sum)), int(math.Round(s.weight)))
 	}
 	return speeds
 }
--- a/pkg/lrbalance/speed_test.go
+++ b/pkg/lrbalance/speed_test.go
@@ -156,6 +156,15 @@
 	}
 }
 
+// TestUsualSpeedIsNotReported guards against reports that grow by the speeds of all engines, and against samples of one instance or of slow
+// engines that are left out.
+func TestUsualSpeedIsNotReported(t *testing.T) {
+	cases := []struct{ sum, weight, want int }{{0, 100, 0}, {4, 60, 0}, {-4, 60, 0}, {20, 100, 100}, {-20, 100, 100}, {1, 10, 10}, {0, 0, 0}}
+	for _, c := range cases {
+		requireEqual(t, Load{}.WithSlowness(c.sum, c.weight).WithoutUsualSlowness().SlownessWeight, c.want)
+	}
+}
+
 // TestSpeedEndsWithTheEngine guards against an engine that is avoided for what it was before its restart, and against reports that outlive
 // the samples.
 func TestSpeedEndsWithTheEngine(t *testing.T) {
--- a/pkg/lrretry/responses.go
+++ b/pkg/lrretry/responses.go
@@ -21,7 +21,7 @@
 	// suspicionTTL is how long a suspicion holds that no instance confirms.
 	suspicionTTL = 5 * time.Second
 	// confirmAfter is the time between two confirmations of a suspicion.
-	confirmAfter = 2 * time.Second
+	confirmAfter = 3 * time.Second
 	// trialInterval is the time between two trials of a suspected server by all instances together. A request that must not be repeated
 	// is a trial only when there has been none for trialIntervalOnce.
 	trialInterval     = 500 * time.Millisecond
--- a/pkg/lrretry/suspicion_updates.go
+++ b/pkg/lrretry/suspicion_updates.go
@@ -8,7 +8,7 @@
 
 const (
 	// passOnFor is how long after a change the state of a server is sent to other instances.
-	passOnFor = 1500 * time.Millisecond
+	passOnFor = time.Second
 	// maxUpdates bounds the servers in one message, the latest changes first.
 	maxUpdates = 64
 )
@@ -31,6 +31,9 @@
 // that an update that comes back would otherwise count as a new one.
 const minAdvance = 100 * time.Millisecond
 
+// minConfirmAdvance is the same for the confirmation of a suspicion: instances that confirm it at about the same time are passed on once.
+const minConfirmAdvance = time.Second
+
 // Updates returns what has changed lately and is to be sent to other instances.
 func (m *ResponseMonitor) Updates(now time.Time) []SuspicionUpdate {
 	m.mutex.Lock()
@@ -94,7 +97,11 @@
 			s.changedAt = now
 		}
 	}
-	if at := now.Add(-u.SuspectedAge); u.SuspectedAge >= 0 && u.SuspectedAge < suspicionTTL && at.Sub(s.suspectedAt) > minAdvance {
+	advance := minAdvance
+	if s.isSuspected(now) {
+		advance = minConfirmAdvance
+	}
+	if at := now.Add(-u.SuspectedAge); u.SuspectedAge >= 0 && u.SuspectedAge < suspicionTTL && at.Sub(s.suspectedAt) > advance {
 		m.suspect(now, at, s)
 	}
 	if at := now.Add(-u.TrialAge); u.TrialAge >= 0 && at.Sub(s.trialAt) > minAdvance {
--- a/scripts/bench/place.go
+++ b/scripts/bench/place.go
@@ -84,7 +84,7 @@
 	balancer := lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: 1})
 	loads := map[string]lrbalance.Load{}
 	for n, e := range engines {
-		loads[e.ID] = lrbalance.Load{Waiting: 400 * (n % 50), Running: n % 64, Held: 5000 * (n % 60)}.WithSlowness(100*(n%30), 10_000)
+		loads[e.ID] = lrbalance.Load{Waiting: 400 * (n % 50), Running: n % 64, Held: 5000 * (n % 60)}.WithSlowness(n%30, 100)
 	}
 	balancer.SetOtherLoads(loads)
 	now := time.Unix(1_000_000, 0)
