--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
@@ -99,8 +100,10 @@
 	s.mutex.Unlock()
 	state.Used, state.Reached = sum.used, uint32(sum.reached)
 	for server, l := range sum.loads {
+		l = l.WithoutUsualSlowness()
 		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
 			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
+			HeldTokens: uint32(min(max(l.Held, 0), math.MaxUint32)), SlownessSum: int32(l.SlownessSum), SlownessWeight: uint32(max(l.SlownessWeight, 0)),
 		})
 	}
 	for name, f := range s.Feeds {
@@ -119,6 +122,7 @@
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
 	}
 	state.Notices = encodeNotices(s.Notices.Updates(now, allNotices))
+	encodeSuspicions(state, s.Responses.Updates(now))
 	state.Quarantine = lrpeer.EncodeQuarantine(s.Quarantine.Updates(now))
 	s.KVStores.Updates(now, func(status KVStoreStatus, age time.Duration) {
 		state.Kept = append(state.Kept, &lrpeerpb.KeptNote{
@@ -136,6 +140,7 @@
 // those of all other instances to members of the own zone. It must be called with the mutex held.
 func (s *Sharer) sumFor(now time.Time, p *peer) totals {
 	own := totals{loads: s.Balancer.OwnLoads(), used: s.Limiter.Used(), reached: 1}
+	own.add(totals{loads: s.Balancer.OwnSpeeds(now)})
 	relay := s.relayOf(now, s.Self.Zone)
 	if p.Zone == s.Self.Zone && relay != nil && relay.Name == p.Name {
 		return own
@@ -193,7 +198,8 @@
 	sum.used, sum.reached = state.GetUsed(), int(state.GetReached())
 	sum.uptime = time.Duration(state.GetUptimeMillis()) * time.Millisecond
 	for _, l := range state.GetLoads() {
-		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
+		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning()), Held: int(l.GetHeldTokens())}.
+			WithSlowness(int(l.GetSlownessSum()), int(l.GetSlownessWeight()))
 	}
 	hasLevels := s.recordState(now, state, sum, isAnswer)
 	if hasLevels {
@@ -210,6 +216,7 @@
 		s.Directory.RecordVersion(w.GetServer(), w.GetModel(), w.GetVersion())
 	}
 	s.mergeNotices(now, state.GetNotices())
+	s.Responses.Merge(now, decodeSuspicions(state))
 	s.Quarantine.Merge(now, lrpeer.DecodeQuarantine(state.GetQuarantine()))
 	for _, k := range state.GetKept() {
 		status := KVStoreStatus{
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -24,6 +24,11 @@
 
 // relayAnswer sends a complete answer to the caller. An error answer is kept and sent only if no other server succeeds.
 func (r *run) relayAnswer(ctx context.Context, choice lrbalance.Choice, server lrfleet.Server, reply *Reply) verdict {
+	r.received(true)
+	if reply.IsSuccess() && r.Model == "" {
+		// The answer of a model arrives after the generation, and an error answer may come at once: neither tells how fast the server is.
+		r.pipeline.Balancer.FirstEventAfter(r.pipeline.Clock(), choice)
+	}
 	r.noteComputed(choice)
 	if r.headSent {
 		// The stream has begun: an error answer cannot be relayed any more.
@@ -67,6 +72,7 @@
 	for err == nil {
 		n, readErr := rest.Read(chunk)
 		if n > 0 {
+			r.received(false)
 			err = r.caller.Event(Event{Bytes: chunk[:n]})
 		}
 		switch {
@@ -97,12 +103,14 @@
 		if err != nil && !r.headSent && reply.EndsWithConnection {
 			return r.handleBroken(ctx, server, lrconn.ErrBroken.New("the stream ended with its connection before the first event"))
 		}
+		r.received(first)
 		r.noteComputed(choice)
 		if err != nil {
 			return r.completeStream(server, reply)
 		}
 		if first {
 			first = false
+			p.Balancer.FirstEventAfter(p.Clock(), choice)
 			p.Observer.FirstEvent(r.route.Name, p.Clock().Sub(r.Received))
 		}
 		err = r.relayEvent(reply, event)
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -9,7 +9,7 @@
 
 // Options configure a Balancer.
 type Options struct {
-	// PrefillPerMilli is the number of prompt tokens that an engine computes in a millisecond.
+	// PrefillPerMilli is the number of prompt tokens that an engine computes in a millisecond, before the speed of its service is learned.
 	PrefillPerMilli float64
 	// Zone is the availability zone of this instance.
 	Zone string
@@ -21,7 +21,7 @@
 }
 
 const (
-	// decodeDelayPerRequest is the time that each running request adds to the first token of another request.
+	// decodeDelayPerRequest is the time that each running request adds to the first token of another request, before it is learned.
 	decodeDelayPerRequest = 500 * time.Microsecond
 	// computeWeight is the weight of the time to compute missing tokens, which is added to the caller's wait because the
 	// computation delays other requests too.
@@ -31,8 +31,6 @@
 	homeCachedShare = 0.7
 	// fetchTimePerToken is the time that an engine takes to fetch the cache of one prompt token from another engine.
 	fetchTimePerToken = 3 * time.Microsecond
-	// crossZoneCost is the cost of the traffic to another availability zone.
-	crossZoneCost = 12 * time.Millisecond
 	// outdatedGrace is how long an engine with outdated weights costs no more than one with the newest weights.
 	outdatedGrace = 1400 * time.Millisecond
 	// outdatedCost is the cost of an engine with outdated weights after outdatedGrace.
@@ -62,6 +60,16 @@
 	ownLoads   map[string]Load
 	otherLoads map[string]Load
 	estimates  *estimates
+	// models holds what was learned of each service, speeds the samples of this instance of each engine.
+	models map[string]serviceModel
+	speeds map[string]slowness
+	// memories holds how requests of each service use memory, held the shared blocks that requests of this instance hold at each engine.
+	memories map[string]memoryModel
+	held     map[string]map[Key]heldBlock
+	// scratch holds the candidates of a placement.
+	scratch []candidate
+	// now is the latest time of which a caller has told.
+	now time.Time
 }
 
 // New returns a Balancer without load or cache estimates.
@@ -70,6 +78,8 @@
 	return &Balancer{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		ownLoads: map[string]Load{}, otherLoads: map[string]Load{}, estimates: newEstimates(),
+		models: map[string]serviceModel{}, speeds: map[string]slowness{}, memories: map[string]memoryModel{},
+		held: map[string]map[Key]heldBlock{},
 	}
 }
 
@@ -78,6 +88,8 @@
 func (b *Balancer) Choose(now time.Time, request Request, engines []Engine) (Choice, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.now = now
+	b.noteUrgency(now, request.Service, request.Urgency)
 	p, candidates := b.newPlacement(now, request, engines)
 	order := p.ranked(usable(request, candidates, b.options.OutdatedLimit))
 	best, ok := p.cheapest(order, p.compared(order))
@@ -88,6 +100,9 @@
 		return Choice{}, false
 	}
 	best.Candidates = len(order)
+	if p.home != "" {
+		best.Rank = rankOf(best.Engine.ID, order)
+	}
 	best.SavesToStore = p.isWorthSaving(now, best)
 	switch {
 	case best.Source != "" || best.FetchesFromStore:
@@ -97,8 +112,10 @@
 	default:
 		best.Source = p.secondSource(order, best)
 	}
+	best.chosenAt, best.service, best.ownTokens = now, request.Service, p.ownTokens
 	best.work = best.Missing + int(b.attention(best.Missing, request.Tokens).Seconds()*1000*b.options.PrefillPerMilli)
 	b.count(best.Engine.ID, Load{Waiting: best.work, Running: 1})
+	b.hold(best)
 	b.estimates.markComputing(now, best.Engine.ID, best.blocks)
 	if best.SavesToStore {
 		b.estimates.markComputing(now, best.Store.name(), best.blocks)
@@ -107,7 +124,7 @@
 }
 
 func (b *Balancer) cost(request Request, choice Choice) time.Duration {
-	cost := choice.Wait + time.Duration(computeWeight*float64(b.prefill(choice.Missing)))
+	cost := choice.Wait + time.Duration(computeWeight*float64(choice.compute))
 	if choice.Engine.Zone != b.options.Zone {
 		cost += crossZoneCost
 	}
@@ -156,6 +173,7 @@
 func (b *Balancer) FirstEvent(now time.Time, choice Choice) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.now = now
 	b.estimates.markReady(now, choice.Engine.ID, choice.blocks)
 	if choice.SavesToStore {
 		b.estimates.markReady(now, choice.Store.name(), choice.blocks)
@@ -176,7 +194,11 @@
 			b.estimates.abandon(choice.Store.name(), choice.blocks)
 		}
 	}
+	if computed {
+		b.learnResidence(b.now, choice)
+	}
 	b.count(choice.Engine.ID, load)
+	b.release(choice)
 }
 
 func (b *Balancer) count(engine string, load Load) {
@@ -219,6 +241,7 @@
 func (b *Balancer) Updates(now time.Time, cursors Cursors, otherZones bool) ([]CacheUpdate, Cursors) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.now = now
 	updates, sameZone := b.estimates.sameZone.since(now, cursors.SameZone)
 	cursors.SameZone = sameZone
 	if otherZones {
@@ -251,9 +274,10 @@
 	b.Merge(now, updates, false)
 }
 
-// Forget drops the cache estimate of an engine or KV store, because it has restarted or changed its weights.
+// Forget drops the cache estimate and the learned speed of an engine or KV store, because it has restarted or changed its weights.
 func (b *Balancer) Forget(engine string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.estimates.forget(engine)
+	delete(b.speeds, engine)
 }
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -14,9 +14,11 @@
 
 // An Engine is the known state of one backend server at the time of a decision.
 type Engine struct {
-	ID      string
-	Zone    string
-	Slots   int
+	ID    string
+	Zone  string
+	Slots int
+	// Memory is the number of tokens that the engine can hold for running requests. With zero, memory is not considered.
+	Memory  int
 	Version int64
 	// OutdatedFor is how long weights newer than those of the engine have been desired.
 	OutdatedFor time.Duration
@@ -48,6 +50,12 @@
 	Blocks []Block
 	// Tokens is the length of the whole prompt.
 	Tokens int
+	// OutputTokens is the maximum number of tokens to generate.
+	OutputTokens int
+	// Urgency is the priority of the request. The lowest value is served first, and others are preempted for it.
+	Urgency int
+	// Service is the service of the engines. Speeds are learned for each service.
+	Service string
 	// Target is the time within which the caller wants the first event. Zero means that there is no target.
 	Target time.Duration
 	// Instances is the number of instances that choose among the same backend servers.
@@ -64,11 +72,20 @@
 	Waiting int `json:"waiting"`
 	// Running is the number of requests in progress.
 	Running int `json:"running"`
+	// Held is the number of tokens that requests in progress hold or will hold: prompts and outputs. It is zero where the memory of the
+	// server is not known.
+	Held int `json:"held,omitempty"`
+	// SlownessSum and SlownessWeight are what recent samples say of the speed of the server. See WithSlowness.
+	SlownessSum    int `json:"slownessSum,omitempty"`
+	SlownessWeight int `json:"slownessWeight,omitempty"`
 }
 
 // Plus returns the sum of both loads.
 func (l Load) Plus(other Load) Load {
-	return Load{Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running}
+	return Load{
+		Waiting: l.Waiting + other.Waiting, Running: l.Running + other.Running, Held: l.Held + other.Held,
+		SlownessSum: l.SlownessSum + other.SlownessSum, SlownessWeight: l.SlownessWeight + other.SlownessWeight,
+	}
 }
 
 // A Choice is the decision for one request.
@@ -98,4 +115,14 @@
 	// cached is the number of tokens that the engine is assumed to hold or to be computing.
 	cached int
 	blocks []prefixBlock
+	// chosenAt is when the choice was made for the service. features are the parts of Wait, usual is Wait at an engine of usual speed, and
+	// compute the expected time to compute the missing tokens. isQueued means that the request is expected to wait for a slot or memory.
+	chosenAt time.Time
+	service  string
+	features features
+	usual    time.Duration
+	compute  time.Duration
+	// ownTokens are the tokens that the request holds at the engine beside its shared blocks.
+	ownTokens int
+	isQueued  bool
 }
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -1,6 +1,9 @@
 package lrbalance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxInstancesComparingAll is the number of instances up to which each one compares all engines, because load
@@ -15,7 +18,13 @@
 // mutex of the Balancer must be held.
 type placement struct {
 	balancer *Balancer
-	request  Request
+	now      time.Time
+	// model is the model of the engines' service.
+	model serviceModel
+	// memory is the use of memory by the requests of the service, ownTokens what the request holds beside its shared blocks.
+	memory    memoryModel
+	ownTokens int
+	request   Request
 	// home is the key of the shared blocks. It is empty where there are none.
 	home string
 	// store is the KV store for the shared blocks.
@@ -35,34 +44,59 @@
 type source struct {
 	engine string
 	tokens int
+	// isNear is set when the engine is in the own availability zone.
+	isNear bool
 }
 
 // newPlacement returns the placement of the request, and the engines as its candidates.
 func (b *Balancer) newPlacement(now time.Time, request Request, engines []Engine) (placement, []candidate) {
 	home := homeKey(request)
 	p := placement{
-		balancer: b, request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
+		balancer: b, now: now, model: b.model(now, request.Service), memory: b.memoryModel(request.Service),
+		ownTokens: request.ownTokens(), request: request, home: home, store: storeOf(home, request.Stores), shared: sharedTokens(request),
 		sources: map[int64]source{}, stored: map[int64]int{},
 	}
-	candidates := make([]candidate, len(engines))
-	blocks := map[int64][]prefixBlock{}
-	for n, e := range engines {
-		if _, ok := blocks[e.Version]; !ok {
-			blocks[e.Version] = prefixBlocks(request, e.Version)
-			p.stored[e.Version] = p.storedTokens(now, blocks[e.Version])
+	// The candidates of the last placement are overwritten: they are large, and used only while the mutex is held.
+	b.scratch = slices.Grow(b.scratch[:0], len(engines))[:len(engines)]
+	candidates := b.scratch
+	var state versionState
+	states := map[int64]versionState{}
+	for n := range engines {
+		e, c := &engines[n], &candidates[n]
+		if n == 0 || e.Version != engines[n-1].Version {
+			state = p.versionState(states, e.Version)
 		}
-		c := candidate{engine: e, blocks: blocks[e.Version], isPreferred: e.Preference > 0 && b.random.Float64() < e.Preference}
-		c.cached = b.estimates.cached(now, e.ID, c.blocks)
-		c.ready = b.estimates.fetchable(now, e.ID, c.blocks, p.sourceTTL(e.Version))
-		candidates[n] = c
+		*c = candidate{engine: *e, blocks: state.blocks}
+		c.isPreferred = e.Preference > 0 && b.random.Float64() < e.Preference
+		c.cached, c.ready = b.estimates.held(now, e.ID, c.blocks, state.sourceTTL)
 		p.isCached = p.isCached || c.cached == p.shared
-		if !request.Excluded[e.ID] && c.ready > p.sources[e.Version].tokens {
-			p.sources[e.Version] = source{engine: e.ID, tokens: c.ready}
+		isNear := e.Zone == b.options.Zone
+		if c.ready > 0 && !request.Excluded[e.ID] && p.sources[e.Version].isBetter(c.ready, isNear) {
+			p.sources[e.Version] = source{engine: e.ID, tokens: c.ready, isNear: isNear}
 		}
 	}
 	return p, candidates
 }
 
+// versionState is what is the same for all engines of one version of the weights.
+type versionState struct {
+	blocks    []prefixBlock
+	sourceTTL time.Duration
+}
+
+// versionState returns the state of the version, from those that are known already or a new one.
+func (p placement) versionState(known map[int64]versionState, version int64) versionState {
+	state, ok := known[version]
+	if ok {
+		return state
+	}
+	state.blocks = prefixBlocks(p.request, version)
+	p.stored[version] = p.storedTokens(p.now, state.blocks)
+	state.sourceTTL = p.sourceTTL(version)
+	known[version] = state
+	return state
+}
+
 // storedTokens returns the number of tokens in the leading blocks that the KV store is assumed to hold.
 func (p placement) storedTokens(now time.Time, blocks []prefixBlock) int {
 	if !p.store.exists() {
@@ -91,33 +125,36 @@
 // cheapest returns the choice of the lowest cost among the engines that compared marks, or among all when compared is
 // nil.
 func (p placement) cheapest(order []candidate, compared []bool) (Choice, bool) {
-	best, bestCost, found := Choice{}, time.Duration(0), false
-	for rank, candidate := range order {
+	var best zoneChoice
+	for rank := range order {
 		if compared != nil && !compared[rank] {
 			continue
 		}
-		e := candidate.engine
-		c := p.estimate(candidate, rank)
+		e := &order[rank].engine
+		c := p.estimate(order[rank], rank)
 		if e.OutdatedFor > 0 && e.OutdatedFor+c.Wait > p.balancer.options.OutdatedLimit {
 			continue
 		}
-		cost := p.balancer.cost(p.request, c)
-		if !found || cost < bestCost {
-			best, bestCost, found = c, cost, true
-		}
+		best.add(p.request, c, p.balancer.cost(p.request, c), e.Zone == p.balancer.options.Zone)
 	}
-	return best, found
+	return best.cheapest()
+}
+
+// comparesAll reports whether all of the candidates are compared.
+func (p placement) comparesAll(candidates int) bool {
+	return p.request.Instances <= maxInstancesComparingAll || candidates <= firstCompared+randomCompared
 }
 
 // compared marks the ranked engines to be compared, or returns nil to compare all. A few instances compare all engines.
 // Many instances would all choose the same idle engine and overload it before they receive one another's load reports,
 // so they compare the first engines by hash, those that hold the prompt, and some random ones.
 func (p placement) compared(order []candidate) []bool {
-	if p.request.Instances <= maxInstancesComparingAll || len(order) <= firstCompared+randomCompared {
+	if p.comparesAll(len(order)) {
 		return nil
 	}
 	compared := make([]bool, len(order))
-	for rank, c := range order {
+	for rank := range order {
+		c := &order[rank]
 		compared[rank] = c.isPreferred || len(c.blocks) > 0 && (rank < firstCompared || c.cached == p.shared)
 	}
 	for range randomCompared {
@@ -153,8 +190,8 @@
 		return ""
 	}
 	best, bestTokens, bestScore := "", 0, uint64(0)
-	for _, c := range candidates {
-		e := c.engine
+	for n := range candidates {
+		c, e := &candidates[n], &candidates[n].engine
 		if e.ID == chosen.Engine.ID || e.Version != chosen.Engine.Version || e.IsZoneUnreachable || e.IsDraining {
 			continue
 		}
@@ -178,10 +215,23 @@
 		c.Missing = min(c.Missing, p.request.Tokens-int(homeCachedShare*float64(p.shared)))
 	}
 	load := b.load(engine.ID)
-	c.Wait = b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens) + transfer +
-		time.Duration(load.Running)*decodeDelayPerRequest
+	c.features = features{
+		compute: b.prefill(load.Waiting) + b.prefill(c.Missing) + b.attention(c.Missing, p.request.Tokens),
+		running: time.Duration(load.Running) * decodeDelayPerRequest, fixed: transfer,
+	}
+	if engine.Zone != b.options.Zone {
+		c.features.crossing = crossZoneUnit
+	}
 	if engine.Slots > 0 && load.Running >= engine.Slots {
-		c.Wait += time.Duration(load.Running-engine.Slots+1) * overSlotCost
+		c.isQueued = true
+		c.features.fixed += time.Duration(load.Running-engine.Slots+1) * overSlotCost
+	}
+	if wait := p.memoryWait(candidate, load); wait > 0 {
+		c.isQueued = true
+		c.features.fixed += wait
 	}
+	slowness := b.slowness(p.now, engine.ID)
+	c.Wait, c.usual = p.model.expected(c.features, slowness), p.model.expected(c.features, 1)
+	c.compute = time.Duration(slowness * p.model.compute * float64(b.prefill(c.Missing)))
 	return c
 }
