Find silent servers from the responses of all instances

Cause: each instance compared only what it received itself.

Change: - A doubt, 150 ms after an expected byte, is told to the others (SuspicionNote, FleetState 37). While it lasts, all instances report the age of the last byte from the server, with a hash of 4 bytes for the server and its start (ResponseReport, FleetState 38 takes the place of ResponseNote). - A server is suspected after a silence at all instances of 350 ms and 1.2 times the delay of a report, if the doubt has stood for as long as others need to contradict it, an attempt is overdue, and at least as many servers answer as are silent. - The comparison with other servers stays for an instance that hears of no responses from others.

The cases of overload, pause, cut and long prefill are also run with other instances within reach; two of them failed until an instance that is told nothing went back to comparing.

--- a/internal/lredge/responses.go
+++ b/internal/lredge/responses.go
@@ -13,7 +13,10 @@
 
 // wireResponses makes the instance look for backend servers that have stopped responding.
 func (d *Daemon) wireResponses() {
-	d.responses = lrretry.NewResponseMonitor(func() int { return d.sharer.Instances() }, uint64(d.clock().UnixNano()))
+	d.responses = lrretry.NewResponseMonitor(lrretry.Fleet{
+		Instances: func() int { return d.sharer.Instances() }, Reached: func() int { return d.sharer.Reached(d.clock()) },
+		Delay: func() time.Duration { return d.sharer.PropagationDelay() },
+	}, uint64(d.clock().UnixNano()))
 	d.directory.OnRestart(func(server string) {
 		s, ok := d.directory.Server(server)
 		if ok {
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -122,7 +122,7 @@
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
 	}
 	state.Notices = encodeNotices(s.Notices.Updates(now, allNotices))
-	encodeSuspicions(state, s.Responses.Updates(now))
+	encodeResponses(state, s.Responses.Report(now))
 	state.Quarantine = lrpeer.EncodeQuarantine(s.Quarantine.Updates(now))
 	s.KVStores.Updates(now, func(status KVStoreStatus, age time.Duration) {
 		state.Kept = append(state.Kept, &lrpeerpb.KeptNote{
@@ -216,7 +216,7 @@
 		s.Directory.RecordVersion(w.GetServer(), w.GetModel(), w.GetVersion())
 	}
 	s.mergeNotices(now, state.GetNotices())
-	s.Responses.Merge(now, decodeSuspicions(state))
+	s.Responses.Merge(now, decodeResponses(state))
 	s.Quarantine.Merge(now, lrpeer.DecodeQuarantine(state.GetQuarantine()))
 	for _, k := range state.GetKept() {
 		status := KVStoreStatus{
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -53,7 +53,7 @@
 func (f *testFleet) newSharer(self Instance) *Sharer {
 	return NewSharer(SharerDependencies{
 		Self: self, Directory: NewDirectory(zerolog.Nop()), Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
-		Limiter: lrlimit.NewSharedLimiter(true), Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(self.Name)), Notices: lrnotice.NewBoard(self.Name), Responses: lrretry.NewResponseMonitor(func() int { return 1 }, 1), Rollout: noRollout{}, Feeds: map[string]SharedFeed{},
+		Limiter: lrlimit.NewSharedLimiter(true), Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(self.Name)), Notices: lrnotice.NewBoard(self.Name), Responses: lrretry.NewResponseMonitor(lrretry.Alone(), 1), Rollout: noRollout{}, Feeds: map[string]SharedFeed{},
 		Clock: func() time.Time { return f.now }, Log: zerolog.Nop(), KVStores: NewKVStoreWatch(KVStoreWatchDependencies{Log: zerolog.Nop()}), Go: func(_ string, work func()) { go work() },
 	}, false)
 }
--- a/internal/lrfleet/suspicions.go
+++ b/internal/lrfleet/suspicions.go
@@ -1,41 +1,57 @@
 package lrfleet
 
 import (
+	"time"
+
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 )
 
-// encodeSuspicions adds the suspicions of backend servers, and the responses that contradict them, to the state.
-func encodeSuspicions(state *lrpeerpb.FleetState, updates []lrretry.SuspicionUpdate) {
-	for _, u := range updates {
+// encodeResponses adds the suspicions and doubts of backend servers, and the responses that contradict them, to the state.
+func encodeResponses(state *lrpeerpb.FleetState, report lrretry.Report) {
+	for _, u := range report.Suspicions {
 		state.Suspicions = append(state.Suspicions, &lrpeerpb.SuspicionNote{
-			Server: u.Server, Incarnation: u.Incarnation, AgeMillis: uint32(u.SuspectedAge.Milliseconds()),
-			TrialAgeMillis: uint32(u.TrialAge.Milliseconds() + 1),
+			Server: u.Server, Incarnation: u.Incarnation, AgeMillis: encodeAge(u.SuspectedAge), TrialAgeMillis: encodeAge(u.TrialAge),
+			DoubtAgeMillis: encodeAge(u.DoubtAge),
 		})
-		if u.ResponseAge >= 0 {
-			state.Responses = append(state.Responses, &lrpeerpb.ResponseNote{
-				Server: u.Server, Incarnation: u.Incarnation, AgeMillis: uint32(u.ResponseAge.Milliseconds()),
-			})
-		}
+	}
+	if len(report.Responses) == 0 {
+		return
+	}
+	state.Responses = &lrpeerpb.ResponseReport{}
+	for _, u := range report.Responses {
+		state.Responses.Servers = append(state.Responses.Servers, u.Key)
+		state.Responses.AgeMillis = append(state.Responses.AgeMillis, uint32(u.Age.Milliseconds()))
 	}
 }
 
-// decodeSuspicions returns the suspicions and responses in the state. A negative age means that the state says nothing of it.
-func decodeSuspicions(state *lrpeerpb.FleetState) []lrretry.SuspicionUpdate {
-	updates := make([]lrretry.SuspicionUpdate, 0, len(state.GetSuspicions())+len(state.GetResponses()))
-	for _, n := range state.GetResponses() {
-		updates = append(updates, lrretry.SuspicionUpdate{
-			Server: n.GetServer(), Incarnation: n.GetIncarnation(), SuspectedAge: -1, TrialAge: -1, ResponseAge: millis(n.GetAgeMillis()),
+// decodeResponses returns the suspicions, doubts and responses in the state. Responses without an age are left out.
+func decodeResponses(state *lrpeerpb.FleetState) lrretry.Report {
+	var report lrretry.Report
+	for _, n := range state.GetSuspicions() {
+		report.Suspicions = append(report.Suspicions, lrretry.SuspicionUpdate{
+			Server: n.GetServer(), Incarnation: n.GetIncarnation(), SuspectedAge: decodeAge(n.GetAgeMillis()),
+			DoubtAge: decodeAge(n.GetDoubtAgeMillis()), TrialAge: decodeAge(n.GetTrialAgeMillis()),
 		})
 	}
-	for _, n := range state.GetSuspicions() {
-		u := lrretry.SuspicionUpdate{
-			Server: n.GetServer(), Incarnation: n.GetIncarnation(), SuspectedAge: millis(n.GetAgeMillis()), TrialAge: -1, ResponseAge: -1,
-		}
-		if n.GetTrialAgeMillis() > 0 {
-			u.TrialAge = millis(n.GetTrialAgeMillis() - 1)
-		}
-		updates = append(updates, u)
+	ages := state.GetResponses().GetAgeMillis()
+	for n, key := range state.GetResponses().GetServers()[:min(len(ages), len(state.GetResponses().GetServers()))] {
+		report.Responses = append(report.Responses, lrretry.ResponseUpdate{Key: key, Age: millis(ages[n])})
+	}
+	return report
+}
+
+// encodeAge encodes the age of what may never have happened, which is negative then.
+func encodeAge(age time.Duration) uint32 {
+	if age < 0 {
+		return 0
+	}
+	return uint32(age.Milliseconds()) + 1
+}
+
+func decodeAge(wire uint32) time.Duration {
+	if wire == 0 {
+		return -1
 	}
-	return updates
+	return millis(wire - 1)
 }
--- a/internal/lrfleet/suspicions_test.go
+++ b/internal/lrfleet/suspicions_test.go
@@ -26,7 +26,9 @@
 		f := newTestFleet(perZone)
 		f.run(2 * time.Second)
 		first := f.sharers[0].Responses
-		suspect := func() { first.Merge(f.now, []lrretry.SuspicionUpdate{{Server: "e1", TrialAge: -1, ResponseAge: -1}}) }
+		suspect := func() {
+			first.Merge(f.now, lrretry.Report{Suspicions: []lrretry.SuspicionUpdate{{Server: "e1", DoubtAge: -1, TrialAge: -1}}})
+		}
 		suspect()
 		f.run(time.Second)
 		requireEqual(t, "instances that suspect", f.suspectedBy("e1"), len(f.sharers))
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -192,7 +192,7 @@
 		Stores:     &w.kvStore,
 		Memory:     lrmemory.NewBudget(testMemoryBytes), Notices: lrnotice.NewBoard("test"),
 		Limiter: w.limiter, RetryBudgets: w.budget, Quarantine: w.quarantine, Backend: w.backend, Observer: noopObserver{},
-		Responses:        lrretry.NewResponseMonitor(func() int { return 1 }, 1),
+		Responses:        lrretry.NewResponseMonitor(lrretry.Alone(), 1),
 		Ejector:          lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
 		UnreachableZones: func(time.Time) map[string]bool { return nil },
 		Instances:        func() int { return 8 }, Log: zerolog.Nop(), Clock: func() time.Time { return w.now },
--- a/internal/lrpipeline/limit_test.go
+++ b/internal/lrpipeline/limit_test.go
@@ -131,7 +131,7 @@
 			Notices: lrnotice.NewBoard(name), Limiter: lrlimit.NewSharedLimiter(true), RetryBudgets: &testBudget{left: 10},
 			Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(name)),
 			Backend:    &limitedBackend{limitedServers: f.servers, instance: name}, Observer: noopObserver{},
-			Responses:        lrretry.NewResponseMonitor(func() int { return 1 }, 1),
+			Responses:        lrretry.NewResponseMonitor(lrretry.Alone(), 1),
 			Ejector:          lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
 			UnreachableZones: func(time.Time) map[string]bool { return nil }, Instances: func() int { return instances },
 			Log: zerolog.Nop(), Clock: clock, PauseClock: clock,
--- a/internal/lrpipeline/unresponsive_test.go
+++ b/internal/lrpipeline/unresponsive_test.go
@@ -94,7 +94,7 @@
 
 func (w *fixture) suspect(servers ...string) {
 	for _, id := range servers {
-		w.pipeline.Responses.Merge(w.now, []lrretry.SuspicionUpdate{{Server: id, SuspectedAge: 0, TrialAge: 0, ResponseAge: -1}})
+		w.pipeline.Responses.Merge(w.now, lrretry.Report{Suspicions: []lrretry.SuspicionUpdate{{Server: id, SuspectedAge: 0, DoubtAge: -1, TrialAge: 0}}})
 	}
 }
 
--- a/pkg/lrretry/responses.go
+++ b/pkg/lrretry/responses.go
@@ -12,6 +12,16 @@
 	minSilence = 350 * time.Millisecond
 	// silenceFactor multiplies the expected and usual times by which a server may be late.
 	silenceFactor = 1.5
+	// doubtAfter is the silence, or the time by which a first event is late, after which the other instances are asked for their last byte.
+	// doubtTTL is how long a doubt lasts that no instance renews, renewDoubtAfter the time between two renewals.
+	doubtAfter      = 150 * time.Millisecond
+	doubtTTL        = 4 * time.Second
+	renewDoubtAfter = 3 * time.Second
+	// answerDelays is the time in which others contradict a doubt, in multiples of the delay of a report.
+	answerDelays = 1.2
+	// toldWithin is how long after the last response that another instance has told of this one relies on the others. Without it a suspicion
+	// rests on comparisons with other servers.
+	toldWithin = 2 * time.Second
 	// contradictedBy is how long before a suspicion a byte from the server still contradicts it: another instance was answered while the
 	// suspecting one was not.
 	contradictedBy = minSilence / 2
@@ -44,21 +54,43 @@
 // byte of each server with the expected time and with the other servers of the service. A suspicion is shared with the other instances,
 // and any byte from the server ends it. It is safe for use by several goroutines.
 type ResponseMonitor struct {
-	instances func() int
-	mutex     sync.Mutex
-	random    *rand.Rand
-	servers   map[string]*serverResponses
-	services  map[string]*serviceResponses
+	fleet   Fleet
+	mutex   sync.Mutex
+	random  *rand.Rand
+	servers map[string]*serverResponses
+	// names maps the key of each known start of a server to its name.
+	names    map[uint32]string
+	services map[string]*serviceResponses
 	// countedFrom is the time before which silence is not counted, because this instance was paused or cut off.
 	countedFrom time.Time
 	lastByteAt  time.Time
 	steppedAt   time.Time
 	expiredAt   time.Time
+	// toldAt is when another instance last told of a byte that this one does not know.
+	toldAt time.Time
+	// sentUpTo is the position in the updates from which the next message goes on.
+	sentUpTo int
+}
+
+// Fleet describes the instances that share a ResponseMonitor's reports.
+type Fleet struct {
+	// Instances returns the number of instances, Reached that of those within reach, this one included.
+	Instances func() int
+	Reached   func() int
+	// Delay returns how long a report takes from one instance to any other.
+	Delay func() time.Duration
+}
+
+// Alone is the Fleet of one instance.
+func Alone() Fleet {
+	return Fleet{Instances: func() int { return 1 }, Reached: func() int { return 1 }, Delay: func() time.Duration { return 0 }}
 }
 
 // serverResponses is what is known of the responses of one server.
 type serverResponses struct {
-	service     string
+	service string
+	// key is the key under which its responses are reported.
+	key         uint32
 	incarnation int64
 	attempts    map[*MonitoredAttempt]struct{}
 	// ownByteAt is when this instance last received a byte, and byteAt when any instance is known to have.
@@ -67,6 +99,10 @@
 	// suspectedAt is when an instance last found the server silent, trialAt when one last sent a trial.
 	suspectedAt time.Time
 	trialAt     time.Time
+	// doubtedAt is when an instance last missed responses of the server, doubtedSince when the present doubt began. While it lasts, instances
+	// tell one another when they last received a byte.
+	doubtedAt    time.Time
+	doubtedSince time.Time
 	// nextTrial is when this instance may send its next trial.
 	nextTrial time.Time
 	// seenAt is when this instance last sent an attempt or saw a restart.
@@ -105,10 +141,11 @@
 	nextGiveUp time.Time
 }
 
-// NewResponseMonitor returns a ResponseMonitor that suspects no server. The function returns the number of instances.
-func NewResponseMonitor(instances func() int, seed uint64) *ResponseMonitor {
+// NewResponseMonitor returns a ResponseMonitor that suspects no server.
+func NewResponseMonitor(fleet Fleet, seed uint64) *ResponseMonitor {
 	return &ResponseMonitor{
-		instances: instances, random: rand.New(rand.NewPCG(seed, seed)), servers: map[string]*serverResponses{}, services: map[string]*serviceResponses{},
+		fleet: fleet, random: rand.New(rand.NewPCG(seed, seed)), servers: map[string]*serverResponses{}, services: map[string]*serviceResponses{},
+		names: map[uint32]string{},
 	}
 }
 
@@ -139,11 +176,7 @@
 	m.lastByteAt = now
 	s, ok := m.servers[a.Server]
 	if ok && s.incarnation == a.Incarnation {
-		wasSuspected := s.isSuspected(now)
 		s.ownByteAt, s.byteAt = now, now
-		if wasSuspected {
-			s.changedAt = now
-		}
 	}
 	service := m.serviceOf(a.Service)
 	switch {
@@ -226,7 +259,7 @@
 
 // planTrial draws the time of the next trial of this instance, so that all instances together send about one in each trialInterval.
 func (m *ResponseMonitor) planTrial(now time.Time, s *serverResponses) {
-	wait := trialInterval * time.Duration(max(m.instances(), 1))
+	wait := trialInterval * time.Duration(max(m.fleet.Instances(), 1))
 	s.nextTrial = now.Add(time.Duration(m.random.Int64N(int64(wait))))
 }
 
@@ -243,8 +276,11 @@
 func (m *ResponseMonitor) serverOf(server string, incarnation int64) *serverResponses {
 	s, ok := m.servers[server]
 	if !ok || s.incarnation != incarnation {
-		s = &serverResponses{incarnation: incarnation, attempts: map[*MonitoredAttempt]struct{}{}}
-		m.servers[server] = s
+		if ok {
+			delete(m.names, s.key)
+		}
+		s = &serverResponses{key: responseKey(server, incarnation), incarnation: incarnation, attempts: map[*MonitoredAttempt]struct{}{}}
+		m.servers[server], m.names[s.key] = s, server
 	}
 	return s
 }
--- a/pkg/lrretry/responses_test.go
+++ b/pkg/lrretry/responses_test.go
@@ -43,7 +43,7 @@
 
 func newResponseLoad(servers int) *responseLoad {
 	return &responseLoad{
-		monitor: lrretry.NewResponseMonitor(func() int { return 3 }, 1), now: time.Unix(1000, 0), servers: servers, expected: usualWait,
+		monitor: lrretry.NewResponseMonitor(lrretry.Alone(), 1), now: time.Unix(1000, 0), servers: servers, expected: usualWait,
 		sendEvery: responseStep, stream: usualStream,
 		firstAfter: func(string) time.Duration { return usualWait }, isSilent: func(string) bool { return false }, isPaused: func() bool { return false },
 	}
@@ -84,6 +84,12 @@
 	return false
 }
 
+// fleetOf returns a fleet of which all instances are within reach.
+func fleetOf(instances int) lrretry.Fleet {
+	count := func() int { return instances }
+	return lrretry.Fleet{Instances: count, Reached: count, Delay: func() time.Duration { return 300 * time.Millisecond }}
+}
+
 func serverName(n int) string { return fmt.Sprint("e", n) }
 
 func isOneOf(names ...string) func(string) bool {
@@ -179,6 +185,14 @@
 			l.run(6 * time.Second)
 			requireEqual(t, len(l.changes), 0, fmt.Sprint("changes ", l.changes))
 		})
+		t.Run(c.name+", others within reach", func(t *testing.T) {
+			l := newResponseLoad(12)
+			l.monitor = lrretry.NewResponseMonitor(fleetOf(3), 1)
+			l.run(3 * time.Second)
+			c.apply(l)
+			l.run(6 * time.Second)
+			requireEqual(t, len(l.changes), 0, fmt.Sprint("changes ", l.changes))
+		})
 	}
 }
 
@@ -190,26 +204,26 @@
 	l.isSilent = isOneOf("e2")
 	l.run(1200 * time.Millisecond)
 	t.Run("an instance without requests there takes it over, and tells others", func(t *testing.T) {
-		other, third := lrretry.NewResponseMonitor(func() int { return 3 }, 2), lrretry.NewResponseMonitor(func() int { return 3 }, 3)
-		other.Merge(l.now, l.monitor.Updates(l.now))
+		other, third := lrretry.NewResponseMonitor(lrretry.Alone(), 2), lrretry.NewResponseMonitor(lrretry.Alone(), 3)
+		other.Merge(l.now, l.monitor.Report(l.now))
 		requireSuspected(t, other, l.now, "e2")
-		third.Merge(l.now, other.Updates(l.now))
+		third.Merge(l.now, other.Report(l.now))
 		requireSuspected(t, third, l.now, "e2")
 		requireSuspected(t, third, l.now.Add(6*time.Second))
 	})
 	t.Run("an instance that was just answered contradicts it", func(t *testing.T) {
-		other := lrretry.NewResponseMonitor(func() int { return 3 }, 2)
+		other := lrretry.NewResponseMonitor(lrretry.Alone(), 2)
 		a := other.Sent(l.now, lrretry.AttemptOptions{Server: "e2", Service: testService})
 		a.Received(l.now, true)
-		other.Merge(l.now, l.monitor.Updates(l.now))
+		other.Merge(l.now, l.monitor.Report(l.now))
 		requireSuspected(t, other, l.now)
-		l.monitor.Merge(l.now, other.Updates(l.now))
+		l.monitor.Merge(l.now, other.Report(l.now))
 		requireSuspected(t, l.monitor, l.now)
 	})
 	t.Run("another start of the server is not suspected", func(t *testing.T) {
-		other := lrretry.NewResponseMonitor(func() int { return 3 }, 2)
+		other := lrretry.NewResponseMonitor(lrretry.Alone(), 2)
 		other.Restarted(l.now, "e2", 7)
-		other.Merge(l.now, l.monitor.Updates(l.now))
+		other.Merge(l.now, l.monitor.Report(l.now))
 		requireSuspected(t, other, l.now)
 	})
 }
@@ -220,13 +234,13 @@
 		now := time.Unix(1000, 0)
 		monitors := make([]*lrretry.ResponseMonitor, instances)
 		for n := range monitors {
-			monitors[n] = lrretry.NewResponseMonitor(func() int { return instances }, uint64(n))
+			monitors[n] = lrretry.NewResponseMonitor(fleetOf(instances), uint64(n))
 		}
 		trials := 0
 		for step := range 200 {
 			at := now.Add(time.Duration(step) * responseStep)
 			for _, m := range monitors {
-				m.Merge(at, []lrretry.SuspicionUpdate{{Server: "e1", SuspectedAge: 0, TrialAge: -1, ResponseAge: -1}})
+				m.Merge(at, lrretry.Report{Suspicions: []lrretry.SuspicionUpdate{{Server: "e1", SuspectedAge: 0, DoubtAge: -1, TrialAge: -1}}})
 				if m.TakeTrial(at, "e1", true) {
 					trials++
 				}
--- a/pkg/lrretry/silence.go
+++ b/pkg/lrretry/silence.go
@@ -14,12 +14,14 @@
 
 // Step looks for silent servers, gives up attempts at suspected ones, and returns what has changed since the last step.
 func (m *ResponseMonitor) Step(now time.Time) []SuspicionChange {
+	// The functions of the fleet take other locks, for which received bytes must not wait.
+	reached, delay := m.fleet.Reached(), m.fleet.Delay()
 	m.mutex.Lock()
 	if m.steppedAt.IsZero() || now.Sub(m.steppedAt) > pausedAfter {
 		m.countedFrom = now
 	}
 	m.steppedAt = now
-	m.findSilent(now)
+	m.findSilent(now, m.rules(now, reached, delay))
 	changes, proposals := m.review(now)
 	if now.Sub(m.expiredAt) >= expireInterval {
 		m.expiredAt = now
@@ -35,32 +37,113 @@
 	return changes
 }
 
-// findSilent suspects silent servers. Nothing is suspected in a service of which more servers are silent than answer.
-func (m *ResponseMonitor) findSilent(now time.Time) {
-	answering, silent := map[string]int{}, map[string]int{}
-	quiet := map[string]*serverResponses{}
-	for name, s := range m.servers {
-		switch {
-		case now.Sub(s.ownByteAt) < answeringWithin:
-			answering[s.service]++
-		case len(s.attempts) > 0 && now.Sub(s.byteAt) >= minSilence && m.silence(now, s) >= minSilence:
-			quiet[name] = s
-			if !s.isSuspected(now) {
-				silent[s.service]++
-			}
-		}
+// silenceRules say from when on a server counts as silent or answering.
+type silenceRules struct {
+	// isAlone is set when no other instance tells when it last received a byte.
+	isAlone bool
+	// answerTime is the time in which others contradict a doubt.
+	answerTime      time.Duration
+	silentAfter     time.Duration
+	answeringWithin time.Duration
+}
+
+func (m *ResponseMonitor) rules(now time.Time, reached int, delay time.Duration) silenceRules {
+	if reached <= 1 || now.Sub(m.toldAt) > toldWithin {
+		return silenceRules{isAlone: true, silentAfter: minSilence, answeringWithin: answeringWithin}
 	}
+	answerTime := time.Duration(answerDelays * float64(delay))
+	return silenceRules{answerTime: answerTime, silentAfter: minSilence + answerTime, answeringWithin: minSilence + answerTime}
+}
+
+// isAnswering reports whether a byte from the server is known that is recent enough.
+func (r silenceRules) isAnswering(now time.Time, s *serverResponses) bool {
+	if r.isAlone {
+		return now.Sub(s.ownByteAt) < r.answeringWithin
+	}
+	return now.Sub(s.byteAt) < r.answeringWithin
+}
+
+// findSilent doubts and suspects silent servers. Nothing is suspected in a service of which more servers are silent than answer.
+func (m *ResponseMonitor) findSilent(now time.Time, rules silenceRules) {
+	quiet, margins := m.quietServers(now, rules)
 	for name, s := range quiet {
-		if answering[s.service] == 0 || answering[s.service] < silent[s.service] {
+		margin, isAnswered := margins[s.service]
+		if !isAnswered || margin < 0 || s.isSuspected(now) && now.Sub(s.suspectedAt) < confirmAfter {
 			continue
 		}
-		if s.isSuspected(now) && now.Sub(s.suspectedAt) < confirmAfter {
+		if m.isUnresponsive(now, name, s, rules) {
+			m.suspect(now, now, s)
+		}
+	}
+}
+
+// quietServers doubts servers and returns those that are silent, and for each service with answering servers by how many these exceed the
+// silent ones that are not suspected yet.
+func (m *ResponseMonitor) quietServers(now time.Time, rules silenceRules) (quiet map[string]*serverResponses, margins map[string]int) {
+	quiet, margins = map[string]*serverResponses{}, map[string]int{}
+	silent := map[string]int{}
+	for name, s := range m.servers {
+		if rules.isAnswering(now, s) {
+			margins[s.service]++
+		}
+		if len(s.attempts) == 0 || now.Sub(s.byteAt) < doubtAfter || m.silence(now, s) < doubtAfter {
 			continue
 		}
-		if m.isSilent(now, name, s) {
-			m.suspect(now, now, s)
+		m.doubt(now, s)
+		if m.silence(now, s) < rules.silentAfter {
+			continue
+		}
+		quiet[name] = s
+		if !s.isSuspected(now) {
+			silent[s.service]++
+		}
+	}
+	for service, count := range silent {
+		if _, ok := margins[service]; ok {
+			margins[service] -= count
 		}
 	}
+	return quiet, margins
+}
+
+// isUnresponsive reports whether the silence of the server is more than what is expected of it.
+func (m *ResponseMonitor) isUnresponsive(now time.Time, name string, s *serverResponses, rules silenceRules) bool {
+	if rules.isAlone {
+		return m.isSilent(now, name, s)
+	}
+	return now.Sub(s.doubtedSince) >= rules.answerTime && m.isOverdue(now, s, rules.silentAfter)
+}
+
+// doubt records that an attempt at the server is late, so that the other instances tell when they last received a byte from it.
+func (m *ResponseMonitor) doubt(now time.Time, s *serverResponses) {
+	if now.Sub(s.doubtedAt) < renewDoubtAfter && !s.doubtedAt.IsZero() || !m.isOverdue(now, s, doubtAfter) {
+		return
+	}
+	s.recordDoubt(now, now)
+}
+
+func (s *serverResponses) recordDoubt(now, at time.Time) {
+	if at.Sub(s.doubtedAt) < minAdvance {
+		return
+	}
+	if at.Sub(s.doubtedAt) > doubtTTL {
+		s.doubtedSince = at
+	}
+	s.doubtedAt, s.changedAt = at, now
+}
+
+// isOverdue reports whether one of the attempts has had no byte for the given time beyond what is expected.
+func (m *ResponseMonitor) isOverdue(now time.Time, s *serverResponses, by time.Duration) bool {
+	for a := range s.attempts {
+		allowed := by
+		if !a.hasFirst {
+			allowed += a.Expected
+		}
+		if now.Sub(later(a.byteAt, m.countedFrom)) > allowed {
+			return true
+		}
+	}
+	return false
 }
 
 // silence returns the time since the last byte that any instance received from the server, or since the oldest attempt of this instance.
@@ -74,7 +157,7 @@
 	return now.Sub(later(later(oldest, s.byteAt), m.countedFrom))
 }
 
-// isSilent reports whether one of the attempts is overdue compared with its expectation and with the other servers.
+// isSilent reports whether one of the attempts is overdue compared with its expectation and with the other servers. It needs no other instance.
 func (m *ResponseMonitor) isSilent(now time.Time, name string, s *serverResponses) bool {
 	service := m.serviceOf(s.service)
 	needed := min(minWitnesses, m.otherServers(now, name, s.service))
@@ -176,6 +259,7 @@
 	for name, s := range m.servers {
 		if len(s.attempts) == 0 && now.Sub(later(s.seenAt, later(s.byteAt, s.suspectedAt))) > forgetAfter {
 			delete(m.servers, name)
+			delete(m.names, s.key)
 		}
 	}
 	for name, s := range m.services {
--- a/pkg/lrretry/suspicion_updates.go
+++ b/pkg/lrretry/suspicion_updates.go
@@ -3,67 +3,101 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// passOnFor is how long after a change the state of a server is sent to other instances.
 	passOnFor = time.Second
-	// maxUpdates bounds the servers in one message, the latest changes first.
-	maxUpdates = 64
+	// maxUpdates bounds the servers that are named in one report, suspicions first, and maxResponses those whose last byte is reported.
+	maxUpdates   = 64
+	maxResponses = 512
+	// never is the age of what has not happened.
+	never = time.Duration(-1)
+	// minAdvance is how much later than the known time a reported time must be. The delay of the network makes each age look a little lower, so
+	// that a report that comes back would otherwise count as a new one.
+	minAdvance = 100 * time.Millisecond
+	// reportDelay is added to the age of a response, so that one that is passed on again and again does not look recent.
+	reportDelay = 50 * time.Millisecond
+	// minConfirmAdvance is minAdvance for the confirmation of a suspicion: instances that confirm it at about the same time are passed on once.
+	minConfirmAdvance = time.Second
 )
 
-// A SuspicionUpdate says how long ago instances found a server silent, and received a byte from it. A negative age means never.
+// A Report is what one instance tells another of the responses of servers.
+type Report struct {
+	Suspicions []SuspicionUpdate
+	Responses  []ResponseUpdate
+}
+
+// A SuspicionUpdate says how long ago instances found a server silent, and missed its responses. A negative age means never.
 type SuspicionUpdate struct {
 	Server       string
 	Incarnation  int64
 	SuspectedAge time.Duration
+	// DoubtAge is the time since an instance missed responses and asked the others for theirs.
+	DoubtAge time.Duration
 	// TrialAge is the time since a trial request was last sent to the server.
 	TrialAge time.Duration
-	// ResponseAge is the time since the last byte from the server.
-	ResponseAge time.Duration
 }
 
-// never is the age of what has not happened.
-const never = time.Duration(-1)
-
-// minAdvance is how much later than the known time a reported time must be. The delay of the network makes each age look a little lower, so
-// that an update that comes back would otherwise count as a new one.
-const minAdvance = 100 * time.Millisecond
+// A ResponseUpdate says how long ago a byte has arrived from a server.
+type ResponseUpdate struct {
+	// Key is a hash of the server and its start.
+	Key uint32
+	Age time.Duration
+}
 
-// minConfirmAdvance is the same for the confirmation of a suspicion: instances that confirm it at about the same time are passed on once.
-const minConfirmAdvance = time.Second
+// responseKey returns the key of a start of the server.
+func responseKey(server string, incarnation int64) uint32 {
+	return uint32(xxhash.Sum64String(server + "/" + strconv.FormatInt(incarnation, 36)))
+}
 
-// Updates returns what has changed lately and is to be sent to other instances.
-func (m *ResponseMonitor) Updates(now time.Time) []SuspicionUpdate {
+// Report returns what is to be sent to other instances: suspicions and doubts that have changed lately, and the last bytes from servers whose
+// responses some instance misses.
+func (m *ResponseMonitor) Report(now time.Time) Report {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var updates []SuspicionUpdate
+	var report Report
 	for name, s := range m.servers {
-		// An instance that is answered by a server contradicts the suspicion of another one for as long as that may hold.
-		contradicts := !s.suspectedAt.IsZero() && now.Sub(s.suspectedAt) < passOnFor && !s.isSuspected(now)
-		if !contradicts && now.Sub(s.changedAt) >= passOnFor || s.suspectedAt.IsZero() {
+		if s.doubtedAt.IsZero() && s.suspectedAt.IsZero() {
 			continue
 		}
-		u := SuspicionUpdate{
-			Server: name, Incarnation: s.incarnation, SuspectedAge: age(now, s.suspectedAt), TrialAge: age(now, s.trialAt), ResponseAge: never,
+		if now.Sub(s.changedAt) < passOnFor {
+			report.Suspicions = append(report.Suspicions, SuspicionUpdate{
+				Server: name, Incarnation: s.incarnation, SuspectedAge: age(now, s.suspectedAt), DoubtAge: age(now, s.doubtedAt), TrialAge: age(now, s.trialAt),
+			})
 		}
-		if !s.isSuspected(now) {
-			u.ResponseAge = age(now, s.byteAt)
+		isAsked := now.Sub(later(s.doubtedAt, s.suspectedAt)) < doubtTTL
+		if isAsked && now.Sub(s.byteAt) < doubtTTL && len(report.Responses) < maxResponses {
+			report.Responses = append(report.Responses, ResponseUpdate{Key: s.key, Age: age(now, s.byteAt)})
 		}
-		updates = append(updates, u)
+	}
+	report.Suspicions = m.bounded(report.Suspicions)
+	return report
+}
+
+// bounded returns the updates for one report: suspicions, then doubts. Each report goes on where the one before ended, so that every server has
+// its turn.
+func (m *ResponseMonitor) bounded(updates []SuspicionUpdate) []SuspicionUpdate {
+	if len(updates) <= maxUpdates {
+		return updates
 	}
 	slices.SortFunc(updates, func(a, b SuspicionUpdate) int {
-		return cmp.Or(cmp.Compare(min(a.SuspectedAge, a.responseOrder()), min(b.SuspectedAge, b.responseOrder())), cmp.Compare(a.Server, b.Server))
+		return cmp.Or(cmp.Compare(b.isSuspicion(), a.isSuspicion()), cmp.Compare(a.Server, b.Server))
 	})
-	return updates[:min(len(updates), maxUpdates)]
+	m.sentUpTo = (m.sentUpTo + maxUpdates) % len(updates)
+	return append(updates[m.sentUpTo:], updates[:m.sentUpTo]...)[:maxUpdates]
 }
 
-func (u SuspicionUpdate) responseOrder() time.Duration {
-	if u.ResponseAge < 0 {
-		return forgetAfter
+// isSuspicion returns 1 for a suspicion and 0 for a doubt.
+func (u SuspicionUpdate) isSuspicion() int {
+	if u.SuspectedAge >= 0 && u.SuspectedAge < suspicionTTL {
+		return 1
 	}
-	return u.ResponseAge
+	return 0
 }
 
 func age(now, at time.Time) time.Duration {
@@ -73,29 +107,34 @@
 	return max(now.Sub(at), 0)
 }
 
-// Merge applies the updates of another instance. Updates on another start of a server than the known one are ignored.
-func (m *ResponseMonitor) Merge(now time.Time, updates []SuspicionUpdate) {
+// Merge applies the report of another instance. Updates on another start of a server than the known one are ignored.
+func (m *ResponseMonitor) Merge(now time.Time, report Report) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	for _, u := range updates {
+	for _, u := range report.Suspicions {
 		s, ok := m.servers[u.Server]
 		if !ok && len(m.servers) < maxServers {
 			s, ok = m.serverOf(u.Server, u.Incarnation), true
 		}
-		if !ok || s.incarnation != u.Incarnation {
-			continue
+		if ok && s.incarnation == u.Incarnation {
+			m.mergeSuspicion(now, s, u)
+		}
+	}
+	for _, u := range report.Responses {
+		s, ok := m.servers[m.names[u.Key]]
+		at := now.Add(-u.Age - reportDelay)
+		if ok && s.key == u.Key && u.Age >= 0 && at.Sub(s.byteAt) > minAdvance {
+			s.byteAt = at
+			if at.Sub(s.ownByteAt) > minAdvance {
+				m.toldAt = now
+			}
 		}
-		m.merge(now, s, u)
 	}
 }
 
-func (m *ResponseMonitor) merge(now time.Time, s *serverResponses, u SuspicionUpdate) {
-	if at := now.Add(-u.ResponseAge); u.ResponseAge >= 0 && at.Sub(s.byteAt) > minAdvance {
-		wasSuspected := s.isSuspected(now)
-		s.byteAt = at
-		if wasSuspected && !s.isSuspected(now) {
-			s.changedAt = now
-		}
+func (m *ResponseMonitor) mergeSuspicion(now time.Time, s *serverResponses, u SuspicionUpdate) {
+	if u.DoubtAge >= 0 && u.DoubtAge < doubtTTL {
+		s.recordDoubt(now, now.Add(-u.DoubtAge))
 	}
 	advance := minAdvance
 	if s.isSuspected(now) {
--- a/scripts/bench/place.go
+++ b/scripts/bench/place.go
@@ -117,16 +117,21 @@
 }
 
 func suspectingMonitor(count int) (*lrretry.ResponseMonitor, time.Time) {
-	m, now := lrretry.NewResponseMonitor(func() int { return futureInstances }, 1), time.Unix(1_000_000, 0)
+	m, now := lrretry.NewResponseMonitor(placeFleet(), 1), time.Unix(1_000_000, 0)
 	m.Step(now)
 	for n := range count {
 		id := fmt.Sprintf("engine-gulf-south-a-%d", n)
 		a := m.Sent(now, lrretry.AttemptOptions{Server: id, Service: "engines", Route: "long"})
 		if n%4 == 0 {
-			m.Merge(now, []lrretry.SuspicionUpdate{{Server: id, TrialAge: -1, ResponseAge: -1}})
+			m.Merge(now, lrretry.Report{Suspicions: []lrretry.SuspicionUpdate{{Server: id, DoubtAge: -1, TrialAge: -1}}})
 			continue
 		}
 		a.Received(now, true)
 	}
 	return m, now
 }
+
+func placeFleet() lrretry.Fleet {
+	count := func() int { return futureInstances }
+	return lrretry.Fleet{Instances: count, Reached: count, Delay: func() time.Duration { return time.Second }}
+}
