Compare engines by their load, not by what was learned of the service

Change: what is learned of a service changes the expected wait, which admission and the choice of a zone use, but not the comparison of engines. The speed of an engine counts there from a factor of 1.4.

--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -124,14 +124,14 @@
 }
 
 func (b *Balancer) cost(request Request, choice Choice) time.Duration {
-	cost := choice.Wait + time.Duration(computeWeight*float64(choice.compute))
+	cost := choice.placedWait + time.Duration(computeWeight*float64(b.prefill(choice.Missing)))
 	if choice.Engine.Zone != b.options.Zone {
 		cost += crossZoneCost
 	}
 	if choice.Engine.OutdatedFor > outdatedGrace {
 		cost += outdatedCost
 	}
-	late := choice.Wait - time.Duration(targetThreshold*float64(request.Target))
+	late := choice.placedWait - time.Duration(targetThreshold*float64(request.Target))
 	if request.Target > 0 && late > 0 {
 		cost += time.Duration(lateWeight * float64(late))
 	}
--- a/pkg/lrbalance/engine.go
+++ b/pkg/lrbalance/engine.go
@@ -115,6 +115,8 @@
 	// cached is the number of tokens that the engine is assumed to hold or to be computing.
 	cached int
 	blocks []prefixBlock
+	// placedWait is the wait by which the engine was compared with others.
+	placedWait time.Duration
 	// chosenAt is when the choice was made for the service. features are the parts of Wait, usual is Wait at an engine of usual speed, and
 	// compute the expected time to compute the missing tokens. isQueued means that the request is expected to wait for a slot or memory.
 	chosenAt time.Time
--- a/pkg/lrbalance/placement.go
+++ b/pkg/lrbalance/placement.go
@@ -232,6 +232,7 @@
 	}
 	slowness := b.slowness(p.now, engine.ID)
 	c.Wait, c.usual = p.model.expected(c.features, slowness), p.model.expected(c.features, 1)
+	c.placedWait = c.features.placed(slowness)
 	c.compute = time.Duration(slowness * p.model.compute * float64(b.prefill(c.Missing)))
 	return c
 }
--- a/pkg/lrbalance/speed.go
+++ b/pkg/lrbalance/speed.go
@@ -31,6 +31,9 @@
 	// minSlowness and maxSlowness bound the factor. An engine that looks fast is only little preferred, so that instances do not all choose it.
 	minSlowness = 0.7
 	maxSlowness = 4.0
+	// placedSlowness is the factor from which an engine gets less work. Smaller ones are within the error of a few samples: prompts that
+	// changed their engine for them would be computed anew there.
+	placedSlowness = 1.4
 	// maxSampleRatio bounds one sample.
 	maxSampleRatio = 2.5
 	// maxSlownessWeight bounds the weight in one report, minSlownessWeight is the weight below which nothing is reported.
@@ -68,6 +71,15 @@
 	return f.fixed + time.Duration(m.overhead*float64(overheadUnit)+m.crossing*float64(f.crossing)+slowness*loaded)
 }
 
+// placed returns the wait by which engines are compared. It does not depend on what was learned of the service: the same for all engines, that
+// would only change how much a queue counts against the cached blocks of a prompt.
+func (f features) placed(slowness float64) time.Duration {
+	if slowness < placedSlowness {
+		slowness = 1
+	}
+	return f.fixed + time.Duration(slowness*float64(f.compute+f.running))
+}
+
 // decayed returns the model after a time without samples.
 func (m serviceModel) decayed(now time.Time) serviceModel {
 	if m.at.IsZero() || !now.After(m.at) {
