Put the begin of a rollout of weights off while callers wait

Cause: each rollout takes a third of the engines out of use and empties all caches. Versions that are named every few seconds during bursts did so again and again, when capacity was missing most.

Change: a rollout that has not begun waits while requests wait at the engines, at most for half of [orders] versionDeadline, and then takes the newest version. One that has begun goes on.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -208,7 +208,7 @@
 	d.leaseKeeper = lrlease.NewKeeper(d.ports.Store, rolloutLease, d.settings.Instance.Name, o.LeaseValidity, lrclock.BootTime)
 	d.weights = lrweights.NewUpdater(lrweights.Dependencies{
 		Instance: d.settings.Instance.Name, Keeper: d.leaseKeeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
-		Options: lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter}, VersionDeadline: o.VersionDeadline,
+		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter, Deadline: o.VersionDeadline},
 		LeaseClock: lrclock.BootTime, Observer: d.metrics, Go: d.supervisor.Go, Log: d.log,
 		Report: func(now time.Time, update lrfleet.WeightsUpdate) { d.sharer.ReportWeights(now, update) },
 	})
--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -105,8 +105,6 @@
 	Directory *lrfleet.Directory
 	Balancer  *lrbalance.Balancer
 	Options   lrrollout.Options
-	// VersionDeadline is how long after newer weights were named a request may still begin on older ones. Zero means unknown.
-	VersionDeadline time.Duration
 	// Report informs the other instances that an engine has loaded new weights.
 	Report func(now time.Time, note lrfleet.WeightsUpdate)
 	// LeaseClock is the clock of the lease. It also advances while the machine is suspended.
@@ -209,7 +207,19 @@
 			OutdatedFor: d.outdatedFor(now, s),
 		})
 	}
-	return lrrollout.Next(d.Options, engines, d.Directory.DesiredVersions(), d.updating)
+	return lrrollout.Next(d.Options, lrrollout.Conditions{Wait: d.meanWait(servers)}, engines, d.Directory.DesiredVersions(), d.updating)
+}
+
+// meanWait returns the mean expected wait of requests at the servers that have weights.
+func (d *Updater) meanWait(servers []lrfleet.Server) time.Duration {
+	total, engines := time.Duration(0), 0
+	for _, s := range servers {
+		if len(s.Versions) > 0 {
+			total += d.Balancer.QueueTime(s.ID)
+			engines++
+		}
+	}
+	return total / time.Duration(max(engines, 1))
 }
 
 // outdatedFor returns how long a newer version of the weights of any of the server's models has been desired.
@@ -223,7 +233,7 @@
 
 // update brings one engine to the version, or delays its next update when that fails.
 func (d *Updater) update(ctx context.Context, server lrfleet.Server, step lrrollout.Step) {
-	ctx, cancel := context.WithTimeout(ctx, max(minUpdateTimeout, time.Duration(updateTimeoutShare*float64(d.VersionDeadline))))
+	ctx, cancel := context.WithTimeout(ctx, max(minUpdateTimeout, time.Duration(updateTimeoutShare*float64(d.Options.Deadline))))
 	defer cancel()
 	began, done := time.Now(), false
 	defer func() { d.endUpdate(server.ID, done) }()
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -162,6 +162,13 @@
 	return b.ownLoads[engine].Plus(b.otherLoads[engine])
 }
 
+// QueueTime returns the expected time until the engine has computed the prompts that wait there.
+func (b *Balancer) QueueTime(engine string) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.prefill(b.load(engine).Waiting)
+}
+
 // Load returns the known load that all instances together put on the engine.
 func (b *Balancer) Load(engine string) Load {
 	b.mutex.Lock()
--- a/pkg/lrrollout/plan.go
+++ b/pkg/lrrollout/plan.go
@@ -39,6 +39,8 @@
 	// disables it.
 	LateShare float64
 	LateAfter time.Duration
+	// Deadline is how long after a newer version was named a request may still begin on outdated weights. Zero means that it is unknown.
+	Deadline time.Duration
 }
 
 // share returns the share of the engines that may be updated at the same time.
@@ -51,17 +53,17 @@
 
 // Next returns the orders to send now: engines with the oldest weights first, and among them those with the fewest
 // requests. Engines in busy are being updated already.
-func Next(options Options, engines []Engine, desired map[string]int64, busy map[string]bool) []Step {
+func Next(options Options, conditions Conditions, engines []Engine, desired map[string]int64, busy map[string]bool) []Step {
 	steps := make([]Step, 0, len(engines))
 	for _, model := range sortedKeys(desired) {
-		steps = append(steps, nextOfModel(options, engines, model, desired[model], busy)...)
+		steps = append(steps, nextOfModel(options, conditions, engines, model, desired[model], busy)...)
 	}
 	return steps
 }
 
-func nextOfModel(options Options, engines []Engine, model string, desired int64, busy map[string]bool) []Step {
+func nextOfModel(options Options, conditions Conditions, engines []Engine, model string, desired int64, busy map[string]bool) []Step {
 	var old []Engine
-	total, changing := 0, 0
+	total, changing, updated := 0, 0, 0
 	oldest := time.Duration(0)
 	for _, e := range engines {
 		version, ok := e.Versions[model]
@@ -71,6 +73,8 @@
 		total++
 		if version < desired {
 			oldest = max(oldest, e.OutdatedFor)
+		} else {
+			updated++
 		}
 		switch {
 		case busy[e.ID]:
@@ -79,6 +83,9 @@
 			old = append(old, e)
 		}
 	}
+	if options.isHeld(conditions, oldest, updated > 0) {
+		return nil
+	}
 	slices.SortFunc(old, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Versions[model], b.Versions[model]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
--- a/pkg/lrrollout/plan_test.go
+++ b/pkg/lrrollout/plan_test.go
@@ -34,7 +34,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			requireEqual(t, fmt.Sprint(Next(options, c.engines, c.desired, c.busy)), c.want)
+			requireEqual(t, fmt.Sprint(Next(options, Conditions{}, c.engines, c.desired, c.busy)), c.want)
 		})
 	}
 }
@@ -47,11 +47,11 @@
 	for n := range engines {
 		engines[n].OutdatedFor = time.Second
 	}
-	requireEqual(t, len(Next(options, engines, map[string]int64{"m": 2}, nil)), 2)
+	requireEqual(t, len(Next(options, Conditions{}, engines, map[string]int64{"m": 2}, nil)), 2)
 	for n := range engines {
 		engines[n].OutdatedFor = 3 * time.Second
 	}
-	late := Next(options, engines, map[string]int64{"m": 2}, nil)
+	late := Next(options, Conditions{}, engines, map[string]int64{"m": 2}, nil)
 	requireEqual(t, len(late), 4)
 	requireEqual(t, late[0].SkipsDrain, true)
 }
