Refuse requests that are not expected to be served in time

Cause: a request on the platform's path was refused only if no engine existed or its account was over its rate. Under overload all requests were accepted, all waited and nearly all came late.

Ruled out: a queue in the instance before placement, since it holds what cannot be served until it is too late; refusal inside lrbalance, since placement has to stay one decision and admission another.

Change: lrqueue.Admission decides after placement and before the first attempt only. It compares the expected wait with what is left of the target. Where more urgent requests of the same service miss their targets, the limit of less urgent ones falls to half of the more urgent target. Nothing is refused while a usable server has a free slot and nothing waiting. Retry-After follows the excess wait and the callers refused before, and stays below the third of the time left that callers honor. A refusal gives up the placement, the notice and the tokens. The retry budget earns only from requests that are sent; it also earned from those that found no server. New setting [admission] enabled, metric lavenderrouter_edge_admissions_total, reason and figures in the cause of "request: refused".

Tests changed: the observers of the tests got the new method Decided; no check was changed.

The effect under load is not measured here.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -115,6 +115,8 @@
 	// running is the number of requests in progress.
 	running    atomic.Int64
 	idleCloser *lrframe.IdleCloser
+	// untargeted are the names of the routes without a usable target. It is used only by the follower of the routing tables.
+	untargeted []string
 	done       chan struct{}
 }
 
@@ -163,6 +165,7 @@
 			spec, ok := entries[d.ports.TableName]
 			if ok {
 				d.directory.SetSpec(spec)
+				d.reportTargets(d.directory.Table().Spec())
 			}
 		})
 	servers := options(feedServers, p.ServerInterval)
@@ -293,7 +296,7 @@
 
 func (d *Daemon) wirePipeline() {
 	d.pipeline = lrpipeline.New(lrpipeline.Dependencies{
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Admission: d.newAdmission(),
 		RetryBudgets: newRetryBudgets(d.settings.Retries, d.sharer.Instances, d.metrics.retryDecided), UnreachableZones: d.sharer.UnreachableZones,
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectFailures, Duration: ejectDuration, MaxDuration: maxEjectDuration, ProbeTimeout: ejectProbeTimeout,
--- a/internal/lredge/metrics.go
+++ b/internal/lredge/metrics.go
@@ -25,6 +25,7 @@
 	leases       *prometheus.CounterVec
 	verdicts     *prometheus.CounterVec
 	heldBack     prometheus.Counter
+	admissions   *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds.
@@ -69,7 +70,10 @@
 		Name: "lavenderrouter_edge_held_back_total",
 		Help: "Backend servers that were passed over in placements because they named a limit, asked for a pause or were leaving.",
 	})
-	m.registry.MustRegister(m.heldBack, m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
+	m.admissions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavenderrouter_edge_admissions_total", Help: "Decisions whether a request is sent, by reason.",
+	}, []string{"route", "reason"})
+	m.registry.MustRegister(m.admissions, m.heldBack, m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
 	return m
 }
 
@@ -79,6 +83,9 @@
 // Refused counts a rejected request.
 func (m *metrics) Refused(route, reason string) { m.refused.WithLabelValues(route, reason).Inc() }
 
+// Decided counts a decision whether a request is sent.
+func (m *metrics) Decided(route, reason string) { m.admissions.WithLabelValues(route, reason).Inc() }
+
 // HeldBack counts servers that were passed over in a placement.
 func (m *metrics) HeldBack(servers int) { m.heldBack.Add(float64(servers)) }
 
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -138,6 +138,7 @@
 type noopObserver struct{}
 
 func (noopObserver) Refused(string, string)              {}
+func (noopObserver) Decided(string, string)              {}
 func (noopObserver) HeldBack(int)                        {}
 func (noopObserver) Attempted(string)                    {}
 func (noopObserver) FirstEvent(string, time.Duration)    {}
--- a/internal/lrpipeline/outcome.go
+++ b/internal/lrpipeline/outcome.go
@@ -68,6 +68,8 @@
 	switch {
 	case r.possibleRuns == 0 && r.rejection != nil:
 		return crashing(r.admittedRequest, r.rejection.Verdict, r.rejection.Wait)
+	case r.refusal != nil:
+		return overloaded(*r.refusal)
 	case r.possibleRuns == 0 && timedOut:
 		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "no backend server took the request in time; try again")
 	case r.possibleRuns == 0 && len(r.heldBack.servers) > 0:
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
@@ -62,8 +63,10 @@
 
 // Dependencies are what a Pipeline needs to work.
 type Dependencies struct {
-	Directory    *lrfleet.Directory
-	Balancer     *lrbalance.Balancer
+	Directory *lrfleet.Directory
+	Balancer  *lrbalance.Balancer
+	// Admission decides which requests are sent when there is too little capacity. It is nil when all are sent.
+	Admission    *lrqueue.Admission
 	Limiter      *lrlimit.SharedLimiter
 	RetryBudgets RetryBudgets
 	Ejector      *lrretry.Ejector
@@ -90,6 +93,8 @@
 // An Observer records metrics of requests.
 type Observer interface {
 	Refused(route, reason string)
+	// Decided records a decision on whether a request is sent, with its reason.
+	Decided(route, reason string)
 	// HeldBack records how many servers were passed over because they wanted no request.
 	HeldBack(servers int)
 	Attempted(outcome string)
@@ -215,7 +220,6 @@
 		p.refuse(a, caller, refusal)
 		return
 	}
-	p.RetryBudgets.Earn(now, a.service.Name)
 	run := &run{pipeline: p, admittedRequest: a, caller: caller, excluded: map[string]bool{}, memory: p.Memory.NewReservation()}
 	defer run.memory.Release()
 	run.serve(ctx)
--- a/internal/lrpipeline/place.go
+++ b/internal/lrpipeline/place.go
@@ -64,7 +64,7 @@
 	if !ok {
 		return choice, lrfleet.Server{}, false
 	}
-	r.choice = choice
+	r.choice, r.compared = choice, compared{engines: engines, excluded: excluded}
 	p.Log.Debug().Str("request", r.ID).Str("server", choice.Engine.ID).Int("rank", choice.Rank).Int("missing", choice.Missing).
 		Dur("wait", choice.Wait).Int("candidates", choice.Candidates).Msg("request: placed")
 	return choice, byID[choice.Engine.ID], true
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
 
@@ -48,8 +49,11 @@
 	caller Caller
 	// excluded are the IDs of the servers that must not be chosen again.
 	excluded map[string]bool
-	// choice is the result of the last placement.
-	choice lrbalance.Choice
+	// choice is the result of the last placement, and compared the servers among which it was made.
+	choice   lrbalance.Choice
+	compared compared
+	// refusal is set when the request is not sent because there is too little capacity.
+	refusal *lrqueue.Decision
 	// attempts counts all attempts, possibleRuns those that may have run, and unsentAttempts those of which no byte was sent.
 	attempts       int
 	possibleRuns   int
@@ -91,6 +95,10 @@
 			r.fail(ctx, "noServer")
 			return
 		}
+		if r.attempts == 0 && !r.isAdmitted(choice, server) {
+			r.fail(ctx, "overloaded")
+			return
+		}
 		switch r.attempt(ctx, choice, server) {
 		case isDone:
 			return
--- /dev/null
+++ b/pkg/lrqueue/admission_test.go
@@ -0,0 +1,73 @@
+package lrqueue
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func newArrival(urgency int, target, wait time.Duration) Arrival {
+	return Arrival{Service: "s", Route: "r", Urgency: urgency, Work: 1000, Wait: wait, Target: target, TimeLeft: 10 * time.Second}
+}
+
+func isBusy() bool { return false }
+
+func isIdle() bool { return true }
+
+// TestDecisionOnOneRequest guards against a refusal of a request that can be served in time, of one without a target that can be met, and of
+// any request while a server is free.
+func TestDecisionOnOneRequest(t *testing.T) {
+	late := newArrival(0, 400*time.Millisecond, time.Second)
+	implausible := late
+	implausible.Target = time.Hour
+	elapsed := newArrival(0, 400*time.Millisecond, 300*time.Millisecond)
+	elapsed.Elapsed = 200 * time.Millisecond
+	cases := []struct {
+		name    string
+		arrival Arrival
+		isFree  func() bool
+		want    Reason
+	}{
+		{"in time", newArrival(0, 400*time.Millisecond, 300*time.Millisecond), isBusy, InTime},
+		{"too late", late, isBusy, TooLate},
+		{"too late because of the time that has passed", elapsed, isBusy, TooLate},
+		{"a server is free", late, isIdle, IsFree},
+		{"no target", newArrival(0, 0, time.Minute), isBusy, NoTarget},
+		{"a target after the deadline", implausible, isBusy, NoTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			requireEqual(t, NewAdmission(1).Decide(time.Unix(1000, 0), c.arrival, c.isFree).Reason, c.want, "reason")
+		})
+	}
+}
+
+// TestLessUrgentRequestsGiveWay guards against less urgent requests that fill the servers while more urgent ones are refused, and against their
+// refusal after the more urgent ones have gone.
+func TestLessUrgentRequestsGiveWay(t *testing.T) {
+	a, now := NewAdmission(1), time.Unix(1000, 0)
+	long := newArrival(2, 1500*time.Millisecond, 700*time.Millisecond)
+	requireEqual(t, a.Decide(now, long, isBusy).Reason, InTime, "reason")
+	for range 50 {
+		now = now.Add(10 * time.Millisecond)
+		a.Decide(now, newArrival(0, 400*time.Millisecond, 700*time.Millisecond), isBusy)
+	}
+	requireEqual(t, a.Decide(now, long, isBusy).Reason, GivesWay, "reason")
+	now = now.Add(10 * time.Second)
+	requireEqual(t, a.Decide(now, long, isBusy).Reason, InTime, "reason")
+}
+
+// TestRefusedCallersReturnSpread guards against refused callers that all return at the same time, or later than they honor.
+func TestRefusedCallersReturnSpread(t *testing.T) {
+	a, now := NewAdmission(1), time.Unix(1000, 0)
+	late := newArrival(0, 400*time.Millisecond, time.Second)
+	late.TimeLeft = 3 * time.Second
+	returns := make([]time.Duration, 0, 200)
+	for range 200 {
+		d := a.Decide(now, late, isBusy)
+		requireEqual(t, d.RetryAfter >= minReturn && d.RetryAfter <= late.TimeLeft/3, true, "time within bounds")
+		returns = append(returns, d.RetryAfter)
+	}
+	slices.Sort(returns)
+	requireEqual(t, returns[180]-returns[20] > 100*time.Millisecond, true, "spread")
+}
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -6,18 +6,19 @@
 // Settings are the settings of one instance. The names of the fields, in camel case, are the sections and keys of the INI
 // file.
 type Settings struct {
-	Instance Instance
-	Platform Platform
-	Peers    Peers
-	Server   Server
-	Routing  Routing
-	Limits   Limits
-	Keys     Keys
-	Paid     Paid
-	Orders   Orders
-	Retries  Retries
-	TLS      TLS
-	Log      Log
+	Instance  Instance
+	Platform  Platform
+	Peers     Peers
+	Server    Server
+	Routing   Routing
+	Limits    Limits
+	Keys      Keys
+	Paid      Paid
+	Orders    Orders
+	Retries   Retries
+	Admission Admission
+	TLS       TLS
+	Log       Log
 }
 
 // Instance identifies the instance and states where it listens.
@@ -180,6 +181,12 @@
 	Window time.Duration
 }
 
+// Admission configures which requests are sent when there is too little capacity.
+type Admission struct {
+	// Enabled states that a request on the platform that is not expected to be served in time is refused. Without it all requests are sent.
+	Enabled bool
+}
+
 // TLS names certificate files. Empty names mean plain TCP.
 type TLS struct {
 	// CertFile is the certificate presented to callers.
@@ -236,8 +243,9 @@
 			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
 			ValidFor: 2 * time.Second, Settle: 5 * time.Second, MinAtOnce: 2, Share: 0.34, LateShare: 0.5, LateAfter: 2800 * time.Millisecond,
 		},
-		Retries: Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
-		Paid:    Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
-		Log:     Log{Format: "json", Level: "info", LinesPerSecond: 400},
+		Retries:   Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
+		Admission: Admission{Enabled: true},
+		Paid:      Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
+		Log:       Log{Format: "json", Level: "info", LinesPerSecond: 400},
 	}
 }
--- a/pkg/lrtable/table.go
+++ b/pkg/lrtable/table.go
@@ -98,6 +98,15 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// maxPriority is the highest plausible priority.
+const maxPriority = 9
+
+// HasUsableTarget reports whether the requests of the route can be compared with their target: it can be met within the timeout, and the
+// priority is plausible.
+func (r Route) HasUsableTarget() bool {
+	return r.TargetLatency > 0 && (r.Timeout <= 0 || r.TargetLatency <= r.Timeout) && r.Priority >= 0 && r.Priority <= maxPriority
+}
+
 // PriorityOf returns the priority of the account's requests on the route. The lowest value is served first.
 func (r Route) PriorityOf(account Account) int {
 	if account.Priority != nil {
