Control admission by completions, urgency and fair shares

Cause: the first version compares the expected wait with the target alone. Reports of other instances' load are 0.3 to 0.6 s old, which is longer than many targets: in a model of 74 instances all accept and refuse together, the estimate at the chosen engine is far too short (the least of several old values), and large requests and single accounts are not told apart.

Ruled out, in the model: a proportional-integral control on the wait, which overshot (0.8 refused while the queues ran empty); a limit on the wait with learned errors alone, which let every instance through to engines that were reported free and were not; a multiplied correction of the estimate, since the error is a sum.

Change: - A class of urgency accepts as much work as is completed beside the more urgent classes, a little more while the wait is below 0.4 of the target, a little less above. Nothing is refused for this reason while requests hardly wait or few have completed. - The error of the estimate is learned by route and range of the estimate, with decay and bounds.

Two tests of the first version changed their set-up, not their checks: an Admission refuses for lateness only after it has seen late requests, so they let it see ten.

--- a/internal/lrpipeline/admission.go
+++ b/internal/lrpipeline/admission.go
@@ -1,6 +1,8 @@
 package lrpipeline
 
 import (
+	"time"
+
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
@@ -18,12 +20,12 @@
 	p := r.pipeline
 	now := p.Clock()
 	if p.Admission != nil && r.route.HasUsableTarget() {
-		decision := p.Admission.Decide(now, r.arrival(choice), func() bool {
+		r.arrival, r.decidedAt = r.newArrival(now, choice), now
+		r.decision = p.Admission.Decide(now, r.arrival, func() bool {
 			return p.Balancer.HasFree(choice, r.compared.engines, r.compared.excluded)
 		})
-		p.Observer.Decided(r.route.Name, string(decision.Reason))
-		if !decision.IsAccepted() {
-			r.refusal = &decision
+		p.Observer.Decided(r.route.Name, string(r.decision.Reason))
+		if !r.decision.IsAccepted() {
 			p.Balancer.End(choice, false)
 			p.Notices.Return(now, startedServer(server))
 			return false
@@ -33,14 +35,29 @@
 	return true
 }
 
-// arrival returns what the decision depends on.
-func (r *run) arrival(choice lrbalance.Choice) lrqueue.Arrival {
-	now := r.pipeline.Clock()
+// newArrival returns what the decision depends on.
+func (r *run) newArrival(now time.Time, choice lrbalance.Choice) lrqueue.Arrival {
+	load, own := r.pipeline.Balancer.Before(choice)
 	return lrqueue.Arrival{
-		Service: r.service.Name, Route: r.route.Name, Account: r.account.Name, Urgency: r.route.PriorityOf(r.account),
-		Work: float64(max(choice.Missing+r.OutputTokens, 1)), Wait: choice.Wait, Elapsed: now.Sub(r.Received),
-		Target: r.route.TargetLatency, TimeLeft: r.deadline.Sub(now),
+		Service: r.service.Name, Route: r.route.Name, Account: r.account.Name, Digest: r.Digest, Urgency: r.route.PriorityOf(r.account),
+		Work: float64(max(choice.Missing+r.OutputTokens, 1)), Wait: choice.Wait, Own: own, IsPlain: r.Model == "" && r.PromptTokens == 0,
+		Ahead: load.Running, Slots: choice.Engine.Slots, IsServerFree: choice.Engine.IsFree(load),
+		Elapsed: now.Sub(r.Received), Target: r.route.TargetLatency, Gap: r.route.TargetGap, TimeLeft: r.deadline.Sub(now),
+	}
+}
+
+// observeFirstEvent records when the first event or the answer of an admitted request has arrived.
+func (r *run) observeFirstEvent() {
+	p := r.pipeline
+	if p.Admission == nil || r.decidedAt.IsZero() {
+		return
+	}
+	now := p.Clock()
+	if r.attempts == 1 {
+		p.Admission.Observe(now, r.arrival, now.Sub(r.decidedAt))
+		return
 	}
+	p.Admission.Complete(now, r.arrival)
 }
 
 // overloaded returns the refusal of a request for which there is too little capacity.
--- a/internal/lrpipeline/admission_test.go
+++ b/internal/lrpipeline/admission_test.go
@@ -10,7 +10,8 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
 )
 
-// newLoadedFixture returns a fixture whose servers have the given prompt tokens waiting, and whose routes have a target of 0.4 s.
+// newLoadedFixture returns a fixture whose servers have the given prompt tokens waiting, whose routes have a target of 0.4 s, and whose
+// admission has seen requests that were expected to be late.
 func newLoadedFixture(t *testing.T, waiting int, steps ...step) *fixture {
 	t.Helper()
 	w := newFixture(t, steps...)
@@ -25,6 +26,11 @@
 	w.pipeline.Directory.SetServers(servers)
 	w.pipeline.Balancer.SetOtherLoads(loads)
 	w.pipeline.Admission = lrqueue.NewAdmission(1)
+	for range 10 {
+		w.pipeline.Admission.Decide(w.now, lrqueue.Arrival{
+			Service: "s", Work: 1, Wait: time.Second, Target: 400 * time.Millisecond, TimeLeft: time.Second,
+		}, func() bool { return false })
+	}
 	return w
 }
 
--- a/internal/lrpipeline/outcome.go
+++ b/internal/lrpipeline/outcome.go
@@ -24,6 +24,7 @@
 	p.Observer.PromptAnswered(r.promptTokens())
 	r.logAttempt(zerolog.InfoLevel, server, outcome).Dur("took", duration).Uint64("table", r.table).Int64("weights", server.Versions[r.Model]).
 		Int("missing", r.choice.Missing).Int("fetched", r.choice.Fetched).Bool("fromStore", r.choice.FetchesFromStore).Bool("saved", r.choice.SavesToStore).Int("rank", r.choice.Rank).Dur("expectedWait", r.choice.Wait).
+		Str("admission", string(r.decision.Reason)).
 		Int("candidates", r.choice.Candidates).Strs("heldBack", r.heldBack.logged()).Strs("parts", r.loggedParts()).Msg("request: ended")
 }
 
@@ -68,8 +69,8 @@
 	switch {
 	case r.possibleRuns == 0 && r.rejection != nil:
 		return crashing(r.admittedRequest, r.rejection.Verdict, r.rejection.Wait)
-	case r.refusal != nil:
-		return overloaded(*r.refusal)
+	case r.attempts == 0 && !r.decision.IsAccepted():
+		return overloaded(r.decision)
 	case r.possibleRuns == 0 && timedOut:
 		return lrerror.New(lrerror.KindUnavailable, lrerror.NotRun, "no backend server took the request in time; try again")
 	case r.possibleRuns == 0 && len(r.heldBack.servers) > 0:
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -40,6 +40,7 @@
 		r.failure, r.failureBody = reply, body
 		return r.handleFailure(server, reply)
 	}
+	r.observeFirstEvent()
 	r.succeeded(server)
 	err = r.caller.Answer(reply, body)
 	r.finish(server, outcomeOf(err))
@@ -103,6 +104,7 @@
 		}
 		if first {
 			first = false
+			r.observeFirstEvent()
 			p.Observer.FirstEvent(r.route.Name, p.Clock().Sub(r.Received))
 		}
 		err = r.relayEvent(reply, event)
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -52,8 +52,10 @@
 	// choice is the result of the last placement, and compared the servers among which it was made.
 	choice   lrbalance.Choice
 	compared compared
-	// refusal is set when the request is not sent because there is too little capacity.
-	refusal *lrqueue.Decision
+	// arrival and decision are those of the decision whether to send the request, which was made at decidedAt.
+	arrival   lrqueue.Arrival
+	decision  lrqueue.Decision
+	decidedAt time.Time
 	// attempts counts all attempts, possibleRuns those that may have run, and unsentAttempts those of which no byte was sent.
 	attempts       int
 	possibleRuns   int
--- a/pkg/lrbalance/free.go
+++ b/pkg/lrbalance/free.go
@@ -1,5 +1,26 @@
 package lrbalance
 
+import "time"
+
+// Before returns the load of the chosen engine without that of the choice itself, and the time that the engine takes to compute the prompt.
+func (b *Balancer) Before(choice Choice) (Load, time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.before(choice, choice.Engine.ID), b.prefill(choice.work)
+}
+
+// before returns the load of the engine without that of the choice.
+func (b *Balancer) before(choice Choice, engine string) Load {
+	load := b.load(engine)
+	if engine == choice.Engine.ID {
+		load = load.Plus(Load{Waiting: -choice.work, Running: -1})
+	}
+	return load
+}
+
+// IsFree reports whether the engine has a free slot and no prompt tokens that wait.
+func (e Engine) IsFree(load Load) bool { return load.Waiting <= 0 && load.Running < max(e.Slots, 1) }
+
 // HasFree reports whether one of the usable engines has a free slot and no prompt tokens that wait, apart from the load of the choice itself.
 func (b *Balancer) HasFree(choice Choice, engines []Engine, excluded map[string]bool) bool {
 	b.mutex.Lock()
@@ -8,11 +29,7 @@
 		if excluded[e.ID] || e.IsHeldBack || e.IsDraining || e.OutdatedFor >= outdatedLimit {
 			continue
 		}
-		load := b.load(e.ID)
-		if e.ID == choice.Engine.ID {
-			load = load.Plus(Load{Waiting: -choice.work, Running: -1})
-		}
-		if load.Waiting <= 0 && load.Running < max(e.Slots, 1) {
+		if e.IsFree(b.before(choice, e.ID)) {
 			return true
 		}
 	}
--- /dev/null
+++ b/pkg/lrqueue/admission_control.go
@@ -0,0 +1,73 @@
+package lrqueue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rateWindow is the time constant of the rates of offered, accepted and completed work.
+	rateWindow = time.Second
+	// controlGoal is the ratio of the expected wait to the target that the control keeps, without the requests' own time.
+	controlGoal = 0.4
+	// controlGain is how much the accepted rate differs from the rate of completions for a ratio away from the goal. The reports of other
+	// instances' load are up to 0.6 s old; with a higher gain all instances accept and refuse together.
+	controlGain = 0.5
+	// minControlRate and maxControlRate bound the accepted rate relative to that of completions.
+	minControlRate = 0.5
+	maxControlRate = 1.25
+	// leastCompletions is the number of completions from which on the control applies completely.
+	leastCompletions = 10
+	// maxExcess bounds the correction for requests that were accepted beyond the budget, for other reasons.
+	maxExcess = 2
+	// calmRatio is the ratio up to which nothing is refused, and busyRatio the one from which the control applies completely.
+	calmRatio = 0.15
+	busyRatio = 0.3
+	// controlSmoothing is the time constant of the smoothed ratio, and maxControlRatio bounds the influence of one request.
+	controlSmoothing = 200 * time.Millisecond
+	maxControlRatio  = 2
+	// maxControlStep bounds the time for which one request counts, after a time without requests.
+	maxControlStep = 200 * time.Millisecond
+)
+
+// control finds the part of the requests of one urgency to refuse, so that the wait stays at a part of the target. It accepts as much work as
+// is completed, a little more while the wait is below its goal and a little less while it is above.
+type control struct {
+	// ratio is the smoothed ratio of the expected wait to the target.
+	ratio float64
+	at    time.Time
+	// offered and accepted are amounts of work.
+	offered  decayed
+	accepted decayed
+}
+
+// observe adds the work of a request and the ratio of its expected wait to its target.
+func (c *control) observe(now time.Time, work, ratio float64) {
+	elapsed := min(max(now.Sub(c.at), 0), maxControlStep).Seconds()
+	c.at = maxTime(c.at, now)
+	c.ratio += (min(max(ratio, 0), maxControlRatio) - c.ratio) * (1 - math.Exp(-elapsed/controlSmoothing.Seconds()))
+	c.offered.add(now, rateWindow, work)
+}
+
+// completions are the requests whose first event has arrived, and their work.
+type completions struct{ count, work decayed }
+
+func (c *completions) add(now time.Time, work float64) {
+	c.count.add(now, rateWindow, 1)
+	c.work.add(now, rateWindow, work)
+}
+
+// part returns the part of the requests to refuse. Of the completed work, reserved is for more urgent requests. Few completions have little
+// weight, as after a start or a pause.
+func (c *control) part(now time.Time, completed completions, reserved float64) float64 {
+	rate := min(max(1+controlGain*(controlGoal-c.ratio), minControlRate), maxControlRate)
+	budget := max(completed.work.value(now, rateWindow)*rate-reserved, 0)
+	excess := max(c.accepted.value(now, rateWindow)/max(budget, 1), 1)
+	part := max(1-budget/max(c.offered.value(now, rateWindow), 1)/min(excess, maxExcess), 0)
+	return part * c.strength() * min(completed.count.value(now, rateWindow)/leastCompletions, 1)
+}
+
+// strength returns how much the control applies: not at all while requests hardly wait, completely from busyRatio on.
+func (c *control) strength() float64 {
+	return min(max((c.ratio-calmRatio)/(busyRatio-calmRatio), 0), 1)
+}
--- /dev/null
+++ b/pkg/lrqueue/admission_free.go
@@ -0,0 +1,41 @@
+package lrqueue
+
+import (
+	"time"
+)
+
+const (
+	// freeWindow is the time constant with which past requests to servers that were reported free lose weight.
+	freeWindow = time.Second
+	// freePrior is the number of true reports that are assumed.
+	freePrior = 3
+	// maxFreeShare is the share of the completed work that is accepted only because a server is reported free.
+	maxFreeShare = 0.2
+	// maxFalseReports is the part of false reports of free servers up to which such reports are believed.
+	maxFalseReports = 0.4
+	// falseReportFactor and falseReportShare bound the time to the first event at a server that was free: a multiple of the estimate and a
+	// share of the target more.
+	falseReportFactor = 2.5
+	falseReportShare  = 0.5
+)
+
+// freeReports counts how often a server that was reported free was not. Reports are older than it takes to fill a server, so that under overload
+// most such reports are false.
+type freeReports struct{ all, wrong, accepted decayed }
+
+// observe adds the time to the first event at a server that was reported free.
+func (f *freeReports) observe(now time.Time, estimated, observed, target time.Duration) {
+	f.all.add(now, freeWindow, 1)
+	if observed.Seconds() > falseReportFactor*estimated.Seconds()+falseReportShare*target.Seconds() {
+		f.wrong.add(now, freeWindow, 1)
+	}
+}
+
+// areBelieved reports whether a server that is reported free counts as free. Requests that are accepted for this reason alone are bounded to
+// a share of the completed work, since all instances see the same free server.
+func (f *freeReports) areBelieved(now time.Time, work, completed float64) bool {
+	if f.accepted.value(now, freeWindow) > maxFreeShare*completed+freePrior*work {
+		return false
+	}
+	return f.wrong.value(now, freeWindow) <= maxFalseReports*(f.all.value(now, freeWindow)+freePrior)
+}
--- a/pkg/lrqueue/admission_service.go
+++ b/pkg/lrqueue/admission_service.go
@@ -9,91 +9,167 @@
 	classWindow = 2 * time.Second
 	// classPrior is the number of requests served in time that every urgency is assumed to have had, so that a few do not decide alone.
 	classPrior = 5
-	// maxClasses bounds the values of urgency that are kept apart in one service.
-	maxClasses = 16
-	// fullPressure is the part of the more urgent requests not served in time at which less urgent requests give way completely.
-	fullPressure = 0.2
-	// yieldedShare is the part of the target of the more urgent requests up to which less urgent requests that give way completely may wait.
-	yieldedShare = 0.5
+	// pressureGain is how much more of the less urgent requests is refused than of the more urgent ones, up to maxYield.
+	pressureGain = 4
+	maxYield     = 0.85
+	// calmPart is the part of refused requests, and calmMissing that of requests not expected to be served in time, up to which there is
+	// capacity for requests that are expected to be late.
+	calmPart    = 0.05
+	calmMissing = 0.1
+	// returnPart lowers the part of the returning callers that is refused.
+	returnPart = 0.7
+	// returnLimit is the multiple of the target within which the first event of a returning caller has to be expected.
+	returnLimit = 2
 )
 
 // serviceAdmission is what an Admission knows of the requests to one service.
 type serviceAdmission struct {
-	classes map[int]*urgencyClass
-	returns returns
+	classes  map[int]*urgencyClass
+	routes   map[string]*routeAdmission
+	accounts *accountLoads
+	// all counts the requests to the service.
+	all       servedPart
+	completed completions
+	free      freeReports
+	spread    returnSpread
 }
 
 // urgencyClass counts the requests of one urgency.
 type urgencyClass struct {
-	// target is the target of the last request.
-	target time.Duration
 	// offered counts all requests, missed those that were not expected to be served in time.
 	offered decayed
 	missed  decayed
+	control control
+	level   fairLevel
+}
+
+// routeAdmission is what an Admission knows of the requests of one route.
+type routeAdmission struct {
+	estimate estimateError
+	plain    plainTime
+	// all counts the requests of the route, large those of its largest tenth.
+	all   servedPart
+	large servedPart
+	tenth largestTenth
 }
 
 func newServiceAdmission() *serviceAdmission {
-	return &serviceAdmission{classes: map[int]*urgencyClass{}}
+	return &serviceAdmission{classes: map[int]*urgencyClass{}, routes: map[string]*routeAdmission{}, accounts: newAccountLoads()}
+}
+
+func (s *serviceAdmission) class(urgency int) *urgencyClass {
+	return boundedGet(s.classes, urgency, maxClasses, func() *urgencyClass { return &urgencyClass{} })
+}
+
+func (s *serviceAdmission) route(name string) *routeAdmission {
+	return boundedGet(s.routes, name, maxRoutes, func() *routeAdmission { return &routeAdmission{} })
 }
 
-// decide compares the expected time to the first event with what is left of the target, or with less where more urgent requests miss their
-// targets.
-func (s *serviceAdmission) decide(now time.Time, arrival Arrival) Decision {
-	d := Decision{Reason: InTime, Expected: arrival.Wait}
-	left := max(arrival.Target-arrival.Elapsed, 0)
-	d.Limit, d.Pressure = s.limit(now, arrival.Urgency, left)
+// decide decides on a request without regard to free servers.
+func (s *serviceAdmission) decide(now time.Time, arrival Arrival, isReturning bool, random float64) Decision {
+	route, class := s.route(arrival.Route), s.class(arrival.Urgency)
+	left := arrival.targetLeft()
+	expected, own := route.expected(now, arrival)
+	d := Decision{Reason: InTime, Expected: expected, Limit: left, Pressure: s.pressure(now, arrival.Urgency), IsReturning: isReturning}
+	class.control.observe(now, arrival.Work, float64(expected-own)/float64(arrival.Target))
+	s.accounts.add(now, arrival.Account, arrival.Work)
+	part := s.refusedPart(now, arrival.Urgency, class)
+	keep := s.accounts.keep(now, arrival.Account, &class.level, part)
+	yield := min(pressureGain*d.Pressure, maxYield)
+	d.Part = max(1-keep, yield)
+	refused := d.Part
+	if isReturning {
+		refused *= returnPart
+		d.Limit = max(left, min(returnLimit*arrival.Target-arrival.Elapsed, arrival.useful()))
+	}
 	switch {
-	case d.Expected > left:
-		d.Reason = TooLate
-	case d.Expected > d.Limit:
+	case d.Expected > arrival.useful():
+		d.Reason = Useless
+	case random < refused && yield >= 1-keep:
 		d.Reason = GivesWay
+	case random < refused && 1-keep > part:
+		d.Reason = OverShare
+	case random < refused:
+		d.Reason = Contended
+	case d.Expected <= d.Limit:
+	case max(part, yield) <= calmPart && class.missing(now) <= calmMissing:
+		d.Reason = Late
+	default:
+		d.Reason = TooLate
+	}
+	if !d.IsAccepted() && d.Reason != Useless && s.isUnderserved(now, arrival, route) {
+		d.Reason = Underserved
 	}
 	return d
 }
 
-// limit returns the longest accepted wait. Where more urgent requests miss their targets, it falls from what is left of the target to a part
-// of their target.
-func (s *serviceAdmission) limit(now time.Time, urgency int, left time.Duration) (limit time.Duration, pressure float64) {
-	limit = left
+// refusedPart returns the part of the requests of the urgency that is more than what the servers complete beside the more urgent requests.
+func (s *serviceAdmission) refusedPart(now time.Time, urgency int, class *urgencyClass) float64 {
+	reserved := 0.0
 	for other, c := range s.classes {
-		if other >= urgency {
-			continue
+		if other < urgency {
+			reserved += c.control.accepted.value(now, rateWindow)
 		}
-		missing := c.missing(now)
-		yielded := min(time.Duration(yieldedShare*float64(c.target)), left)
-		strength := min(missing/fullPressure, 1)
-		limit = min(limit, left-time.Duration(strength*float64(left-yielded)))
-		pressure = max(pressure, missing)
 	}
-	return limit, pressure
+	return class.control.part(now, s.completed, reserved)
 }
 
-// missing returns the part of the requests that were not expected to be served in time.
+// pressure returns the largest part of the requests of one higher urgency that was not expected to be served in time, as far as these still
+// wait.
+func (s *serviceAdmission) pressure(now time.Time, urgency int) float64 {
+	pressure := 0.0
+	for other, c := range s.classes {
+		if other < urgency {
+			pressure = max(pressure, c.missing(now)*c.control.strength())
+		}
+	}
+	return pressure
+}
+
+// missing returns the part of the requests that were not expected to be served in time. Few requests have little weight.
 func (c *urgencyClass) missing(now time.Time) float64 {
-	return c.missed.value(now, classWindow) / (c.offered.value(now, classWindow) + classPrior)
+	offered := c.offered.value(now, classWindow)
+	return c.missed.value(now, classWindow) / (offered + classPrior) * min(offered/classPrior, 1)
+}
+
+// expected returns the expected time to the first event, corrected by the learned error, and the part of it that the request itself takes.
+func (r *routeAdmission) expected(now time.Time, arrival Arrival) (all, own time.Duration) {
+	if arrival.IsPlain {
+		return r.plain.expected(now, arrival)
+	}
+	return r.estimate.corrected(now, arrival.Wait, arrival.Target), arrival.Own
 }
 
 // record counts the decision.
 func (s *serviceAdmission) record(now time.Time, arrival Arrival, d Decision) {
-	c, ok := s.classes[arrival.Urgency]
-	if !ok {
-		if len(s.classes) >= maxClasses {
-			clear(s.classes)
-		}
-		c = &urgencyClass{}
-		s.classes[arrival.Urgency] = c
+	class, route := s.class(arrival.Urgency), s.route(arrival.Route)
+	class.offered.add(now, classWindow, 1)
+	if d.Expected > arrival.targetLeft() || !d.IsAccepted() {
+		class.missed.add(now, classWindow, 1)
 	}
-	c.target = arrival.Target
-	c.offered.add(now, classWindow, 1)
-	if d.Expected > arrival.Target-arrival.Elapsed || !d.IsAccepted() {
-		c.missed.add(now, classWindow, 1)
+	isServed := d.IsAccepted()
+	s.all.add(now, isServed)
+	route.all.add(now, isServed)
+	if route.tenth.add(arrival.Work) {
+		route.large.add(now, isServed)
 	}
-	if d.IsAccepted() {
-		s.returns.accept(now, arrival.Work)
+	s.accounts.served(now, arrival.Account, isServed)
+	if isServed {
+		class.control.accepted.add(now, rateWindow, arrival.Work)
+		s.spread.accept(now, arrival.Work)
 	}
 }
 
-// retryAfter returns the time after which the caller of a refused request should return.
-func (s *serviceAdmission) retryAfter(now time.Time, arrival Arrival, d Decision, random float64) time.Duration {
-	return s.returns.next(now, arrival, d.Expected-d.Limit, random)
+// observe records the time to the first event of a request.
+func (s *serviceAdmission) observe(now time.Time, arrival Arrival, observed time.Duration) {
+	route := s.route(arrival.Route)
+	s.completed.add(now, arrival.Work)
+	if arrival.IsPlain {
+		route.plain.observe(now, arrival, observed)
+		return
+	}
+	if arrival.IsServerFree {
+		s.free.observe(now, arrival.Wait, observed, arrival.Target)
+	}
+	route.estimate.observe(now, arrival.Wait, observed, arrival.Target)
 }
--- a/pkg/lrtable/spec.go
+++ b/pkg/lrtable/spec.go
@@ -41,6 +41,8 @@
 	Timeout time.Duration `json:"timeout"`
 	// TargetLatency is the time within which callers want the answer, or the first event of a stream.
 	TargetLatency time.Duration `json:"targetLatency"`
+	// TargetGap is the longest pause between two events of a stream that callers want. Zero means that they want none.
+	TargetGap time.Duration `json:"targetGap,omitempty"`
 	// MaxAttempts is the most engines to which one request may be sent.
 	MaxAttempts int `json:"maxAttempts"`
 	// Priority is the priority of the route's requests. The lowest value is served first.
