Count free servers by their part, and bound the cost of a decision

Cause: on an idle service whose servers take longer than is known, requests were accepted as "free" only within a share of the completed work, so that some were refused. The table of accounts was searched at each request once 256 accounts were active: 30 us a decision with 16,000 accounts.

Change: a service counts as idle while a third of its usable servers are reported free, whatever was learned; fewer free servers count as before. Accounts with less than 0.3 of the mean load are dropped, at most every 100 ms.

The callback of Decide changed from bool to a part in the earlier tests.

--- a/internal/lrpipeline/admission.go
+++ b/internal/lrpipeline/admission.go
@@ -21,8 +21,8 @@
 	now := p.Clock()
 	if p.Admission != nil && r.route.HasUsableTarget() {
 		r.arrival, r.decidedAt = r.newArrival(now, choice), now
-		r.decision = p.Admission.Decide(now, r.arrival, func() bool {
-			return p.Balancer.HasFree(choice, r.compared.engines, r.compared.excluded)
+		r.decision = p.Admission.Decide(now, r.arrival, func() float64 {
+			return p.Balancer.FreePart(choice, r.compared.engines, r.compared.excluded)
 		})
 		p.Observer.Decided(r.route.Name, string(r.decision.Reason))
 		if !r.decision.IsAccepted() {
--- a/internal/lrpipeline/admission_test.go
+++ b/internal/lrpipeline/admission_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
 )
 
@@ -29,7 +30,7 @@
 	for range 10 {
 		w.pipeline.Admission.Decide(w.now, lrqueue.Arrival{
 			Service: "s", Work: 1, Wait: time.Second, Target: 400 * time.Millisecond, TimeLeft: time.Second,
-		}, func() bool { return false })
+		}, func() float64 { return 0 })
 	}
 	return w
 }
@@ -69,6 +70,22 @@
 	requireEqual(t, w.serveTokens(100).status, 200)
 }
 
+// TestRefusedRequestIsNotCountedForTheLimitOfItsServer guards against refused requests that use up the limits that backend servers name.
+func TestRefusedRequestIsNotCountedForTheLimitOfItsServer(t *testing.T) {
+	w := newLoadedFixture(t, 85_000, step{events: []string{"1"}})
+	w.pipeline.Notices.SetFleet(lrnotice.Fleet{Instances: []string{"test"}, Share: 1})
+	for _, s := range testServers() {
+		w.pipeline.Notices.Observe(w.now, w.now, startedServer(s), lrnotice.Notice{HasLimit: true, Limit: 10})
+		w.pipeline.Notices.Check(w.now, startedServer(s))
+	}
+	w.now = w.now.Add(500 * time.Millisecond)
+	for range 100 {
+		requireEqual(t, w.serveTokens(10).refusal.Message(), overloaded(lrqueue.Decision{}).Message())
+	}
+	w.pipeline.Balancer.SetOtherLoads(nil)
+	requireEqual(t, w.serveTokens(10).status, 200)
+}
+
 // TestRequestIsSentWhereAServerIsFree guards against refusals on an idle system: the prompt alone takes longer than the target.
 func TestRequestIsSentWhereAServerIsFree(t *testing.T) {
 	w := newLoadedFixture(t, 0, step{events: []string{"1"}})
--- a/pkg/lrbalance/free.go
+++ b/pkg/lrbalance/free.go
@@ -21,17 +21,19 @@
 // IsFree reports whether the engine has a free slot and no prompt tokens that wait.
 func (e Engine) IsFree(load Load) bool { return load.Waiting <= 0 && load.Running < max(e.Slots, 1) }
 
-// HasFree reports whether one of the usable engines has a free slot and no prompt tokens that wait, apart from the load of the choice itself.
-func (b *Balancer) HasFree(choice Choice, engines []Engine, excluded map[string]bool) bool {
+// FreePart returns the part of the usable engines that have a free slot and no prompt tokens that wait, apart from the load of the choice itself.
+func (b *Balancer) FreePart(choice Choice, engines []Engine, excluded map[string]bool) float64 {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	usable, free := 0, 0
 	for _, e := range engines {
 		if excluded[e.ID] || e.IsHeldBack || e.IsDraining || e.OutdatedFor >= outdatedLimit {
 			continue
 		}
+		usable++
 		if e.IsFree(b.before(choice, e.ID)) {
-			return true
+			free++
 		}
 	}
-	return false
+	return float64(free) / float64(max(usable, 1))
 }
--- a/pkg/lrqueue/admission.go
+++ b/pkg/lrqueue/admission.go
@@ -70,9 +70,9 @@
 	return &Admission{random: rand.New(rand.NewPCG(seed, seed)), services: map[string]*serviceAdmission{}, returns: newReturningCallers()}
 }
 
-// Decide returns whether the request is sent. The function isFree reports whether a usable server is reported to have a free slot and nothing
-// waiting; it is called only for a request that would be refused otherwise.
-func (a *Admission) Decide(now time.Time, arrival Arrival, isFree func() bool) Decision {
+// Decide returns whether the request is sent. The function free returns the part of the usable servers that are reported to have a free slot and
+// nothing waiting; it is called only for a request that would be refused otherwise.
+func (a *Admission) Decide(now time.Time, arrival Arrival, free func() float64) Decision {
 	if !arrival.hasTarget() {
 		return Decision{Reason: NoTarget, Expected: arrival.Wait}
 	}
@@ -81,14 +81,13 @@
 	s := boundedGet(a.services, arrival.Service, maxServices, newServiceAdmission)
 	isReturning := a.returns.isReturning(now, arrival)
 	d := s.decide(now, arrival, isReturning, a.random.Float64())
-	if !d.IsAccepted() && s.free.areBelieved(now, arrival.Work, s.completed.work.value(now, rateWindow)) && isFree() {
-		s.free.accepted.add(now, freeWindow, arrival.Work)
+	if !d.IsAccepted() && s.free.accept(now, arrival.Work, s.completed.work.value(now, rateWindow), free()) {
 		d.Reason = IsFree
 	}
 	s.record(now, arrival, d)
 	if !d.IsAccepted() {
 		d.RetryAfter = s.spread.next(now, arrival, d.Expected-d.Limit, a.random.Float64())
-		a.returns.refused(now, arrival)
+		a.returns.add(now, arrival)
 	}
 	return d
 }
--- a/pkg/lrqueue/admission_free.go
+++ b/pkg/lrqueue/admission_free.go
@@ -7,6 +7,8 @@
 const (
 	// freeWindow is the time constant with which past requests to servers that were reported free lose weight.
 	freeWindow = time.Second
+	// idlePart is the part of the servers reported free from which on the service counts as idle, whatever has been learned.
+	idlePart = 1.0 / 3
 	// freePrior is the number of true reports that are assumed.
 	freePrior = 3
 	// maxFreeShare is the share of the completed work that is accepted only because a server is reported free.
@@ -31,11 +33,16 @@
 	}
 }
 
-// areBelieved reports whether a server that is reported free counts as free. Requests that are accepted for this reason alone are bounded to
-// a share of the completed work, since all instances see the same free server.
-func (f *freeReports) areBelieved(now time.Time, work, completed float64) bool {
-	if f.accepted.value(now, freeWindow) > maxFreeShare*completed+freePrior*work {
+// accept reports whether a request is accepted because the part of the servers is reported free. Few free servers among busy ones count only while
+// such reports turn out to be true, and for a share of the completed work, since all instances see the same free servers.
+func (f *freeReports) accept(now time.Time, work, completed, part float64) bool {
+	if part >= idlePart {
+		return true
+	}
+	isBelieved := f.wrong.value(now, freeWindow) <= maxFalseReports*(f.all.value(now, freeWindow)+freePrior)
+	if part <= 0 || !isBelieved || f.accepted.value(now, freeWindow) > maxFreeShare*completed+freePrior*work {
 		return false
 	}
-	return f.wrong.value(now, freeWindow) <= maxFalseReports*(f.all.value(now, freeWindow)+freePrior)
+	f.accepted.add(now, freeWindow, work)
+	return true
 }
--- a/pkg/lrqueue/admission_load_test.go
+++ b/pkg/lrqueue/admission_load_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// TestNobodyIsRefusedBySlowIdleEngines guards against refusals on an idle system whose engines take longer than is known, so that most requests
+// come late and the learned error is large.
+func TestNobodyIsRefusedBySlowIdleEngines(t *testing.T) {
+	for _, size := range modelSizes()[:2] {
+		for _, slowness := range []float64{2.5, 10} {
+			t.Run(fmt.Sprint(size[0], " instances, ", slowness, " times slower"), func(t *testing.T) {
+				m := newAdmissionModel(size[0], size[1], 7)
+				m.slowness = slowness
+				m.load = map[string]float64{"long": 0.3 / slowness, "short": 0.3 / slowness}
+				m.run(modelOverload)
+				requireEqual(t, m.refusals, 0, "refusals")
+			})
+		}
+	}
+}
+
 // TestBurstsStarveNobody guards against a burst of one or both kinds that leaves another kind, or the largest requests of a kind, much less
 // often served than others, or a more urgent kind less often than a less urgent one.
 func TestBurstsStarveNobody(t *testing.T) {
--- a/pkg/lrqueue/admission_model_test.go
+++ b/pkg/lrqueue/admission_model_test.go
@@ -13,6 +13,8 @@
 	modelRate = 66.0
 	// modelCompared is the number of engines that an instance compares for a request.
 	modelCompared = 4
+	// modelFreeSample is the number of engines of which an instance computes the free part.
+	modelFreeSample = 10
 	// modelReturn is the part of the time left that a caller waits for at most before it sends a refused request again.
 	modelReturn = 1.0 / 3
 )
@@ -84,6 +86,8 @@
 	due      []time.Time
 	callers  []*modelCaller
 	refusals int
+	// slowness is how much longer the engines take than the instances expect.
+	slowness float64
 	sent     int
 	isOff    bool
 }
@@ -97,7 +101,7 @@
 }
 
 func newAdmissionModel(instances, engines int, seed uint64) *admissionModel {
-	m := &admissionModel{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), load: map[string]float64{}}
+	m := &admissionModel{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), load: map[string]float64{}, slowness: 1}
 	for range engines {
 		m.engines = append(m.engines, &modelEngine{})
 	}
@@ -135,7 +139,7 @@
 			m.send(c)
 		}
 		for _, e := range m.engines {
-			e.step(m.now)
+			e.step(m.now, modelRate/m.slowness*float64(modelStep/time.Millisecond))
 		}
 	}
 }
@@ -176,17 +180,22 @@
 	m.sent++
 	i := m.instances[m.random.IntN(len(m.instances))]
 	i.sent = slices.DeleteFunc(i.sent, func(s modelSent) bool { return m.now.Sub(s.at) > i.delay })
-	best, least, isFree := 0, math.Inf(1), false
+	best, least, free := 0, math.Inf(1), 0.0
 	for range modelCompared {
 		n := m.random.IntN(len(m.engines))
-		if v := m.view(i, n); v < least {
+		v := m.view(i, n)
+		if v < least {
 			best, least = n, v
 		}
 	}
-	isFree = least == 0
+	for range modelFreeSample {
+		if m.view(i, m.random.IntN(len(m.engines))) == 0 {
+			free += 1.0 / modelFreeSample
+		}
+	}
 	wait := time.Duration((least + c.work) / modelRate * float64(time.Millisecond))
 	if !m.isOff {
-		d := i.admission.Decide(m.now, m.arrival(c, wait), func() bool { return isFree })
+		d := i.admission.Decide(m.now, m.arrival(c, wait), func() float64 { return free })
 		if !d.IsAccepted() {
 			m.refused(c, d)
 			return
@@ -209,10 +218,9 @@
 	m.due, m.returns = append(m.due, m.now.Add(d.RetryAfter)), append(m.returns, c)
 }
 
-// step serves the engine's requests for one step. Callers that have waited too long leave.
-func (e *modelEngine) step(now time.Time) {
+// step serves the engine's requests for one step, in which it can do the budget of work. Callers that have waited too long leave.
+func (e *modelEngine) step(now time.Time, budget float64) {
 	e.history = append(e.history, e.waiting)
-	budget := modelRate * float64(modelStep/time.Millisecond)
 	for urgency := range e.queues {
 		e.queues[urgency] = slices.DeleteFunc(e.queues[urgency], func(c *modelCaller) bool {
 			if now.After(c.patience) {
--- a/pkg/lrqueue/admission_share.go
+++ b/pkg/lrqueue/admission_share.go
@@ -9,17 +9,19 @@
 	shareWindow = 2 * time.Second
 	// maxAccounts bounds the accounts of one service whose load is counted. The load of further ones is not known until others have gone.
 	maxAccounts = 256
-	// levelInterval is the time for which a fair level is used.
+	// levelInterval is the time for which a fair level is used, and the shortest one between two times at which accounts are dropped.
 	levelInterval = 100 * time.Millisecond
 	// levelRounds bounds the rounds in which a fair level is computed.
 	levelRounds = 8
 	// forgottenShare is the part of the mean load below which an account is dropped when there are too many.
-	forgottenShare = 0.05
+	forgottenShare = 0.3
 )
 
 // accountLoads counts the load that each account brings to one service.
 type accountLoads struct {
 	loads map[string]*accountLoad
+	// forgotten is when accounts were dropped last.
+	forgotten time.Time
 }
 
 type accountLoad struct {
@@ -33,7 +35,7 @@
 func (l *accountLoads) add(now time.Time, account string, work float64) {
 	load, ok := l.loads[account]
 	if !ok {
-		if len(l.loads) >= maxAccounts {
+		if len(l.loads) >= maxAccounts && now.Sub(l.forgotten) >= levelInterval {
 			l.forget(now)
 		}
 		if len(l.loads) >= maxAccounts {
@@ -55,12 +57,15 @@
 
 // forget drops the accounts that bring hardly any load now.
 func (l *accountLoads) forget(now time.Time) {
+	l.forgotten = now
 	total := 0.0
 	for _, load := range l.loads {
-		total += load.work.value(now, shareWindow)
+		load.work.add(now, shareWindow, 0)
+		total += load.work.sum
 	}
+	least := forgottenShare * total / float64(len(l.loads))
 	for name, load := range l.loads {
-		if load.work.value(now, shareWindow) < forgottenShare*total/float64(len(l.loads)) {
+		if load.work.sum < least {
 			delete(l.loads, name)
 		}
 	}
@@ -69,7 +74,6 @@
 // fairLevel is the load up to which each account is served when a part of all load has to be refused.
 type fairLevel struct {
 	work float64
-	part float64
 	at   time.Time
 }
 
@@ -81,7 +85,7 @@
 		return 1 - part
 	}
 	if now.Sub(level.at) >= levelInterval || level.at.IsZero() {
-		level.work, level.part, level.at = l.level(now, part), part, now
+		level.work, level.at = l.level(now, part), now
 	}
 	own := load.work.value(now, shareWindow)
 	if own <= level.work {
@@ -109,10 +113,10 @@
 				above++
 			}
 		}
-		if above == 0 {
+		if above == 0 || kept <= level*float64(above) {
 			return level
 		}
-		level = max(level, kept/float64(above))
+		level = kept / float64(above)
 	}
 	return level
 }
--- a/pkg/lrqueue/admission_test.go
+++ b/pkg/lrqueue/admission_test.go
@@ -20,9 +20,9 @@
 	return a, now
 }
 
-func isBusy() bool { return false }
+func isBusy() float64 { return 0 }
 
-func isIdle() bool { return true }
+func isIdle() float64 { return 0.5 }
 
 // TestDecisionOnOneRequest guards against a refusal of a request that can be served in time, of one without a target that can be met, and of
 // any request while a server is free.
@@ -35,7 +35,7 @@
 	cases := []struct {
 		name    string
 		arrival Arrival
-		isFree  func() bool
+		isFree  func() float64
 		want    Reason
 	}{
 		{"in time", newArrival(0, 400*time.Millisecond, 300*time.Millisecond), isBusy, InTime},
--- a/pkg/lrqueue/bounded.go
+++ b/pkg/lrqueue/bounded.go
@@ -3,7 +3,7 @@
 const (
 	// maxServices and maxRoutes bound the services and the routes of a service of which an Admission keeps a state, maxClasses the values of
 	// urgency.
-	maxServices = 256
+	maxServices = 128
 	maxRoutes   = 256
 	maxClasses  = 16
 )
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -32,6 +32,7 @@
 	return []area{
 		{name: "route", measure: measureRoute},
 		{name: "limit", measure: measureLimit},
+		{name: "admission", measure: measureAdmission},
 		{name: "state", measure: measureState},
 		{name: "stream", measure: measureStream},
 		{name: "gateway", measure: measureGateway},
