Refuse accounts far above their share and less urgent requests first

The most urgent kind was refused while less urgent work was still sent, and its estimates above the target were never corrected, as requests with such estimates are refused.

Ruled out: taking every refused part from the accounts above the fair level, however little they exceed it. One instance counts the load of an account by a few requests in its window, so that urgent requests of equal accounts were refused by chance.

Change: - The fair level is what the servers complete, divided over the accounts (max-min). An account above twice the level keeps the level, its more urgent requests first. What it loses counts neither as pressure on less urgent requests nor as offered work of the others. - The accepted rate of an urgency does not fall below that of completions while less urgent work is a tenth of what is completed. Late requests are accepted where the servers complete 1.1 times the work that is offered. - An estimate that is too short is corrected by a sum, one that is too long by a factor; what shorter estimates show applies to longer ones without samples. Rates are kept over 2 s instead of 1 s. - The floors apply from three requests in their window on.

--- a/pkg/lrqueue/admission_control.go
+++ b/pkg/lrqueue/admission_control.go
@@ -7,7 +7,7 @@
 
 const (
 	// rateWindow is the time constant of the rates of offered, accepted and completed work.
-	rateWindow = time.Second
+	rateWindow = 2 * time.Second
 	// controlGoal is the ratio of the expected wait to the target that the control keeps, without the requests' own time.
 	controlGoal = 0.4
 	// controlGain is how much the accepted rate differs from the rate of completions for a ratio away from the goal. The reports of other
@@ -18,6 +18,10 @@
 	maxControlRate = 1.25
 	// leastCompletions is the number of completions from which on the control applies completely.
 	leastCompletions = 10
+	// yieldingShare is the share of less urgent work in the completed work from which on it is refused first.
+	yieldingShare = 0.1
+	// roomMargin is how much more than the offered work is completed where there is room for it.
+	roomMargin = 1.1
 	// maxExcess bounds the correction for requests that were accepted beyond the budget, for other reasons.
 	maxExcess = 2
 	// calmRatio is the ratio up to which nothing is refused, and busyRatio the one from which the control applies completely.
@@ -57,14 +61,40 @@
 	c.work.add(now, rateWindow, work)
 }
 
-// part returns the part of the requests to refuse. Of the completed work, reserved is for more urgent requests. Few completions have little
-// weight, as after a start or a pause.
-func (c *control) part(now time.Time, completed completions, reserved float64) float64 {
+// capacity is what is known of the work that the servers do for the requests of one urgency.
+type capacity struct {
+	// completed is the work of the completed requests of every urgency, and count their number.
+	completed float64
+	count     float64
+	// reserved is the accepted work of more urgent requests, and yielding that of less urgent ones.
+	reserved float64
+	yielding float64
+	// excess is the work offered by accounts far above their fair share that is refused.
+	excess float64
+}
+
+// hasRoom reports whether the offered work is less than what the servers complete beside the more urgent requests, so that less urgent requests
+// alone are the cause of a wait.
+func (c *control) hasRoom(now time.Time, k capacity) bool {
+	return k.count >= leastCompletions && roomMargin*c.offered.value(now, rateWindow) <= k.completed-k.reserved
+}
+
+// part returns the part of the requests to refuse. Few completions have little weight, as after a start or a pause. Requests are not slowed down
+// while less urgent ones can be refused instead.
+func (c *control) part(now time.Time, k capacity) float64 {
 	rate := min(max(1+controlGain*(controlGoal-c.ratio), minControlRate), maxControlRate)
-	budget := max(completed.work.value(now, rateWindow)*rate-reserved, 0)
+	if k.yielding > yieldingShare*k.completed {
+		rate = max(rate, 1)
+	}
+	budget := max(k.completed*rate-k.reserved, 0)
 	excess := max(c.accepted.value(now, rateWindow)/max(budget, 1), 1)
-	part := max(1-budget/max(c.offered.value(now, rateWindow), 1)/min(excess, maxExcess), 0)
-	return part * c.strength() * min(completed.count.value(now, rateWindow)/leastCompletions, 1)
+	offered := max(c.offered.value(now, rateWindow)-k.excess*c.applied(k), 1)
+	return max(1-budget/offered/min(excess, maxExcess), 0) * c.applied(k)
+}
+
+// applied returns how much the control applies: completely while requests wait and enough of them complete.
+func (c *control) applied(k capacity) float64 {
+	return c.strength() * min(k.count/leastCompletions, 1)
 }
 
 // strength returns how much the control applies: not at all while requests hardly wait, completely from busyRatio on.
--- a/pkg/lrqueue/admission_error.go
+++ b/pkg/lrqueue/admission_error.go
@@ -7,9 +7,10 @@
 const (
 	// errorWindow is the time constant with which past errors of the estimate lose weight.
 	errorWindow = 1500 * time.Millisecond
-	// errorPrior is the number of exact estimates that are assumed, so that few errors have little weight.
+	// errorPrior is the number of estimates that are assumed, with the error of the shorter estimates, so that few errors have little weight.
 	errorPrior = 2
-	// maxErrorShare bounds the correction to this share of the target, and maxErrorCut is the largest part of an estimate that is subtracted.
+	// maxErrorShare bounds the error of one estimate to this share of the target, and maxErrorCut is the largest part of an estimate that is
+	// subtracted.
 	maxErrorShare = 1.5
 	maxErrorCut   = 0.75
 )
@@ -37,21 +38,33 @@
 
 // estimateError is the learned error of the estimated waits of one route. It loses weight with time.
 type estimateError struct {
-	ranges [errorRanges]struct{ samples, seconds decayed }
+	ranges [errorRanges]struct{ samples, estimated, observed decayed }
 }
 
 // observe adds the error of one estimate.
 func (e *estimateError) observe(now time.Time, estimated, observed, target time.Duration) {
 	r := &e.ranges[errorRange(estimated, target)]
-	longest := time.Duration(maxErrorShare * float64(target))
+	longest := estimated + time.Duration(maxErrorShare*float64(target))
 	r.samples.add(now, errorWindow, 1)
-	r.seconds.add(now, errorWindow, min(observed-estimated, longest).Seconds())
+	r.estimated.add(now, errorWindow, estimated.Seconds())
+	r.observed.add(now, errorWindow, min(observed, longest).Seconds())
 }
 
-// corrected returns the estimate without its learned error.
+// corrected returns the estimate without its learned error. An estimate that is too short lacks requests that other instances have sent since
+// their reports, whose time is added. One that is too long counts requests that are served later, which are a part of it. What is known of
+// shorter estimates applies to a range without samples, as requests with long estimates are refused.
 func (e *estimateError) corrected(now time.Time, estimated, target time.Duration) time.Duration {
-	r := &e.ranges[errorRange(estimated, target)]
-	mean := r.seconds.value(now, errorWindow) / (r.samples.value(now, errorWindow) + errorPrior)
-	correction := time.Duration(mean * float64(time.Second))
-	return max(estimated+correction, time.Duration((1-maxErrorCut)*float64(estimated)))
+	own, corrected := estimated.Seconds(), estimated.Seconds()
+	for n := range errorRange(estimated, target) + 1 {
+		r := &e.ranges[n]
+		count := r.samples.value(now, errorWindow) + errorPrior
+		sum := r.estimated.value(now, errorWindow) + errorPrior*own
+		observed := r.observed.value(now, errorWindow) + errorPrior*corrected
+		if observed < sum {
+			corrected = own * observed / sum
+		} else {
+			corrected = own + (observed-sum)/count
+		}
+	}
+	return time.Duration(max(corrected, (1-maxErrorCut)*own) * float64(time.Second))
 }
--- a/pkg/lrqueue/admission_floor.go
+++ b/pkg/lrqueue/admission_floor.go
@@ -14,7 +14,7 @@
 	leastAccount = 0.35
 	leastLarge   = 0.65
 	// leastCount is the number of requests from which on the part that was sent is compared.
-	leastCount = 8
+	leastCount = 3
 	// largeTenth is the part of the requests that counts as large.
 	largeTenth = 0.1
 	// tenthStep is how far the bound of the largest tenth moves with one request, relative to the bound.
--- a/pkg/lrqueue/admission_service.go
+++ b/pkg/lrqueue/admission_service.go
@@ -12,8 +12,8 @@
 	// pressureGain is how much more of the less urgent requests is refused than of the more urgent ones, up to maxYield.
 	pressureGain = 4
 	maxYield     = 0.85
-	// calmPart is the part of refused requests, and calmMissing that of requests not expected to be served in time, up to which there is
-	// capacity for requests that are expected to be late.
+	// calmPart is the part of refused requests, and calmMissing that of requests not expected to be served in time, up to which requests that
+	// are expected to be late are accepted.
 	calmPart    = 0.05
 	calmMissing = 0.1
 	// returnPart lowers the part of the returning callers that is refused.
@@ -27,6 +27,7 @@
 	classes  map[int]*urgencyClass
 	routes   map[string]*routeAdmission
 	accounts *accountLoads
+	level    fairLevel
 	// all counts the requests to the service.
 	all       servedPart
 	completed completions
@@ -40,7 +41,6 @@
 	offered decayed
 	missed  decayed
 	control control
-	level   fairLevel
 }
 
 // routeAdmission is what an Admission knows of the requests of one route.
@@ -72,11 +72,16 @@
 	expected, own := route.expected(now, arrival)
 	d := Decision{Reason: InTime, Expected: expected, Limit: left, Pressure: s.pressure(now, arrival.Urgency), IsReturning: isReturning}
 	class.control.observe(now, arrival.Work, float64(expected-own)/float64(arrival.Target))
-	s.accounts.add(now, arrival.Account, arrival.Work)
-	part := s.refusedPart(now, arrival.Urgency, class)
-	keep := s.accounts.keep(now, arrival.Account, &class.level, part)
-	yield := min(pressureGain*d.Pressure, maxYield)
-	d.Part = max(1-keep, yield)
+	s.accounts.add(now, arrival.Account, arrival.Urgency, arrival.Work)
+	capacity := s.capacity(now, arrival.Urgency)
+	if class.control.applied(capacity) > 0 {
+		s.level.refresh(now, s.accounts, capacity.completed)
+		capacity.excess = s.level.excess(now, arrival.Urgency)
+	}
+	contended, yield := class.control.part(now, capacity), min(pressureGain*d.Pressure, maxYield)
+	over := s.overShare(now, arrival) * class.control.applied(capacity)
+	part := max(contended, yield)
+	d.Part = max(part, over)
 	refused := d.Part
 	if isReturning {
 		refused *= returnPart
@@ -85,14 +90,14 @@
 	switch {
 	case d.Expected > arrival.useful():
 		d.Reason = Useless
-	case random < refused && yield >= 1-keep:
-		d.Reason = GivesWay
-	case random < refused && 1-keep > part:
+	case random < refused && d.Part > part:
 		d.Reason = OverShare
+	case random < refused && yield > contended:
+		d.Reason = GivesWay
 	case random < refused:
 		d.Reason = Contended
 	case d.Expected <= d.Limit:
-	case max(part, yield) <= calmPart && class.missing(now) <= calmMissing:
+	case part <= calmPart && class.isCalm(now, capacity):
 		d.Reason = Late
 	default:
 		d.Reason = TooLate
@@ -103,15 +108,34 @@
 	return d
 }
 
-// refusedPart returns the part of the requests of the urgency that is more than what the servers complete beside the more urgent requests.
-func (s *serviceAdmission) refusedPart(now time.Time, urgency int, class *urgencyClass) float64 {
-	reserved := 0.0
+// overShare returns the part of the account's requests that is refused because the account is far above its fair share.
+func (s *serviceAdmission) overShare(now time.Time, arrival Arrival) float64 {
+	load, ok := s.accounts.loads[arrival.Account]
+	if !ok {
+		return 0
+	}
+	keep, _ := load.keep(now, arrival.Urgency, s.level.work)
+	return 1 - keep
+}
+
+// capacity returns what is known of the work that the servers do for requests of the urgency.
+func (s *serviceAdmission) capacity(now time.Time, urgency int) capacity {
+	k := capacity{completed: s.completed.work.value(now, rateWindow), count: s.completed.count.value(now, rateWindow)}
 	for other, c := range s.classes {
-		if other < urgency {
-			reserved += c.control.accepted.value(now, rateWindow)
+		switch {
+		case other < urgency:
+			k.reserved += c.control.accepted.value(now, rateWindow)
+		case other > urgency:
+			k.yielding += c.control.accepted.value(now, rateWindow)
 		}
 	}
-	return class.control.part(now, s.completed, reserved)
+	return k
+}
+
+// isCalm reports whether requests of the urgency may be late because that delays hardly any others: few are late, they are late by their own time
+// alone, or the servers have room for all of them.
+func (c *urgencyClass) isCalm(now time.Time, k capacity) bool {
+	return c.missing(now) <= calmMissing || c.control.strength() == 0 || c.control.hasRoom(now, k)
 }
 
 // pressure returns the largest part of the requests of one higher urgency that was not expected to be served in time, as far as these still
@@ -144,7 +168,7 @@
 func (s *serviceAdmission) record(now time.Time, arrival Arrival, d Decision) {
 	class, route := s.class(arrival.Urgency), s.route(arrival.Route)
 	class.offered.add(now, classWindow, 1)
-	if d.Expected > arrival.targetLeft() || !d.IsAccepted() {
+	if d.Reason != OverShare && (d.Expected > arrival.targetLeft() || !d.IsAccepted()) {
 		class.missed.add(now, classWindow, 1)
 	}
 	isServed := d.IsAccepted()
--- a/pkg/lrqueue/admission_share.go
+++ b/pkg/lrqueue/admission_share.go
@@ -5,16 +5,21 @@
 )
 
 const (
-	// shareWindow is the time constant of the load that an account brings.
-	shareWindow = 2 * time.Second
+	// shareWindow is the time constant of the load that an account brings. It is that of the completed work, with which it is compared.
+	shareWindow = rateWindow
 	// maxAccounts bounds the accounts of one service whose load is counted. The load of further ones is not known until others have gone.
 	maxAccounts = 256
 	// levelInterval is the time for which a fair level is used, and the shortest one between two times at which accounts are dropped.
-	levelInterval = 100 * time.Millisecond
+	levelInterval = 250 * time.Millisecond
 	// levelRounds bounds the rounds in which a fair level is computed.
 	levelRounds = 8
 	// forgottenShare is the part of the mean load below which an account is dropped when there are too many.
 	forgottenShare = 0.3
+	// overShare is the multiple of the fair level above which an account counts as far above its share. The load of an account is counted on one
+	// instance, where it varies with chance.
+	overShare = 2
+	// leastShareCount is the number of requests from which on the load of an account is known well enough.
+	leastShareCount = 8
 )
 
 // accountLoads counts the load that each account brings to one service.
@@ -24,15 +29,17 @@
 	forgotten time.Time
 }
 
+// accountLoad is the load of one account: all of it, and that of each urgency.
 type accountLoad struct {
-	work decayed
-	all  servedPart
+	work    decayed
+	classes map[int]*decayed
+	all     servedPart
 }
 
 func newAccountLoads() *accountLoads { return &accountLoads{loads: map[string]*accountLoad{}} }
 
 // add counts the work of a request.
-func (l *accountLoads) add(now time.Time, account string, work float64) {
+func (l *accountLoads) add(now time.Time, account string, urgency int, work float64) {
 	load, ok := l.loads[account]
 	if !ok {
 		if len(l.loads) >= maxAccounts && now.Sub(l.forgotten) >= levelInterval {
@@ -41,10 +48,11 @@
 		if len(l.loads) >= maxAccounts {
 			return
 		}
-		load = &accountLoad{}
+		load = &accountLoad{classes: map[int]*decayed{}}
 		l.loads[account] = load
 	}
 	load.work.add(now, shareWindow, work)
+	boundedGet(load.classes, urgency, maxClasses, func() *decayed { return &decayed{} }).add(now, shareWindow, work)
 }
 
 // served counts a decision.
@@ -71,31 +79,78 @@
 	}
 }
 
-// fairLevel is the load up to which each account is served when a part of all load has to be refused.
+// fairLevel is the load up to which each account is served.
 type fairLevel struct {
 	work float64
+	// over are the accounts far above their share.
+	over []*accountLoad
 	at   time.Time
 }
 
-// keep returns the part of the account's requests that is kept when the given part of all load is refused: all for an account below the fair
-// level, otherwise so much that the fair level remains.
-func (l *accountLoads) keep(now time.Time, account string, level *fairLevel, part float64) float64 {
-	load, ok := l.loads[account]
-	if part <= 0 || !ok {
-		return 1 - part
+// refresh computes the level at which the accounts together bring as much work as the servers complete.
+func (f *fairLevel) refresh(now time.Time, l *accountLoads, completed float64) {
+	if now.Sub(f.at) < levelInterval && !f.at.IsZero() {
+		return
 	}
-	if now.Sub(level.at) >= levelInterval || level.at.IsZero() {
-		level.work, level.at = l.level(now, part), now
+	f.at, f.work, f.over = now, l.level(now, completed), f.over[:0]
+	for _, load := range l.loads {
+		if load.isOver(now, f.work) {
+			f.over = append(f.over, load)
+		}
+	}
+}
+
+// excess returns the work of the urgency that the accounts far above their share bring beyond it.
+func (f *fairLevel) excess(now time.Time, urgency int) float64 {
+	excess := 0.0
+	for _, load := range f.over {
+		keep, _ := load.keep(now, urgency, f.work)
+		excess += (1 - keep) * load.class(now, urgency)
 	}
-	own := load.work.value(now, shareWindow)
-	if own <= level.work {
-		return 1
+	return excess
+}
+
+// isOver reports whether the account is far above the level.
+func (l *accountLoad) isOver(now time.Time, level float64) bool {
+	// The sum before its decay is an upper bound, which spares most accounts the computation.
+	if level <= 0 || l.work.sum <= overShare*level || l.work.value(now, shareWindow) <= overShare*level {
+		return false
 	}
-	return level.work / own
+	return l.all.offered.value(now, servedWindow) >= leastShareCount
 }
 
-// level returns the load up to which the accounts are served so that the part of all load is refused.
-func (l *accountLoads) level(now time.Time, part float64) float64 {
+// class returns the load of the urgency.
+func (l *accountLoad) class(now time.Time, urgency int) float64 {
+	work, ok := l.classes[urgency]
+	if !ok {
+		return 0
+	}
+	return work.value(now, shareWindow)
+}
+
+// keep returns the part of the account's requests of the urgency that is kept if the account is far above the level. It is kept as far as the
+// level goes, the more urgent requests first.
+func (l *accountLoad) keep(now time.Time, urgency int, level float64) (float64, bool) {
+	if !l.isOver(now, level) {
+		return 1, false
+	}
+	ahead, own := 0.0, 0.0
+	for other, work := range l.classes {
+		switch {
+		case other < urgency:
+			ahead += work.value(now, shareWindow)
+		case other == urgency:
+			own = work.value(now, shareWindow)
+		}
+	}
+	if own <= 0 {
+		return 1, false
+	}
+	return min(max((level-ahead)/own, 0), 1), true
+}
+
+// level returns the load up to which the accounts are served so that they bring the given work together.
+func (l *accountLoads) level(now time.Time, completed float64) float64 {
 	works := make([]float64, 0, len(l.loads))
 	total := 0.0
 	for _, load := range l.loads {
@@ -103,9 +158,12 @@
 		works = append(works, work)
 		total += work
 	}
+	if total <= completed {
+		return total
+	}
 	level := 0.0
 	for range levelRounds {
-		kept, above := (1-part)*total, 0
+		kept, above := completed, 0
 		for _, work := range works {
 			if work <= level {
 				kept -= work
