Compare requests with the deadline where it is before the target

Cause: a request whose caller allowed less time than the target counted as one without a target and was always sent, also if it could not be served before its deadline.

Change: its target is its deadline. Routes whose target is beyond the timeout are still left alone.

--- a/pkg/lrqueue/admission.go
+++ b/pkg/lrqueue/admission.go
@@ -45,8 +45,13 @@
 	patienceGaps    = 8
 )
 
-// hasTarget reports whether the target can be met before the deadline, which an implausible one cannot.
-func (a Arrival) hasTarget() bool { return a.Target > 0 && a.Target <= a.Elapsed+a.TimeLeft }
+// withinDeadline returns the arrival with a target that does not lie after its deadline.
+func (a Arrival) withinDeadline() Arrival {
+	if a.Target > 0 {
+		a.Target = max(min(a.Target, a.Elapsed+a.TimeLeft), time.Millisecond)
+	}
+	return a
+}
 
 // targetLeft returns what is left of the target.
 func (a Arrival) targetLeft() time.Duration { return max(a.Target-a.Elapsed, 0) }
@@ -73,9 +78,10 @@
 // Decide returns whether the request is sent. The function free returns the part of the usable servers that are reported to have a free slot and
 // nothing waiting; it is called only for a request that would be refused otherwise.
 func (a *Admission) Decide(now time.Time, arrival Arrival, free func() float64) Decision {
-	if !arrival.hasTarget() {
+	if arrival.Target <= 0 {
 		return Decision{Reason: NoTarget, Expected: arrival.Wait}
 	}
+	arrival = arrival.withinDeadline()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	s := boundedGet(a.services, arrival.Service, maxServices, newServiceAdmission)
@@ -94,9 +100,10 @@
 
 // Observe records the time to the first event, or to the answer, of a request that was sent.
 func (a *Admission) Observe(now time.Time, arrival Arrival, observed time.Duration) {
-	if !arrival.hasTarget() {
+	if arrival.Target <= 0 {
 		return
 	}
+	arrival = arrival.withinDeadline()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	s := boundedGet(a.services, arrival.Service, maxServices, newServiceAdmission)
@@ -105,7 +112,7 @@
 
 // Complete records that a request whose time was not expected has had its first event, such as one that was sent to a second server.
 func (a *Admission) Complete(now time.Time, arrival Arrival) {
-	if !arrival.hasTarget() {
+	if arrival.Target <= 0 {
 		return
 	}
 	a.mutex.Lock()
--- a/pkg/lrtable/table_test.go
+++ b/pkg/lrtable/table_test.go
@@ -1,6 +1,9 @@
 package lrtable
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func newTestTable() *Table {
 	first := 0
@@ -70,6 +73,17 @@
 	requireEqual(t, route.PriorityOf(hall), 2)
 }
 
+// TestUsableTarget guards against a comparison with a target that is absent or implausible.
+func TestUsableTarget(t *testing.T) {
+	requireEqual(t, Route{TargetLatency: time.Second, Timeout: 2 * time.Second}.HasUsableTarget(), true)
+	requireEqual(t, Route{TargetLatency: time.Second}.HasUsableTarget(), true)
+	requireEqual(t, Route{Timeout: 2 * time.Second}.HasUsableTarget(), false)
+	requireEqual(t, Route{TargetLatency: -time.Second}.HasUsableTarget(), false)
+	requireEqual(t, Route{TargetLatency: time.Hour, Timeout: 2 * time.Second}.HasUsableTarget(), false)
+	requireEqual(t, Route{TargetLatency: time.Second, Priority: -1}.HasUsableTarget(), false)
+	requireEqual(t, Route{TargetLatency: time.Second, Priority: 100}.HasUsableTarget(), false)
+}
+
 func TestRepeatable(t *testing.T) {
 	requireEqual(t, Route{Kind: Idempotent}.IsRetryable(), true)
 	requireEqual(t, Route{Kind: NonIdempotent}.IsRetryable(), false)
