Leave capacity to less urgent requests that starve at the servers

Cause: in the model, servers serve the most urgent requests first.

Ruled out: to send more of the starving requests, which wait at the servers in vain.

Change: while the first events of an urgency fall below 0.35 of those of the service, the accepted rate of the more urgent ones falls, and that applies already from a short wait on.

--- a/pkg/lrqueue/admission.go
+++ b/pkg/lrqueue/admission.go
@@ -117,7 +117,7 @@
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	boundedGet(a.services, arrival.Service, maxServices, newServiceAdmission).completed.add(now, arrival.Work)
+	boundedGet(a.services, arrival.Service, maxServices, newServiceAdmission).complete(now, arrival)
 }
 
 // A Decision is the result of an Admission with the figures that led to it.
--- a/pkg/lrqueue/admission_control.go
+++ b/pkg/lrqueue/admission_control.go
@@ -22,6 +22,10 @@
 	yieldingShare = 0.1
 	// roomMargin is how much more than the offered work is completed where there is room for it.
 	roomMargin = 1.1
+	// starvingCut is how much less of the urgent work is accepted while less urgent requests starve behind it, and starvingRatio the ratio from
+	// which on that applies. Servers that serve the most urgent requests first serve no others while any wait.
+	starvingCut   = 1
+	starvingRatio = 0.02
 	// maxExcess bounds the correction for requests that were accepted beyond the budget, for other reasons.
 	maxExcess = 2
 	// calmRatio is the ratio up to which nothing is refused, and busyRatio the one from which the control applies completely.
@@ -71,6 +75,8 @@
 	yielding float64
 	// excess is the work offered by accounts far above their fair share that is refused.
 	excess float64
+	// starving is how far the completed part of less urgent requests is below its floor, from 0 to 1.
+	starving float64
 }
 
 // hasRoom reports whether the offered work is less than what the servers complete beside the more urgent requests, so that less urgent requests
@@ -82,8 +88,8 @@
 // part returns the part of the requests to refuse. Few completions have little weight, as after a start or a pause. Requests are not slowed down
 // while less urgent ones can be refused instead.
 func (c *control) part(now time.Time, k capacity) float64 {
-	rate := min(max(1+controlGain*(controlGoal-c.ratio), minControlRate), maxControlRate)
-	if k.yielding > yieldingShare*k.completed {
+	rate := min(max(1+controlGain*(controlGoal-c.ratio)-starvingCut*k.starving, minControlRate), maxControlRate)
+	if k.starving == 0 && k.yielding > yieldingShare*k.completed {
 		rate = max(rate, 1)
 	}
 	budget := max(k.completed*rate-k.reserved, 0)
@@ -94,10 +100,13 @@
 
 // applied returns how much the control applies: completely while requests wait and enough of them complete.
 func (c *control) applied(k capacity) float64 {
-	return c.strength() * min(k.count/leastCompletions, 1)
+	calm := calmRatio - (calmRatio-starvingRatio)*k.starving
+	return c.strengthAbove(calm) * min(k.count/leastCompletions, 1)
 }
 
-// strength returns how much the control applies: not at all while requests hardly wait, completely from busyRatio on.
-func (c *control) strength() float64 {
-	return min(max((c.ratio-calmRatio)/(busyRatio-calmRatio), 0), 1)
+// strength returns how much requests wait: 0 while they hardly do, 1 from busyRatio on.
+func (c *control) strength() float64 { return c.strengthAbove(calmRatio) }
+
+func (c *control) strengthAbove(calm float64) float64 {
+	return min(max((c.ratio-calm)/(busyRatio-calmRatio), 0), 1)
 }
--- a/pkg/lrqueue/admission_floor.go
+++ b/pkg/lrqueue/admission_floor.go
@@ -42,6 +42,16 @@
 	return sent*otherOffered < share*otherSent*offered
 }
 
+// below returns how far the part is below the share of the other part, from 0 to 1.
+func (p *servedPart) below(now time.Time, share float64, other *servedPart) float64 {
+	offered, sent := p.offered.value(now, servedWindow), p.sent.value(now, servedWindow)
+	otherOffered, otherSent := other.offered.value(now, servedWindow), other.sent.value(now, servedWindow)
+	if offered < leastCount || otherSent < leastCount {
+		return 0
+	}
+	return max(1-sent*otherOffered/(share*otherSent*offered), 0)
+}
+
 // largestTenth follows the size above which a tenth of the requests lies.
 type largestTenth struct{ bound float64 }
 
--- a/pkg/lrqueue/admission_load_test.go
+++ b/pkg/lrqueue/admission_load_test.go
@@ -79,20 +79,44 @@
 			}
 			t.Run(fmt.Sprint(size[0], " instances ", load), func(t *testing.T) {
 				m, from := runOverload(size, load, false)
-				m.run(modelAfterwards)
-				all := m.result(from, func(*modelCaller) bool { return true })
-				long, short := m.result(from, ofRoute("long")), m.result(from, ofRoute("short"))
-				requireAtLeast(t, "long against all", long.part(), all.part()/4)
-				requireAtLeast(t, "short against all", short.part(), all.part()/4)
-				requireAtLeast(t, "short against long", short.part(), long.part()-0.05)
-				requireAtLeast(t, "credit of short against long", short.credit/short.count, long.credit/long.count-0.15)
-				requireAtLeast(t, "largest of long", m.result(from, m.ofLargest("long")).part(), long.part()/2)
-				requireAtLeast(t, "largest of short", m.result(from, m.ofLargest("short")).part(), short.part()/2)
+				requireFairShares(t, m, from)
 			})
 		}
 	}
 }
 
+// TestBurstsStarveNobodyWithOtherTargets is TestBurstsStarveNobody for a long kind with a shorter target than the short
+// one.
+func TestBurstsStarveNobodyWithOtherTargets(t *testing.T) {
+	for _, load := range []map[string]float64{{"short": 4}, {"long": 4}, {"short": 2.5, "long": 2.5}} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			m := newAdmissionModel(74, 60, 7)
+			long, short := m.kinds[0], m.kinds[1]
+			long.urgency, long.target, long.late = 1, 800*time.Millisecond, 0.3
+			short.target, short.late = 1200*time.Millisecond, 0.3
+			m.run(modelWarmUp)
+			from := m.now
+			m.load = load
+			m.run(modelOverload)
+			requireFairShares(t, m, from)
+		})
+	}
+}
+
+// requireFairShares checks that the kinds, and the largest requests of each, are served often enough compared with others.
+func requireFairShares(t *testing.T, m *admissionModel, from time.Time) {
+	t.Helper()
+	m.run(modelAfterwards)
+	all := m.result(from, func(*modelCaller) bool { return true })
+	long, short := m.result(from, ofRoute("long")), m.result(from, ofRoute("short"))
+	requireAtLeast(t, "long against all", long.part(), all.part()/4)
+	requireAtLeast(t, "short against all", short.part(), all.part()/4)
+	requireAtLeast(t, "short against long", short.part(), long.part()-0.05)
+	requireAtLeast(t, "credit of short against long", short.credit/short.count, long.credit/long.count-0.15)
+	requireAtLeast(t, "largest of long", m.result(from, m.ofLargest("long")).part(), long.part()/2)
+	requireAtLeast(t, "largest of short", m.result(from, m.ofLargest("short")).part(), short.part()/2)
+}
+
 // TestFloodingAccountIsRefusedFirst guards against an account that brings many times its usual load and takes the capacity of the others.
 func TestFloodingAccountIsRefusedFirst(t *testing.T) {
 	for _, size := range modelSizes()[:2] {
@@ -104,6 +128,10 @@
 			requireAtLeast(t, "others", other.part(), 0.9)
 			requireAtLeast(t, "others against the flooding account", other.part(), flooding.part())
 			requireAtLeast(t, "flooding account against all", flooding.part(), all.part()/4)
+			long := func(isFlooding bool) float64 {
+				return m.result(from, func(c *modelCaller) bool { return c.kind.route == "long" && (c.account == "a") == isFlooding }).part()
+			}
+			requireAtLeast(t, "long requests of others against those of the flooding account", long(false), 1.2*long(true))
 		})
 	}
 }
--- a/pkg/lrqueue/admission_parts_test.go
+++ b/pkg/lrqueue/admission_parts_test.go
@@ -131,3 +131,72 @@
 		})
 	}
 }
+
+// TestIdleServiceRefusesNothing guards against refusals on a service with free servers after everything learned says that all will be late.
+func TestIdleServiceRefusesNothing(t *testing.T) {
+	a, now := newBusyAdmission()
+	late := newArrival(0, 400*time.Millisecond, time.Second)
+	late.IsServerFree = true
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		requireEqual(t, a.Decide(now, late, isIdle).IsAccepted(), true, "whether the request is accepted")
+		a.Observe(now, late, 5*time.Second)
+	}
+}
+
+// TestFewFreeServersAreNotOverrun guards against all instances sending their requests to the few servers that are reported free, after such
+// reports have turned out to be false.
+func TestFewFreeServersAreNotOverrun(t *testing.T) {
+	a, now := newBusyAdmission()
+	late := newArrival(0, 400*time.Millisecond, time.Second)
+	late.IsServerFree = true
+	accepted := 0
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		if a.Decide(now, late, func() float64 { return 0.05 }).IsAccepted() {
+			accepted++
+			a.Observe(now, late, 5*time.Second)
+		}
+	}
+	requireEqual(t, accepted > 0 && accepted < 250, true, fmt.Sprint("some are accepted: ", accepted))
+}
+
+// TestFloorsKeepEachGroupServed guards against a route, an account or the largest requests of a route that are never served, since all others
+// come before them.
+func TestFloorsKeepEachGroupServed(t *testing.T) {
+	const target = 400 * time.Millisecond
+	cases := []struct {
+		name   string
+		change func(arrival *Arrival)
+		least  float64
+	}{
+		{"route", func(a *Arrival) { a.Route, a.Wait = "other", time.Second }, 0.25},
+		{"account", func(a *Arrival) { a.Account, a.Wait = "other", time.Second }, 0.25},
+		{"largest requests", func(a *Arrival) { a.Work, a.Wait = 10*a.Work, time.Second }, 0.5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, now := newBusyAdmission()
+			var group, all modelResult
+			for n := range 3000 {
+				now = now.Add(10 * time.Millisecond)
+				// Half of the other requests are too late, so that those of the group are not accepted as the only late ones.
+				arrival := newArrival(0, target, time.Duration(250+750*(n%2))*time.Millisecond)
+				arrival.Work *= 1 + float64(n%7)/100
+				isOfGroup := n%10 == 0
+				if isOfGroup {
+					c.change(&arrival)
+				}
+				served := 0.0
+				if a.Decide(now, arrival, isBusy).IsAccepted() {
+					served = 1
+				}
+				all.count, all.served = all.count+1, all.served+served
+				if isOfGroup {
+					group.count, group.served = group.count+1, group.served+served
+				}
+			}
+			requireAtLeast(t, "served", group.part(), c.least*all.part())
+		})
+	}
+}
--- a/pkg/lrqueue/admission_service.go
+++ b/pkg/lrqueue/admission_service.go
@@ -28,8 +28,9 @@
 	routes   map[string]*routeAdmission
 	accounts *accountLoads
 	level    fairLevel
-	// all counts the requests to the service.
+	// all counts the requests to the service, and done those of them whose first event has arrived.
 	all       servedPart
+	done      servedPart
 	completed completions
 	free      freeReports
 	spread    returnSpread
@@ -40,7 +41,9 @@
 	// offered counts all requests, missed those that were not expected to be served in time.
 	offered decayed
 	missed  decayed
-	control control
+	// completed counts the requests whose first event has arrived.
+	completed servedPart
+	control   control
 }
 
 // routeAdmission is what an Admission knows of the requests of one route.
@@ -127,6 +130,7 @@
 			k.reserved += c.control.accepted.value(now, rateWindow)
 		case other > urgency:
 			k.yielding += c.control.accepted.value(now, rateWindow)
+			k.starving = max(k.starving, c.completed.below(now, leastKind, &s.done))
 		}
 	}
 	return k
@@ -168,6 +172,8 @@
 func (s *serviceAdmission) record(now time.Time, arrival Arrival, d Decision) {
 	class, route := s.class(arrival.Urgency), s.route(arrival.Route)
 	class.offered.add(now, classWindow, 1)
+	class.completed.offered.add(now, servedWindow, 1)
+	s.done.offered.add(now, servedWindow, 1)
 	if d.Reason != OverShare && (d.Expected > arrival.targetLeft() || !d.IsAccepted()) {
 		class.missed.add(now, classWindow, 1)
 	}
@@ -184,10 +190,17 @@
 	}
 }
 
+// complete records that the first event of a request has arrived.
+func (s *serviceAdmission) complete(now time.Time, arrival Arrival) {
+	s.completed.add(now, arrival.Work)
+	s.class(arrival.Urgency).completed.sent.add(now, servedWindow, 1)
+	s.done.sent.add(now, servedWindow, 1)
+}
+
 // observe records the time to the first event of a request.
 func (s *serviceAdmission) observe(now time.Time, arrival Arrival, observed time.Duration) {
 	route := s.route(arrival.Route)
-	s.completed.add(now, arrival.Work)
+	s.complete(now, arrival)
 	if arrival.IsPlain {
 		route.plain.observe(now, arrival, observed)
 		return
