--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -45,6 +45,7 @@
 		r.failure, r.failureBody = reply, body
 		return r.handleFailure(server, reply)
 	}
+	r.observeFirstEvent()
 	r.succeeded(server)
 	err = r.caller.Answer(reply, body)
 	r.finish(server, outcomeOf(err))
@@ -111,6 +112,7 @@
 		if first {
 			first = false
 			p.Balancer.FirstEventAfter(p.Clock(), choice)
+			r.observeFirstEvent()
 			p.Observer.FirstEvent(r.route.Name, p.Clock().Sub(r.Received))
 		}
 		err = r.relayEvent(reply, event)
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -33,6 +33,7 @@
 		{name: "route", measure: measureRoute},
 		{name: "place", measure: measurePlace},
 		{name: "limit", measure: measureLimit},
+		{name: "admission", measure: measureAdmission},
 		{name: "state", measure: measureState},
 		{name: "stream", measure: measureStream},
 		{name: "gateway", measure: measureGateway},
