Move the traffic of a service to another version of its servers

An operator's entry of kind rollouts names a service, a version and a duration; nothing read it, so that new servers got their full part of the traffic as soon as they were listed.

Each instance now sends a bounded share of the requests to a few of the new servers, counts how both versions answer by route and group of servers, and judges the sums over all instances. The holder of the lease rollout moves the rest in steps near the end of the duration and stores the status, by a conditional write. Without an entry nothing changes.

Ruled out: a share by hash of the account, since a few accounts are large; one bucket of exposure for all instances, since its level is 0.3 to 0.6 s old. Shares that each instance keeps by itself, from a random start, add up without messages. A verdict by the holder alone was ruled out because it would be lost with the holder.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -30,9 +30,11 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpipeline"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrrelease"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
@@ -50,6 +52,7 @@
 	feedDesired   = "wanted"
 	feedInstances = "instances"
 	feedVerdicts  = "verdicts"
+	feedRollouts  = "rollouts"
 )
 
 const (
@@ -94,6 +97,8 @@
 	kvStoreWatch *lrfleet.KVStoreWatch
 	leaseKeeper  *lrlease.Keeper
 	weights      *lrweights.Updater
+	releases     *lrcanary.Board
+	releaseDuty  *lrrelease.Duty
 	pipeline     *lrpipeline.Pipeline
 	metrics      *metrics
 	pool         *lrpeer.Pool
@@ -105,6 +110,7 @@
 	desired   *lrfleet.Follower[lrfleet.DesiredVersion]
 	instances *lrfleet.Follower[lrfleet.Instance]
 	verdicts  *lrfleet.Follower[lrquarantine.Verdict]
+	rollouts  *lrfleet.Follower[lrcanary.Entry]
 
 	supervisor *lrsupervise.Supervisor
 	// schedule is used only by keepLease.
@@ -134,6 +140,7 @@
 	d.wireFeeds()
 	d.wireQuarantine()
 	d.wireWeights()
+	d.wireReleases()
 	d.wireKVStores()
 	d.wireSharer()
 	d.wireCaches()
@@ -235,7 +242,7 @@
 func (d *Daemon) wireSharer() {
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerDependencies{
 		Self:      d.self(),
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, Notices: d.notices, KVStores: d.kvStoreWatch, Rollout: d.weights, Pool: d.pool,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, Notices: d.notices, KVStores: d.kvStoreWatch, Rollout: d.weights, Releases: d.releases, Pool: d.pool,
 		Feeds: d.feeds(), Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
@@ -298,7 +305,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectFailures, Duration: ejectDuration, MaxDuration: maxEjectDuration, ProbeTimeout: ejectProbeTimeout,
 		}),
-		Quarantine: d.quarantine, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Quarantine: d.quarantine, Releases: d.releases, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 		PauseClock: lrclock.BootTime, IsStopping: d.stopping.Load,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainInterval, func(context.Context, time.Time) {
--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -34,6 +34,7 @@
 		return float64(d.quarantine.Quarantined())
 	})
 	d.registerNoticeGauges()
+	d.metrics.registry.MustRegister(releaseCollector{daemon: d})
 	gauge("lavenderrouter_edge_outdated_seconds", "How long the engine that is furthest behind has lacked newer weights.", func() float64 {
 		return d.directory.LongestOutdated(d.clock()).Seconds()
 	})
@@ -82,7 +83,7 @@
 
 // feeds returns the feeds that other instances can read from this one.
 func (d *Daemon) feeds() map[string]lrfleet.SharedFeed {
-	return map[string]lrfleet.SharedFeed{feedTables: d.tables, feedServers: d.servers, feedDesired: d.desired, feedInstances: d.instances, feedVerdicts: d.verdicts}
+	return map[string]lrfleet.SharedFeed{feedTables: d.tables, feedServers: d.servers, feedDesired: d.desired, feedInstances: d.instances, feedVerdicts: d.verdicts, feedRollouts: d.rollouts}
 }
 
 // registerNoticeGauges registers the numbers of backend servers by what they say of themselves.
--- a/internal/lredge/metrics.go
+++ b/internal/lredge/metrics.go
@@ -24,6 +24,7 @@
 	orders       *prometheus.CounterVec
 	leases       *prometheus.CounterVec
 	verdicts     *prometheus.CounterVec
+	releases     *prometheus.CounterVec
 	heldBack     prometheus.Counter
 }
 
@@ -69,7 +70,10 @@
 		Name: "lavenderrouter_edge_held_back_total",
 		Help: "Backend servers that were passed over in placements because they named a limit, asked for a pause or were leaving.",
 	})
-	m.registry.MustRegister(m.heldBack, m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
+	m.releases = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavenderrouter_edge_release_states_total", Help: "States of roll-outs of services that this instance has tried to store, by answer.",
+	}, []string{"state", "answer"})
+	m.registry.MustRegister(m.releases, m.heldBack, m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
 	return m
 }
 
--- a/internal/lredge/ports.go
+++ b/internal/lredge/ports.go
@@ -10,8 +10,10 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpipeline"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrrelease"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
@@ -34,7 +36,10 @@
 	// object.
 	Verdicts     lrfleet.Feed[lrquarantine.Verdict]
 	VerdictsKind string
-	Store        lrplatform.Objects
+	// Rollouts are the operator's orders to move the traffic of services to other versions, and RolloutStatuses stores their statuses.
+	Rollouts        lrfleet.Feed[lrcanary.Entry]
+	RolloutStatuses lrrelease.Statuses
+	Store           lrplatform.Objects
 	// InstancesKind is the kind of object under which instances register themselves in the store.
 	InstancesKind string
 	Backend       lrpipeline.Backend
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -98,6 +98,7 @@
 	sent := p.sent
 	s.mutex.Unlock()
 	state.Used, state.Reached = sum.used, uint32(sum.reached)
+	s.releasesFor(now, p, sum.rollouts, state)
 	for server, l := range sum.loads {
 		state.Loads = append(state.Loads, &lrpeerpb.ServerLoad{
 			Server: server, WaitingTokens: uint32(max(l.Waiting, 0)), Running: uint32(max(l.Running, 0)),
@@ -135,7 +136,7 @@
 // sumFor returns the totals to send to the peer: those of this instance to the relay of its zone, those of the zone to other zones, and
 // those of all other instances to members of the own zone. It must be called with the mutex held.
 func (s *Sharer) sumFor(now time.Time, p *peer) totals {
-	own := totals{loads: s.Balancer.OwnLoads(), used: s.Limiter.Used(), reached: 1}
+	own := totals{loads: s.Balancer.OwnLoads(), used: s.Limiter.Used(), rollouts: s.Releases.Gauges(now), reached: 1}
 	relay := s.relayOf(now, s.Self.Zone)
 	if p.Zone == s.Self.Zone && relay != nil && relay.Name == p.Name {
 		return own
@@ -195,7 +196,10 @@
 	for _, l := range state.GetLoads() {
 		sum.loads[l.GetServer()] = lrbalance.Load{Waiting: int(l.GetWaitingTokens()), Running: int(l.GetRunning())}
 	}
+	news, gauges := decodeRollouts(state.GetServiceRollouts())
+	sum.rollouts = gauges
 	hasLevels := s.recordState(now, state, sum, isAnswer)
+	s.Releases.Merge(now, news)
 	if hasLevels {
 		s.Limiter.SetStartupShare(now, 1, false)
 		s.Limiter.ApplyLevels(now, state.GetLevels())
@@ -241,6 +245,7 @@
 		s.members.set(now, state.GetName(), state.GetProcess(), sum)
 	}
 	s.recordRollout(now, state.GetRollout())
+	s.recordEvidence(state, isAnswer)
 	s.recordReports(now, state)
 	hasLevels = s.wantsLevels && len(state.GetLevels()) > 0
 	if hasLevels {
--- a/internal/lrfleet/server.go
+++ b/internal/lrfleet/server.go
@@ -23,6 +23,8 @@
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Release is the version of the server's software.
+	Release string `json:"release,omitempty"`
 	// Slots is the number of requests that the server processes at once.
 	Slots int `json:"slots"`
 	// IsLeaving is set for servers that take no new requests.
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
@@ -69,6 +70,7 @@
 	Notices    *lrnotice.Board
 	KVStores   *KVStoreWatch
 	Rollout    Rollout
+	Releases   *lrcanary.Board
 	Pool       *lrpeer.Pool
 	Feeds      map[string]SharedFeed
 	// Go runs work in its own goroutine, beside the supervised loops.
@@ -88,6 +90,10 @@
 	// members holds the reports of instances of the own zone, zones those of the relays of other zones.
 	members *reportSet
 	zones   *reportSet
+	// memberEvidence, zoneEvidence and relayEvidence are the same for the evidence on new releases of services.
+	memberEvidence *evidenceSet
+	zoneEvidence   *evidenceSet
+	relayEvidence  evidenceReport
 	// relayReport holds the totals over all other instances, as the relay of the own zone reports them.
 	relayReport report
 	// relayUnreachableZones are the zones from which the relay of the own zone receives nothing.
@@ -133,6 +139,8 @@
 	receivedProcess string
 	// noticesAt is when the peer was last sent all notices of backend servers.
 	noticesAt time.Time
+	// evidenceAt is when the peer was last sent the evidence on new releases.
+	evidenceAt time.Time
 }
 
 // NewSharer returns a Sharer that knows no other instance. With wantsLevels it asks the others for the levels of allowances.
@@ -140,7 +148,7 @@
 	return &Sharer{
 		SharerDependencies: dependencies, weightsUpdates: newGossip[WeightsUpdate](gossipFor, rememberFor), peers: map[string]*peer{},
 		members: newReportSet(), zones: newReportSet(), startedAt: dependencies.Clock(), wantsLevels: wantsLevels, lags: map[string]lag{},
-		silent: map[string][]string{},
+		silent: map[string][]string{}, memberEvidence: newEvidenceSet(), zoneEvidence: newEvidenceSet(),
 	}
 }
 
@@ -426,4 +434,5 @@
 		s.Notices.SetFleet(fleet)
 	}
 	s.Directory.SetClosing(closing)
+	s.applyReleases(now, others)
 }
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
@@ -52,7 +53,7 @@
 func (f *testFleet) newSharer(self Instance) *Sharer {
 	return NewSharer(SharerDependencies{
 		Self: self, Directory: NewDirectory(zerolog.Nop()), Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
-		Limiter: lrlimit.NewSharedLimiter(true), Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(self.Name)), Notices: lrnotice.NewBoard(self.Name), Rollout: noRollout{}, Feeds: map[string]SharedFeed{},
+		Limiter: lrlimit.NewSharedLimiter(true), Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(self.Name)), Notices: lrnotice.NewBoard(self.Name), Rollout: noRollout{}, Releases: lrcanary.NewBoard(lrcanary.Options{Random: func() float64 { return 0 }}), Feeds: map[string]SharedFeed{},
 		Clock: func() time.Time { return f.now }, Log: zerolog.Nop(), KVStores: NewKVStoreWatch(KVStoreWatchDependencies{Log: zerolog.Nop()}), Go: func(_ string, work func()) { go work() },
 	}, false)
 }
--- a/internal/lrfleet/totals.go
+++ b/internal/lrfleet/totals.go
@@ -4,19 +4,22 @@
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 )
 
 // totals is the sum over some instances: their work at backend servers and their usage of allowances.
 type totals struct {
-	loads   map[string]lrbalance.Load
-	used    map[string]float64
-	reached int
+	loads map[string]lrbalance.Load
+	used  map[string]float64
+	// rollouts holds the gauges of roll-outs of services, by order.
+	rollouts map[uint64]lrcanary.Gauge
+	reached  int
 	// uptime is how long the sender had run when it sent this.
 	uptime time.Duration
 }
 
 func newTotals() totals {
-	return totals{loads: map[string]lrbalance.Load{}, used: map[string]float64{}}
+	return totals{loads: map[string]lrbalance.Load{}, used: map[string]float64{}, rollouts: map[uint64]lrcanary.Gauge{}}
 }
 
 // add adds other totals to these.
@@ -27,6 +30,9 @@
 	for account, used := range other.used {
 		t.used[account] += used
 	}
+	for order, g := range other.rollouts {
+		t.rollouts[order] = t.rollouts[order].Plus(g)
+	}
 	t.reached += other.reached
 }
 
@@ -68,7 +74,7 @@
 func (t *reportSet) expire(now time.Time, after time.Duration) {
 	for sender, r := range t.reports {
 		if now.Sub(r.at) > after && r.reached > 0 {
-			r.loads, r.reached = nil, 0
+			r.loads, r.rollouts, r.reached = nil, nil, 0
 			t.reports[sender] = r
 		}
 	}
--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrconn"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
@@ -190,6 +191,7 @@
 		Directory: directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: 1}),
 		IsStopping: func() bool { return w.isStopping },
 		Stores:     &w.kvStore,
+		Releases:   lrcanary.NewBoard(lrcanary.Options{Random: func() float64 { return 0 }}),
 		Memory:     lrmemory.NewBudget(testMemoryBytes), Notices: lrnotice.NewBoard("test"),
 		Limiter: w.limiter, RetryBudgets: w.budget, Quarantine: w.quarantine, Backend: w.backend, Observer: noopObserver{},
 		Ejector:          lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
--- a/internal/lrpipeline/limit_test.go
+++ b/internal/lrpipeline/limit_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
@@ -128,7 +129,8 @@
 		f.instances = append(f.instances, New(Dependencies{
 			Directory: directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85, Zone: "a", Seed: uint64(n)}),
 			IsStopping: func() bool { return false }, Stores: &testKVStore{}, Memory: lrmemory.NewBudget(testMemoryBytes),
-			Notices: lrnotice.NewBoard(name), Limiter: lrlimit.NewSharedLimiter(true), RetryBudgets: &testBudget{left: 10},
+			Releases: lrcanary.NewBoard(lrcanary.Options{Random: func() float64 { return 0 }}),
+			Notices:  lrnotice.NewBoard(name), Limiter: lrlimit.NewSharedLimiter(true), RetryBudgets: &testBudget{left: 10},
 			Quarantine: lrquarantine.NewTracker(f.now, lrquarantine.DefaultTrackerOptions(name)),
 			Backend:    &limitedBackend{limitedServers: f.servers, instance: name}, Observer: noopObserver{},
 			Ejector:          lrretry.NewEjector(lrretry.EjectorOptions{Failures: 2, Duration: time.Second, MaxDuration: time.Second, ProbeTimeout: time.Second}),
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
@@ -68,6 +69,8 @@
 	RetryBudgets RetryBudgets
 	Ejector      *lrretry.Ejector
 	Quarantine   Quarantine
+	// Releases decides which of the versions of a service an attempt is for, and counts how each of them answers.
+	Releases *lrcanary.Board
 	// Notices holds what backend servers say of themselves in their answers.
 	Notices *lrnotice.Board
 	// Memory limits the bytes of request bodies and answers that are buffered at the same time.
--- a/internal/lrpipeline/place.go
+++ b/internal/lrpipeline/place.go
@@ -9,8 +9,25 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 )
 
-// choose picks a backend server and counts the request as running there. It reports false when no server is available.
+// choose picks a backend server and counts the request as running there. It reports false when no server is available. While a new release
+// of the service is observed, a request for which none of its servers is available goes to the old release.
 func (r *run) choose() (lrbalance.Choice, lrfleet.Server, bool) {
+	p := r.pipeline
+	r.release = p.Releases.Assign(p.Clock(), r.service.Name, r.attempts == 0)
+	choice, server, ok := r.chooseOfRelease()
+	if !ok && r.release.IsNew {
+		p.Releases.End(r.release)
+		r.release = p.Releases.Assign(p.Clock(), r.service.Name, false)
+		choice, server, ok = r.chooseOfRelease()
+	}
+	if !ok {
+		p.Releases.End(r.release)
+	}
+	return choice, server, ok
+}
+
+// chooseOfRelease picks a backend server of the release that the attempt is for.
+func (r *run) chooseOfRelease() (lrbalance.Choice, lrfleet.Server, bool) {
 	p := r.pipeline
 	for {
 		choice, server, ok := r.place()
@@ -30,7 +47,9 @@
 func (r *run) place() (lrbalance.Choice, lrfleet.Server, bool) {
 	p := r.pipeline
 	now := p.Clock()
-	servers := p.Directory.Candidates(now, r.service.Name, r.Model)
+	servers := slices.DeleteFunc(p.Directory.Candidates(now, r.service.Name, r.Model), func(c lrfleet.Candidate) bool {
+		return !r.release.Filter.Allows(c.ID, c.Release)
+	})
 	engines := make([]lrbalance.Engine, 0, len(servers))
 	byID := make(map[string]lrfleet.Server, len(servers))
 	decisions := make([]lrnotice.Decision, len(servers))
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -49,6 +49,7 @@
 // handleFailure handles an error answer of a server that ran the request.
 func (r *run) handleFailure(server lrfleet.Server, reply *Reply) verdict {
 	r.pipeline.Observer.Attempted("failure")
+	r.recordOutcome(server, reply.Status >= 500)
 	r.logAttempt(zerolog.WarnLevel, server, "failure").Int("status", reply.Status).Msg("request: sent")
 	r.excluded[server.ID] = true
 	if reply.Status >= 500 && r.route.IsRetryable() {
@@ -80,6 +81,7 @@
 			return mustFail
 		}
 	}
+	r.recordOutcome(server, false)
 	r.finish(server, outcomeOf(err))
 	return isDone
 }
@@ -103,10 +105,12 @@
 		}
 		if first {
 			first = false
+			r.firstEventAt = p.Clock()
 			p.Observer.FirstEvent(r.route.Name, p.Clock().Sub(r.Received))
 		}
 		err = r.relayEvent(reply, event)
 		if err != nil {
+			r.recordOutcome(server, false)
 			r.finish(server, "callerGone")
 			return isDone
 		}
@@ -149,6 +153,7 @@
 // succeeded records that the server has completed the request.
 func (r *run) succeeded(server lrfleet.Server) {
 	p := r.pipeline
+	r.recordOutcome(server, false)
 	p.Ejector.Succeeded(server.ID)
 	p.Quarantine.Completed(p.Clock(), r.traits)
 	p.Observer.Attempted("success")
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
@@ -50,6 +51,11 @@
 	excluded map[string]bool
 	// choice is the result of the last placement.
 	choice lrbalance.Choice
+	// release is the version of the service that the present attempt is for, attemptAt when it began and firstEventAt when its first event
+	// arrived.
+	release      lrcanary.Assignment
+	attemptAt    time.Time
+	firstEventAt time.Time
 	// attempts counts all attempts, possibleRuns those that may have run, and unsentAttempts those of which no byte was sent.
 	attempts       int
 	possibleRuns   int
@@ -148,6 +154,8 @@
 	p := r.pipeline
 	began := p.Clock()
 	r.promptComputed, r.answerBegun = false, false
+	r.attemptAt, r.firstEventAt = began, time.Time{}
+	defer p.Releases.End(r.release)
 	defer func() { p.Balancer.End(choice, r.promptComputed) }()
 	decision := p.Quarantine.Begin(began, r.traits)
 	if decision.Admission == lrquarantine.Rejected {
@@ -237,6 +245,7 @@
 	p := r.pipeline
 	r.excluded[server.ID] = true
 	p.Observer.Attempted("broken")
+	r.recordBroken(ctx, server, err)
 	r.logAttempt(zerolog.WarnLevel, server, "broken").Err(err).Bool("sent", !r.lastUnsent).Bool("begun", r.answerBegun).
 		Str("digest", r.Digest).Strs("parts", r.loggedParts()).Msg("request: sent")
 	if ctx.Err() != nil {
--- a/pages_test.go
+++ b/pages_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, folder := range []string{"platform", "internal/lredge", "internal/lrfleet", "internal/lrpipeline", "internal/lrweights", "internal/lrlog"} {
+	for _, folder := range []string{"platform", "internal/lredge", "internal/lrfleet", "internal/lrpipeline", "internal/lrweights", "internal/lrrelease", "internal/lrlog"} {
 		for _, message := range logMessages(t, folder) {
 			if !strings.Contains(string(page), "`"+message+"`") {
 				t.Errorf("docs/OPERATIONS.md does not explain the message %q of %s", message, folder)
--- /dev/null
+++ b/pkg/lrcanary/board.go
@@ -0,0 +1,289 @@
+package lrcanary
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Options configure a Board.
+type Options struct {
+	// ExposureShare is the share of the requests of a service that a bad release may get. Zero means DefaultExposureShare.
+	ExposureShare float64
+	// StartedAt is when the instance started.
+	StartedAt time.Time
+	// Random returns a random number from 0 up to, but not including, 1.
+	Random func() float64
+	// OnChange is called with each change of the stage of a roll-out. It must not call the Board.
+	OnChange func(change Change)
+}
+
+// A Change is a change of the stage of a roll-out, with what it was decided on.
+type Change struct {
+	Entry   Entry
+	Stage   Stage
+	Age     time.Duration
+	Verdict string
+	// New and Old are the answers of both releases that were known.
+	New Counts
+	Old Counts
+}
+
+// A Board holds what an instance knows of all roll-outs. It is safe for use by several goroutines.
+type Board struct {
+	options  Options
+	mutex    sync.Mutex
+	services map[string]*service
+	// own is the evidence of this instance and others that of all others, which grows with what source reports: last was its latest report.
+	own    Evidence
+	others Evidence
+	source string
+	last   Evidence
+	// gauges are the sums over all other instances, and reached their number.
+	gauges  map[uint64]Gauge
+	reached int
+}
+
+// service is a service with requests or with a roll-out.
+type service struct {
+	rollout *rollout
+	servers []Server
+	// running is the number of attempts in flight, and runningNew of those that were assigned to the new release of the present order.
+	running    int
+	runningNew int
+}
+
+// NewBoard returns a Board without roll-outs.
+func NewBoard(options Options) *Board {
+	if options.ExposureShare <= 0 || options.ExposureShare > 1 {
+		options.ExposureShare = DefaultExposureShare
+	}
+	if options.OnChange == nil {
+		options.OnChange = func(Change) {}
+	}
+	return &Board{options: options, services: map[string]*service{}, own: Evidence{}, others: Evidence{}, gauges: map[uint64]Gauge{}}
+}
+
+func (b *Board) service(name string) *service {
+	s := b.services[name]
+	if s == nil {
+		s = &service{}
+		b.services[name] = s
+	}
+	return s
+}
+
+// SetEntries replaces the orders. An order that is gone before it was completed leaves its release excluded until its servers are gone.
+func (b *Board) SetEntries(now time.Time, entries map[string]Entry) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, e := range entries {
+		s := b.service(e.Name)
+		if s.rollout == nil || s.rollout.order != e.Order() || s.rollout.isRepeated(e) {
+			s.begin(now, e, b.options)
+			b.forgetOrder(e.Order())
+		}
+		b.update(now, s.rollout, e)
+		s.rollout.setServers(s.servers)
+	}
+	for name, s := range b.services {
+		if _, ok := entries[name]; !ok && s.rollout != nil && !s.rollout.isWithdrawn {
+			s.rollout.isWithdrawn = true
+			s.withdraw()
+		}
+	}
+	b.forget()
+}
+
+// isRepeated reports whether the entry is a new order with the values of this one: the entry was gone, or it was decided, and it has no
+// status now.
+func (r *rollout) isRepeated(e Entry) bool {
+	return (r.isWithdrawn || r.entry.Decision().IsFinal()) && e.Decision() == Undecided && e.Revision > r.entry.Revision
+}
+
+// begin replaces the roll-out of the service with that of the order.
+func (s *service) begin(now time.Time, e Entry, options Options) {
+	r := &rollout{
+		entry: e, order: e.Order(), schedule: newSchedule(e.Duration, options.ExposureShare), orderedAt: now, stageAt: now,
+		credit: options.Random(), banned: map[string]bool{},
+	}
+	if s.rollout != nil {
+		maps.Copy(r.banned, s.rollout.banned)
+		if s.rollout.stage != Moved {
+			r.banned[s.rollout.entry.To] = true
+		}
+	}
+	delete(r.banned, e.To)
+	if e.Decision() == Running && now.Sub(options.StartedAt) < startTime {
+		r.isGuessed = true
+		r.orderedAt = now.Add(-e.Duration / 2)
+	}
+	s.rollout, s.runningNew = r, 0
+}
+
+// update applies the status of the entry.
+func (b *Board) update(now time.Time, r *rollout, e Entry) {
+	if e.Revision < r.entry.Revision {
+		return
+	}
+	r.entry, r.isWithdrawn = e, false
+	switch e.Decision() {
+	case Completed:
+		b.enter(now, r, Moved, "")
+	case RolledBack:
+		b.enter(now, r, Rejected, "stored")
+		r.stage = Rejected
+	}
+}
+
+// enter changes the stage and announces it.
+func (b *Board) enter(now time.Time, r *rollout, stage Stage, verdict string) {
+	if !r.enter(now, stage) {
+		return
+	}
+	if verdict != "" {
+		r.verdict = verdict
+	}
+	total := b.total()
+	b.options.OnChange(Change{
+		Entry: r.entry, Stage: stage, Age: now.Sub(r.orderedAt), Verdict: r.verdict, New: total.total(r.order, true), Old: total.total(r.order, false),
+	})
+}
+
+// SetServers replaces the listed servers of each service.
+func (b *Board) SetServers(servers map[string][]Server) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for name := range servers {
+		_ = b.service(name)
+	}
+	for name, s := range b.services {
+		s.servers = servers[name]
+		if s.rollout == nil {
+			continue
+		}
+		s.rollout.setServers(s.servers)
+		if s.rollout.isWithdrawn {
+			s.withdraw()
+		}
+	}
+}
+
+// withdraw forgets the withdrawn roll-out once nothing has to be kept away from its servers.
+func (s *service) withdraw() {
+	r := s.rollout
+	r.setServers(s.servers)
+	hasBanned := false
+	for _, server := range s.servers {
+		hasBanned = hasBanned || server.Release == r.entry.To || r.banned[server.Release]
+	}
+	if r.stage == Moved || !hasBanned || !r.hadOld {
+		s.rollout, s.runningNew = nil, 0
+	}
+}
+
+// forget drops the evidence on orders that are no more.
+func (b *Board) forget() {
+	orders := map[uint64]bool{}
+	for _, s := range b.services {
+		if s.rollout != nil {
+			orders[s.rollout.order] = true
+		}
+	}
+	b.own.Keep(orders)
+	b.others.Keep(orders)
+}
+
+// forgetOrder drops the evidence on an earlier order with the same values.
+func (b *Board) forgetOrder(order uint64) {
+	isSame := func(key Key, _ Counts) bool { return key.Order == order }
+	maps.DeleteFunc(b.own, isSame)
+	maps.DeleteFunc(b.others, isSame)
+}
+
+// An Assignment says to which servers an attempt may be sent. It must be ended with End.
+type Assignment struct {
+	// Filter says which servers the attempt may be sent to.
+	Filter *Filter
+	// IsNew is set when the attempt is for the new release.
+	IsNew   bool
+	service *service
+	order   uint64
+}
+
+// Assign decides for which release of the service the attempt is. An attempt that is not the first of its request goes to the old release
+// until all traffic has moved.
+func (b *Board) Assign(now time.Time, name string, isFirst bool) Assignment {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s := b.service(name)
+	s.running++
+	a := Assignment{service: s}
+	r := s.rollout
+	if r == nil {
+		return a
+	}
+	a.order, a.IsNew, a.Filter = r.order, r.takeNew(now, isFirst), r.toOld
+	if a.IsNew {
+		a.Filter = r.toNew
+		s.runningNew++
+	}
+	return a
+}
+
+// End records that the attempt has ended or was not made.
+func (b *Board) End(a Assignment) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s := a.service
+	if s == nil {
+		return
+	}
+	s.running--
+	if a.IsNew && s.rollout != nil && s.rollout.order == a.order && s.runningNew > 0 {
+		s.runningNew--
+	}
+}
+
+// Record counts the outcome of an attempt.
+func (b *Board) Record(a Assignment, server Server, route string, outcome Outcome) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if a.service == nil || a.service.rollout == nil {
+		return
+	}
+	r := a.service.rollout
+	isNew := server.Release == r.entry.To
+	if r.order != a.order || !r.isJudged() || r.banned[server.Release] || isNew != a.IsNew {
+		return
+	}
+	key := Key{Order: r.order, Route: route, IsNew: isNew, Group: GroupOf(server.ID)}
+	b.own[key] = b.own[key].Plus(outcome.counts(r.usual[route]))
+}
+
+// total returns the evidence of all instances. It must be called with the mutex held.
+func (b *Board) total() Evidence {
+	total := maps.Clone(b.own)
+	total.Add(b.others)
+	return total
+}
+
+// Judge looks at the evidence on each release and rejects those that are bad.
+func (b *Board) Judge(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, s := range b.services {
+		r := s.rollout
+		if r == nil || !r.isJudged() || now.Sub(r.judgedAt) < judgeInterval {
+			continue
+		}
+		r.judgedAt = now
+		total := b.total()
+		r.updateUsual(total)
+		v, isBad := r.exam().judge(total, r.recent(now, total))
+		if isBad {
+			b.enter(now, r, Rejected, v.String())
+			r.setServers(s.servers)
+		}
+	}
+}
--- a/pkg/lrsettings/parse.go
+++ b/pkg/lrsettings/parse.go
@@ -77,6 +77,10 @@
 }
 
 func (p *parser) parseFloat(section string, key *ini.Key, field reflect.Value) {
+	if key.String() == "" {
+		// Deployments without a value for a placeholder of the template leave it empty.
+		return
+	}
 	value, err := key.Float64()
 	if err != nil || value < 0 {
 		p.report(section, key.Name(), "must be a number of at least 0")
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -16,6 +16,7 @@
 	Paid     Paid
 	Orders   Orders
 	Retries  Retries
+	Rollouts Rollouts
 	TLS      TLS
 	Log      Log
 }
@@ -180,6 +181,12 @@
 	Window time.Duration
 }
 
+// Rollouts bounds what a bad version of a service may do while the traffic moves to it.
+type Rollouts struct {
+	// ExposureShare is the share of the requests of the service that a bad version may get.
+	ExposureShare float64
+}
+
 // TLS names certificate files. Empty names mean plain TCP.
 type TLS struct {
 	// CertFile is the certificate presented to callers.
@@ -236,8 +243,9 @@
 			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
 			ValidFor: 2 * time.Second, Settle: 5 * time.Second, MinAtOnce: 2, Share: 0.34, LateShare: 0.5, LateAfter: 2800 * time.Millisecond,
 		},
-		Retries: Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
-		Paid:    Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
-		Log:     Log{Format: "json", Level: "info", LinesPerSecond: 400},
+		Retries:  Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
+		Rollouts: Rollouts{ExposureShare: 0.1},
+		Paid:     Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
+		Log:      Log{Format: "json", Level: "info", LinesPerSecond: 400},
 	}
 }
