--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -122,12 +122,13 @@
 	running    atomic.Int64
 	idleCloser *lrframe.IdleCloser
 	done       chan struct{}
+	startedAt  time.Time
 }
 
 // New returns a Daemon. It does nothing until Run is called.
 func New(settings lrsettings.Settings, ports Ports, clock func() time.Time, log zerolog.Logger) *Daemon {
 	d := &Daemon{
-		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), idleCloser: lrframe.NewIdleCloser(),
+		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), startedAt: clock(), idleCloser: lrframe.NewIdleCloser(),
 		process:   strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(clock().UnixNano(), 36),
 		directory: lrfleet.NewDirectory(log), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
 		notices: lrnotice.NewBoard(settings.Instance.Name), metrics: newMetrics(), supervisor: lrsupervise.New("edge", log),
@@ -330,7 +331,7 @@
 
 // isReady reports whether the load balancer may send new connections to this instance.
 func (d *Daemon) isReady() bool {
-	return d.directory.Table() != nil && !d.draining.Load() && d.sharer.KnowsLevels(d.clock())
+	return d.directory.Table() != nil && !d.draining.Load() && d.sharer.KnowsLevels(d.clock()) && d.knowsRollouts(d.clock())
 }
 
 // Run serves until the context ends, then drains: requests in progress may finish within the drain timeout.
--- a/internal/lredge/releases.go
+++ b/internal/lredge/releases.go
@@ -18,12 +18,14 @@
 	releaseInterval = 50 * time.Millisecond
 	// rolloutsInterval is the time between two reads of all orders by all instances together. Watches tell of a new one much sooner.
 	rolloutsInterval = time.Second
+	// rolloutsTimeout is how long after its start an instance is not ready because it has not read the orders.
+	rolloutsTimeout = time.Second
 )
 
 // wireReleases creates the part that moves the traffic of services to other versions. Nothing depends on it where there are no orders.
 func (d *Daemon) wireReleases() {
 	d.releases = lrcanary.NewBoard(lrcanary.Options{
-		ExposureShare: d.settings.Rollouts.ExposureShare, StartedAt: d.clock(), Random: rand.Float64, OnChange: d.releaseChanged,
+		ExposureShare: d.settings.Rollouts.ExposureShare, StartedAt: d.startedAt, Random: rand.Float64, OnChange: d.releaseChanged,
 	})
 	d.releaseDuty = lrrelease.NewDuty(lrrelease.Dependencies{
 		Board: d.releases, Directory: d.directory, Statuses: d.ports.RolloutStatuses, Keeper: d.leaseKeeper, LeaseClock: lrclock.BootTime,
@@ -35,6 +37,12 @@
 	d.supervisor.Add("moveReleases", lrsupervise.Every(releaseInterval, d.releaseDuty.Step))
 }
 
+// knowsRollouts reports whether this instance has read the orders, or has tried for long enough. Before, it might send requests to a version
+// that was rolled back.
+func (d *Daemon) knowsRollouts(now time.Time) bool {
+	return d.rollouts.Version().Revision > 0 || now.Sub(d.startedAt) > rolloutsTimeout
+}
+
 // releaseChanged logs a change of the stage of a roll-out with the figures that decided.
 func (d *Daemon) releaseChanged(c lrcanary.Change) {
 	d.log.Warn().Str("service", c.Entry.Name).Str("to", c.Entry.To).Str("stage", c.Stage.String()).Dur("age", c.Age).Str("verdict", c.Verdict).
--- a/internal/lrrelease/duty.go
+++ b/internal/lrrelease/duty.go
@@ -121,12 +121,9 @@
 // store stores one status in the background, unless that is under way or was tried just before.
 func (d *Duty) store(ctx context.Context, now time.Time, w lrcanary.Write, fence uint64) {
 	name := w.Entry.Name
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.writing[name] || now.Sub(d.triedAt[name]) < writeInterval {
+	if !d.beginStore(now, name) {
 		return
 	}
-	d.writing[name], d.triedAt[name] = true, now
 	d.Go("storeRelease", func() {
 		defer d.endStore(name)
 		revision, err := d.write(ctx, w, fence)
@@ -137,10 +134,21 @@
 		}
 		d.Log.Info().Str("service", name).Str("to", w.Entry.To).Str("state", string(w.State)).Uint64("fence", fence).
 			Uint64("revision", revision).Msg("release: state stored")
-		d.Board.Stored(time.Now(), w, fence, revision)
+		d.Board.Stored(now, w, fence, revision)
 	})
 }
 
+// beginStore reports whether a status of the entry may be stored now.
+func (d *Duty) beginStore(now time.Time, name string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.writing[name] || now.Sub(d.triedAt[name]) < writeInterval {
+		return false
+	}
+	d.writing[name], d.triedAt[name] = true, now
+	return true
+}
+
 func (d *Duty) endStore(name string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/pkg/lrcanary/board.go
+++ b/pkg/lrcanary/board.go
@@ -42,6 +42,9 @@
 	// gauges are the sums over all other instances, and reached their number.
 	gauges  map[uint64]Gauge
 	reached int
+	// missing is the number of listed instances out of reach, and missingSince since when there are no more of them.
+	missing      int
+	missingSince time.Time
 }
 
 // service is a service with requests or with a roll-out.
--- a/pkg/lrcanary/holder.go
+++ b/pkg/lrcanary/holder.go
@@ -25,6 +25,7 @@
 func (b *Board) Drive(now time.Time, h Holder) []Write {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.noteMissing(now, h)
 	var writes []Write
 	for _, s := range b.services {
 		if !s.isOpen() {
@@ -71,16 +72,18 @@
 	sum := s.gauge(now).Plus(b.gauges[r.order])
 	reached := b.reached + 1
 	if sum.RunningOld > 0 || sum.Acknowledged < min(reached, h.Instances) {
-		r.incompleteSince = time.Time{}
 		return false
 	}
-	if sum.Acknowledged >= h.Instances {
-		return true
-	}
-	if r.incompleteSince.IsZero() {
-		r.incompleteSince = now
+	return sum.Acknowledged >= h.Instances || 2*reached > h.Instances && now.Sub(b.missingSince) >= missingAfter
+}
+
+// noteMissing records since when no more instances are out of reach than now.
+func (b *Board) noteMissing(now time.Time, h Holder) {
+	missing := max(h.Instances-b.reached-1, 0)
+	if missing > b.missing || b.missingSince.IsZero() {
+		b.missingSince = now
 	}
-	return 2*reached > h.Instances && now.Sub(r.incompleteSince) >= silentAfter
+	b.missing = missing
 }
 
 // IsDue reports whether the state may still be stored: a verdict since it was decided prevents the completion.
--- a/pkg/lrcanary/rollout.go
+++ b/pkg/lrcanary/rollout.go
@@ -18,8 +18,8 @@
 	minNewAnswers = 20
 	// minObservation is how long the new release is observed at least when its servers appear late.
 	minObservation = 2 * time.Second
-	// silentAfter is the time without all instances within reach after which the others are taken to have ended.
-	silentAfter = 3 * time.Second
+	// missingAfter is how long instances must be out of reach until they are taken to have ended.
+	missingAfter = 3 * time.Second
 	// latePart is the part of the duration from which fewer answers than minNewAnswers are enough.
 	latePart = 0.9
 	// doubtPart is the part of the duration until which a release in doubt is observed.
@@ -58,8 +58,6 @@
 	snapshots []snapshot
 	// judgedAt is when the evidence was last judged.
 	judgedAt time.Time
-	// incompleteSince is since when all instances within reach, but not all listed ones, have acknowledged Full.
-	incompleteSince time.Time
 }
 
 // snapshot is the evidence at a time.
@@ -73,7 +71,12 @@
 	switch {
 	case r.stage == Moved:
 		return 1
-	case r.isWithdrawn || !r.hasNew || now.Sub(r.holderAt) > maxHolderAge:
+	case r.isWithdrawn || !r.hasNew:
+		return 0
+	case r.stage == Full:
+		// An instance that is cut off later goes on like this, so that the old servers may stop without it.
+		return 1
+	case now.Sub(r.holderAt) > maxHolderAge:
 		return 0
 	default:
 		return shareOf(r.stage, r.schedule.observed)
