Measure what a roll-out costs an attempt, and age the gossip in the tests

Evidence goes out each 300 ms instead of 200 ms, so that one roll-out stays within 8 KB a second in a zone of ten instances at the 2,432 bytes that it measures at most.

An empty exposureShare, as the platform writes it in deployments without roll-outs, keeps the default; other empty numbers stay mistakes.

--- a/internal/lrfleet/releases.go
+++ b/internal/lrfleet/releases.go
@@ -9,7 +9,7 @@
 )
 
 // evidencePeriod is the time between two messages to one instance that hold the evidence on new releases of services.
-const evidencePeriod = 200 * time.Millisecond
+const evidencePeriod = 300 * time.Millisecond
 
 // evidenceReport is the latest evidence of one sender. The offset is added to it, so that what a sender counted before it was first heard,
 // or what another process of the sender counted, is neither counted twice nor lost.
--- a/internal/lrrelease/duty.go
+++ b/internal/lrrelease/duty.go
@@ -20,6 +20,8 @@
 	writeTimeout = 1200 * time.Millisecond
 	// writeInterval is the time between two attempts to store a status.
 	writeInterval = 100 * time.Millisecond
+	// decidedInterval is the time between two looks at the servers while all orders are decided.
+	decidedInterval = 500 * time.Millisecond
 	// reportInterval is the time between two log lines on a roll-out that goes on.
 	reportInterval = 2 * time.Second
 )
@@ -54,7 +56,9 @@
 type Duty struct {
 	Dependencies
 	reportedAt time.Time
-	mutex      sync.Mutex
+	// readAt is when the servers were last read.
+	readAt time.Time
+	mutex  sync.Mutex
 	// writing holds the entries whose status is being stored, and triedAt the time of the last attempt.
 	writing map[string]bool
 	triedAt map[string]time.Time
@@ -82,9 +86,11 @@
 
 // Step judges the new releases and, on the holder, moves the roll-outs on.
 func (d *Duty) Step(ctx context.Context, now time.Time) {
-	if !d.Board.HasEntries() {
+	isOpen := len(d.Board.Orders()) > 0
+	if !d.Board.HasEntries() || !isOpen && now.Sub(d.readAt) < decidedInterval {
 		return
 	}
+	d.readAt = now
 	d.Board.SetServers(d.servers())
 	d.Board.Judge(now)
 	grant, held := d.Keeper.Held(d.LeaseClock())
--- a/pkg/lrcanary/fleet_faults_test.go
+++ b/pkg/lrcanary/fleet_faults_test.go
@@ -186,6 +186,7 @@
 		badAt := time.Duration(random.Int64N(int64(duration / 2)))
 		f := newTestFleet(seed, 3+random.IntN(12), failing(0.2+0.8*random.Float64(), after(badAt)))
 		f.perSecond = 20 + 1000*random.Float64()
+		f.gossipDelay = 200*time.Millisecond + time.Duration(random.Int64N(int64(time.Second)))
 		f.run(time.Second)
 		f.order("v2", duration)
 		all := faults()
--- a/pkg/lrcanary/fleet_test.go
+++ b/pkg/lrcanary/fleet_test.go
@@ -8,9 +8,7 @@
 )
 
 const (
-	tick = 50 * time.Millisecond
-	// gossipDelay is the age of what instances know of one another.
-	gossipDelay = 400 * time.Millisecond
+	tick        = 50 * time.Millisecond
 	testService = "s"
 	exposure    = 0.1
 	slack       = 50
@@ -22,13 +20,15 @@
 
 // testFleet is a deployment without a network: instances that share one service, its servers and a store.
 type testFleet struct {
-	random  *rand.Rand
-	now     time.Time
-	ordered time.Time
-	entry   Entry
-	hasSpec bool
-	servers []Server
-	answer  answerOf
+	random *rand.Rand
+	// gossipDelay is the age of what instances know of one another.
+	gossipDelay time.Duration
+	now         time.Time
+	ordered     time.Time
+	entry       Entry
+	hasSpec     bool
+	servers     []Server
+	answer      answerOf
 	// perSecond is the number of requests a second of all instances.
 	perSecond float64
 	boards    []*Board
@@ -71,7 +71,7 @@
 
 func newTestFleet(seed uint64, instances int, answer answerOf) *testFleet {
 	f := &testFleet{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), answer: answer, perSecond: 600, fence: 1, ended: Evidence{},
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), gossipDelay: 400 * time.Millisecond, answer: answer, perSecond: 600, fence: 1, ended: Evidence{},
 		dead: map[int]bool{}, side: func(int) int { return 0 }, load: map[string]int{},
 	}
 	for range instances {
@@ -155,7 +155,7 @@
 	}
 }
 
-// tell passes on what instances of the same side said gossipDelay ago.
+// tell passes on what instances of the same side said f.gossipDelay ago.
 func (f *testFleet) tell() {
 	t := told{at: f.now, ended: Evidence{}}
 	t.ended.Add(f.ended)
@@ -167,10 +167,10 @@
 		t.news, t.gauges, t.evidence = append(t.news, b.News(f.now)), append(t.gauges, b.Gauges(f.now)), append(t.evidence, b.Own())
 	}
 	f.told = append(f.told, t)
-	for len(f.told) > 1 && f.now.Sub(f.told[1].at) >= gossipDelay {
+	for len(f.told) > 1 && f.now.Sub(f.told[1].at) >= f.gossipDelay {
 		f.told = f.told[1:]
 	}
-	if f.now.Sub(f.told[0].at) < gossipDelay {
+	if f.now.Sub(f.told[0].at) < f.gossipDelay {
 		return
 	}
 	for side := range 2 {
--- a/pkg/lrsettings/parse.go
+++ b/pkg/lrsettings/parse.go
@@ -30,6 +30,9 @@
 	return settings, parser.mistakes
 }
 
+// sectionRollouts is the name of the section of Rollouts.
+const sectionRollouts = "rollouts"
+
 type parser struct {
 	source   string
 	mistakes []error
@@ -77,8 +80,8 @@
 }
 
 func (p *parser) parseFloat(section string, key *ini.Key, field reflect.Value) {
-	if key.String() == "" {
-		// Deployments without a value for a placeholder of the template leave it empty.
+	if section == sectionRollouts && key.String() == "" {
+		// The platform leaves the value empty in deployments without roll-outs.
 		return
 	}
 	value, err := key.Float64()
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -36,6 +36,7 @@
 		{name: "stream", measure: measureStream},
 		{name: "gateway", measure: measureGateway},
 		{name: "paid", measure: measurePaid},
+		{name: "release", measure: measureRelease},
 	}
 }
 
