--- a/pkg/lrcanary/fleet_faults_test.go
+++ b/pkg/lrcanary/fleet_faults_test.go
@@ -208,3 +208,42 @@
 		t.Fatalf("got %v, want %v", got, want)
 	}
 }
+
+// TestShareHoldsWithoutMessages guards against a share that depends on what instances tell one another, on their number, or on restarts: until
+// the traffic moves, an undetected bad release gets no more than its share.
+func TestShareHoldsWithoutMessages(t *testing.T) {
+	for _, instances := range []int{3, 85, 420} {
+		for seed := range uint64(5) {
+			random := rand.New(rand.NewPCG(seed, 11))
+			order := Entry{Name: testService, To: "v2", Duration: duration, Revision: 1}
+			start := time.Unix(1000, 0)
+			newBoard := func() *Board {
+				b := NewBoard(Options{ExposureShare: exposure, Random: random.Float64})
+				b.SetServers(map[string][]Server{testService: {{ID: "old", Release: "v1"}, {ID: "new", Release: "v2"}}})
+				b.SetEntries(start, map[string]Entry{testService: order})
+				b.Merge(start, []News{{Order: order.Order(), Stage: Observing, HasHolder: true}})
+				return b
+			}
+			boards := make([]*Board, instances)
+			for n := range boards {
+				boards[n] = newBoard()
+			}
+			toNew := 0
+			for sent := 1; sent <= 8000; sent++ {
+				n := random.IntN(instances)
+				if random.IntN(20) == 0 {
+					boards[n] = newBoard()
+				}
+				if boards[n].Assign(start, testService, true).IsNew {
+					toNew++
+				}
+				if allowed := exposure*float64(sent) + slack; float64(toNew) > allowed {
+					t.Fatalf("%d instances, seed %d: %d of %d, %.0f are allowed", instances, seed, toNew, sent, allowed)
+				}
+			}
+			if toNew < 400 {
+				t.Errorf("%d instances, seed %d: only %d of 8000", instances, seed, toNew)
+			}
+		}
+	}
+}
