--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -30,9 +30,11 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpipeline"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrrelease"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcanary"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
@@ -50,6 +52,7 @@
 	feedDesired   = "wanted"
 	feedInstances = "instances"
 	feedVerdicts  = "verdicts"
+	feedRollouts  = "rollouts"
 )
 
 const (
@@ -95,6 +98,8 @@
 	kvStoreWatch *lrfleet.KVStoreWatch
 	leaseKeeper  *lrlease.Keeper
 	weights      *lrweights.Updater
+	releases     *lrcanary.Board
+	releaseDuty  *lrrelease.Duty
 	pipeline     *lrpipeline.Pipeline
 	metrics      *metrics
 	pool         *lrpeer.Pool
@@ -106,6 +111,7 @@
 	desired   *lrfleet.Follower[lrfleet.DesiredVersion]
 	instances *lrfleet.Follower[lrfleet.Instance]
 	verdicts  *lrfleet.Follower[lrquarantine.Verdict]
+	rollouts  *lrfleet.Follower[lrcanary.Entry]
 
 	supervisor *lrsupervise.Supervisor
 	// schedule is used only by keepLease.
@@ -119,12 +125,13 @@
 	// untargeted are the names of the routes without a usable target. It is used only by the follower of the routing tables.
 	untargeted []string
 	done       chan struct{}
+	startedAt  time.Time
 }
 
 // New returns a Daemon. It does nothing until Run is called.
 func New(settings lrsettings.Settings, ports Ports, clock func() time.Time, log zerolog.Logger) *Daemon {
 	d := &Daemon{
-		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), idleCloser: lrframe.NewIdleCloser(),
+		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), startedAt: clock(), idleCloser: lrframe.NewIdleCloser(),
 		process:   strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(clock().UnixNano(), 36),
 		directory: lrfleet.NewDirectory(log), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
 		notices: lrnotice.NewBoard(settings.Instance.Name), metrics: newMetrics(), supervisor: lrsupervise.New("edge", log),
@@ -138,6 +145,7 @@
 	d.wireFeeds()
 	d.wireQuarantine()
 	d.wireWeights()
+	d.wireReleases()
 	d.wireKVStores()
 	d.wireSharer()
 	d.wireCaches()
@@ -247,7 +255,7 @@
 func (d *Daemon) wireSharer() {
 	d.sharer = lrfleet.NewSharer(lrfleet.SharerDependencies{
 		Self:      d.self(),
-		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, Notices: d.notices, Responses: d.responses, KVStores: d.kvStoreWatch, Rollout: d.weights, Pool: d.pool,
+		Directory: d.directory, Balancer: d.balancer, Limiter: d.limiter, Quarantine: d.quarantine, Notices: d.notices, Responses: d.responses, KVStores: d.kvStoreWatch, Rollout: d.weights, Releases: d.releases, Pool: d.pool,
 		Feeds: d.feeds(), Go: d.supervisor.Go, Clock: d.clock, Log: d.log,
 	}, !d.settings.Instance.FirstStart)
 	d.peers = grpc.NewServer(lrpeer.ServerOptions(insecure.NewCredentials(), func(method string, value any) {
@@ -310,7 +318,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectFailures, Duration: ejectDuration, MaxDuration: maxEjectDuration, ProbeTimeout: ejectProbeTimeout,
 		}),
-		Responses: d.responses, Quarantine: d.quarantine, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Responses: d.responses, Quarantine: d.quarantine, Releases: d.releases, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 		PauseClock: lrclock.BootTime, IsStopping: d.stopping.Load,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainInterval, func(context.Context, time.Time) {
@@ -335,7 +343,7 @@
 
 // isReady reports whether the load balancer may send new connections to this instance.
 func (d *Daemon) isReady() bool {
-	return d.directory.Table() != nil && !d.draining.Load() && d.sharer.KnowsLevels(d.clock())
+	return d.directory.Table() != nil && !d.draining.Load() && d.sharer.KnowsLevels(d.clock()) && d.knowsRollouts(d.clock())
 }
 
 // Run serves until the context ends, then drains: requests in progress may finish within the drain timeout.
--- a/internal/lredge/metrics.go
+++ b/internal/lredge/metrics.go
@@ -24,6 +24,7 @@
 	orders       *prometheus.CounterVec
 	leases       *prometheus.CounterVec
 	verdicts     *prometheus.CounterVec
+	releases     *prometheus.CounterVec
 	heldBack     prometheus.Counter
 	admissions   *prometheus.CounterVec
 }
@@ -73,7 +74,10 @@
 	m.admissions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lavenderrouter_edge_admissions_total", Help: "Decisions whether a request is sent, by reason.",
 	}, []string{"route", "reason"})
-	m.registry.MustRegister(m.admissions, m.heldBack, m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
+	m.releases = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavenderrouter_edge_release_states_total", Help: "States of roll-outs of services that this instance has tried to store, by answer.",
+	}, []string{"state", "answer"})
+	m.registry.MustRegister(m.releases, m.admissions, m.heldBack, m.verdicts, m.refused, m.attempts, m.firstEvent, m.ended, m.promptTokens, m.retries, m.orders, m.leases)
 	return m
 }
 
--- a/internal/lrpipeline/admission.go
+++ b/internal/lrpipeline/admission.go
@@ -27,6 +27,7 @@
 		p.Observer.Decided(r.route.Name, string(r.decision.Reason))
 		if !r.decision.IsAccepted() {
 			p.Balancer.End(choice, false)
+			p.Releases.End(r.release)
 			p.Notices.Return(now, startedServer(server))
 			return false
 		}
--- a/pkg/lrsettings/parse.go
+++ b/pkg/lrsettings/parse.go
@@ -30,6 +30,9 @@
 	return settings, parser.mistakes
 }
 
+// sectionRollouts is the name of the section of Rollouts.
+const sectionRollouts = "rollouts"
+
 type parser struct {
 	source   string
 	mistakes []error
@@ -77,6 +80,10 @@
 }
 
 func (p *parser) parseFloat(section string, key *ini.Key, field reflect.Value) {
+	if section == sectionRollouts && key.String() == "" {
+		// The platform leaves the value empty in deployments without roll-outs.
+		return
+	}
 	value, err := key.Float64()
 	if err != nil || value < 0 {
 		p.report(section, key.Name(), "must be a number of at least 0")
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -17,6 +17,7 @@
 	Orders    Orders
 	Retries   Retries
 	Admission Admission
+	Rollouts  Rollouts
 	TLS       TLS
 	Log       Log
 }
@@ -190,6 +191,12 @@
 	Enabled bool
 }
 
+// Rollouts bounds what a bad version of a service may do while the traffic moves to it.
+type Rollouts struct {
+	// ExposureShare is the share of the requests of the service that a bad version may get.
+	ExposureShare float64
+}
+
 // TLS names certificate files. Empty names mean plain TCP.
 type TLS struct {
 	// CertFile is the certificate presented to callers.
@@ -248,6 +255,7 @@
 		},
 		Retries:   Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
 		Admission: Admission{Enabled: true},
+		Rollouts:  Rollouts{ExposureShare: 0.1},
 		Paid:      Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
 		Log:       Log{Format: "json", Level: "info", LinesPerSecond: 400},
 	}
