Hold untrusted clients within a budget of memory and connections

Cause: net/http parses a head of 16,384 bytes with 3,271 distinct names into 266 KB that it keeps and 419 KB that it allocates, with 4,089 one-letter names into 216 and 346 KB (measured with http.ReadRequest over 50 copies; 44 to 89 bytes a line). The inspection in lrframe allocated another 82 to 292 KB, the list of forwarded fields about 130 KB. Nothing bounded the number of such heads. Bodies of lavenderrouter serve were not bounded together either, nor connections, the time for a body on the platform's interface, the time for an unread answer without a deadline, the heads at the ports for operators (1 MB each) and for other instances (16 MB each).

Ruled out: the size limit alone (the heads were inside it), a limit on the number of lines alone (a single legal head may have 4,096), a limit for each address (the load balancer may be one address).

Change: - pkg/lrmemory: a Holder is the part of the budget that one connection uses. Its first 16 KB are not charged. Over the budget the heaviest connection of the heaviest address is evicted if it holds twice as much as the one that asks; otherwise the latter is refused. A request that has been read is never evicted. - internal/lrframe: each head is charged while it is read, by its bytes, lines and list elements, and as soon as it is no ordinary one for what it will cost as a whole. Refusals are 431 or 503 with Retry-After and notRun, and the connection lingers so that it is not reset. More connections than the machine has descriptors or memory for end those that wait longest for their client. parseHead allocates nothing for a line. - internal/lrclients: the limits of a process from its settings, for both interfaces and the ports for operators. - gRPC: 16 KB of header, 1,024 calls a connection, 5 s for a handshake. - Bodies have bodyTimeout on both interfaces; an answer of which a client receives no byte for stallTimeout (3 s) ends; the kernel's send buffer is 64 KB; a stream reuses the buffer of its events; trailers are dropped. - Settings memoryMB, maxDescriptors, maxHeaderLines, maxConnections, stallTimeout; an empty number in the settings file means the default. maxHeldBytes is 32 MB by default, since lavenderrouter serve now charges bodies of up to 16 MB to it, and stays 16 MB in deploy/edge.ini.tmpl. - check-mistakes.golden names the new settings.

--- a/internal/lrcommand/edge.go
+++ b/internal/lrcommand/edge.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrclients"
 	"github.com/lavenderrouter/lavenderrouter/internal/lredge"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrlog"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
@@ -33,6 +34,7 @@
 		if err != nil {
 			return err
 		}
+		lrclients.LimitHeap(settings.Instance)
 		level, err := parseLevel(settings.Log)
 		if err != nil {
 			return err
--- a/internal/lrcommand/serve.go
+++ b/internal/lrcommand/serve.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lavenderrouter/lavenderrouter"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrclients"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
@@ -30,6 +31,7 @@
 		if err != nil {
 			return err
 		}
+		lrclients.LimitHeap(settings.Instance)
 		log, err := newLogger(settings.Log, c.ErrOrStderr())
 		if err != nil {
 			return err
--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -15,8 +15,8 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrclients"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrexplain"
-	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgrant"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
@@ -70,6 +70,7 @@
 	orders       *lrorders.Controller
 	services     lrservice.Client
 	gateway      *lrgateway.Gateway
+	clients      *lrclients.Clients
 	metrics      *lrmetric.Metrics
 	recorder     *lrexplain.Recorder
 	draining     atomic.Bool
@@ -88,6 +89,8 @@
 		supervisor: lrsupervise.New("daemon", log),
 		metrics:    lrmetric.New(), recorder: lrexplain.NewRecorder(maxExplanations), done: make(chan struct{}), stopNow: make(chan struct{}),
 	}
+	d.clients = lrclients.New(settings, lrgateway.EncodeRefusal, log)
+	d.metrics.Registry.MustRegister(d.clients.Collectors()...)
 	d.wireTransports()
 	d.platform = lrplatform.NewClient(settings.Platform.URL,
 		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout), lrplatform.WithLog(log))...)
@@ -111,7 +114,7 @@
 	}
 	d.gateway = lrgateway.New(dependencies, lrgateway.Options{
 		MaxBodyBytes: s.MaxBodyBytes, BodyTimeout: s.BodyTimeout, StreamTimeout: s.StreamTimeout, WriteTimeout: s.WriteTimeout,
-		MaxConnectionsPerAccount: s.MaxConnectionsPerAccount,
+		MaxConnectionsPerAccount: s.MaxConnectionsPerAccount, Memory: d.clients.Memory(),
 	})
 	d.follower.OnChange(d.gateway.Apply)
 }
@@ -135,12 +138,12 @@
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	server := d.newServer(d.callerHandler())
-	adminServer := d.newServer(d.adminHandler())
+	server := d.withWriteTimeout(d.clients.CallersServer(d.callerHandler()))
+	adminServer := d.withWriteTimeout(d.clients.OperatorsServer(d.adminHandler()))
 	d.supervisor.Go("run", func() { _ = d.supervisor.Run(duties) })
 	d.supervisor.Go("servePeers", func() { _ = d.peers.Serve(listeners.peers) })
-	d.supervisor.Go("serveAdmin", func() { _ = adminServer.Serve(listeners.admin) })
-	callers := lrframe.NewListener(d.transports.withTLS(listeners.callers), d.settings.Server.MaxHeaderBytes)
+	d.supervisor.Go("serveAdmin", func() { _ = adminServer.Serve(d.clients.OperatorsListener(listeners.admin)) })
+	callers := d.clients.CallersListener(d.transports.withTLS(listeners.callers))
 	d.supervisor.Go("serveCallers", func() { _ = server.Serve(callers) })
 	d.log.Info().Str("address", d.settings.Instance.Address).Msg("daemon: serving")
 
@@ -175,12 +178,9 @@
 	return l, nil
 }
 
-func (d *Daemon) newServer(handler http.Handler) *http.Server {
-	s := d.settings.Server
-	return &http.Server{
-		Handler: lrframe.CloseAfterChunked(handler), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
-		WriteTimeout: s.StreamTimeout + s.WriteTimeout, ConnContext: lrframe.ConnContext,
-	}
+func (d *Daemon) withWriteTimeout(server *http.Server) *http.Server {
+	server.WriteTimeout = d.settings.Server.StreamTimeout + d.settings.Server.WriteTimeout
+	return server
 }
 
 // runExitHooks lets the components return grants and leases and leave the membership, so that other instances need not wait
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -22,6 +22,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrclients"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrclock"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrfleet"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
@@ -34,7 +35,6 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrbalance"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
-	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
@@ -115,7 +115,9 @@
 	// running is the number of requests in progress.
 	running    atomic.Int64
 	idleCloser *lrframe.IdleCloser
-	done       chan struct{}
+	// clients holds the clients of all ports for HTTP within the limits.
+	clients *lrclients.Clients
+	done    chan struct{}
 }
 
 // New returns a Daemon. It does nothing until Run is called.
@@ -125,7 +127,7 @@
 		process:   strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(clock().UnixNano(), 36),
 		directory: lrfleet.NewDirectory(log), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
 		notices: lrnotice.NewBoard(settings.Instance.Name), metrics: newMetrics(), supervisor: lrsupervise.New("edge", log),
-		pool: lrpeer.NewPool(insecure.NewCredentials()),
+		pool: lrpeer.NewPool(insecure.NewCredentials()), clients: lrclients.New(settings, ports.EncodeRefusal, log),
 	}
 	d.balancer = lrbalance.New(lrbalance.Options{
 		PrefillPerMilli: float64(settings.Routing.PrefillPerSecond) / 1000, Zone: settings.Instance.Zone, Seed: uint64(clock().UnixNano()),
@@ -140,6 +142,7 @@
 	d.wirePipeline()
 	d.registerGauges()
 	d.metrics.registry.MustRegister(ports.Collectors...)
+	d.metrics.registry.MustRegister(d.clients.Collectors()...)
 	for name, duty := range ports.Duties {
 		d.supervisor.Add(name, duty)
 	}
@@ -298,7 +301,7 @@
 		Ejector: lrretry.NewEjector(lrretry.EjectorOptions{
 			Failures: ejectFailures, Duration: ejectDuration, MaxDuration: maxEjectDuration, ProbeTimeout: ejectProbeTimeout,
 		}),
-		Quarantine: d.quarantine, Notices: d.notices, Stores: d.kvStoreWatch, Memory: lrmemory.NewBudget(d.settings.Server.MaxHeldBytes), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
+		Quarantine: d.quarantine, Notices: d.notices, Stores: d.kvStoreWatch, Memory: d.clients.Memory(), Backend: d.ports.Backend, Instances: d.sharer.Instances, Observer: d.metrics, Log: d.log, Clock: d.clock,
 		PauseClock: lrclock.BootTime, IsStopping: d.stopping.Load,
 	})
 	d.supervisor.Add("retainConnections", lrsupervise.Every(retainInterval, func(context.Context, time.Time) {
@@ -337,13 +340,13 @@
 	defer stop()
 	d.supervisor.Go("run", func() { _ = d.supervisor.Run(duties) })
 	d.supervisor.Go("servePeers", func() { _ = d.peers.Serve(l.peers) })
-	admin := &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: d.settings.Server.HeaderTimeout}
-	d.supervisor.Go("serveAdmin", func() { _ = admin.Serve(l.admin) })
+	admin := d.clients.OperatorsServer(d.adminHandler())
+	d.supervisor.Go("serveAdmin", func() { _ = admin.Serve(d.clients.OperatorsListener(l.admin)) })
 	if l.metrics != nil {
-		d.supervisor.Go("serveMetrics", func() { _ = admin.Serve(l.metrics) })
+		d.supervisor.Go("serveMetrics", func() { _ = admin.Serve(d.clients.OperatorsListener(l.metrics)) })
 	}
 	server := d.callerServer()
-	callers := lrframe.NewListener(l.callers, d.settings.Server.MaxHeaderBytes)
+	callers := d.clients.CallersListener(l.callers)
 	d.supervisor.Go("serveCallers", func() { _ = server.Serve(callers) })
 	d.log.Info().Str("address", d.settings.Instance.Address).Str("process", d.process).Msg("edge: started")
 	<-ctx.Done()
@@ -366,10 +369,13 @@
 		}
 		return table.Spec().Limits.MaxBodyBytes
 	})
-	return &http.Server{
-		Handler: lrframe.CloseAfterChunked(d.closeWhileDraining(handler)), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout,
-		MaxHeaderBytes: s.MaxHeaderBytes, ConnContext: lrframe.ConnContext, ConnState: d.idleCloser.ConnState,
+	server := d.clients.CallersServer(d.closeWhileDraining(handler))
+	track := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		track(c, state)
+		d.idleCloser.ConnState(c, state)
 	}
+	return server
 }
 
 type listeners struct{ callers, admin, metrics, peers net.Listener }
--- a/internal/lredge/ports.go
+++ b/internal/lredge/ports.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrquarantine"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrtable"
 )
@@ -46,6 +47,8 @@
 	Collectors []prometheus.Collector
 	// Duties are the background tasks of the ports, by name.
 	Duties map[string]lrsupervise.Duty
+	// EncodeRefusal returns the body of a refusal that is written before a request reaches the handler.
+	EncodeRefusal func(refusal *lrerror.Error) []byte
 	// Handler returns the HTTP handler for callers.
 	Handler func(pipeline *lrpipeline.Pipeline, maxBody func() int64) http.Handler
 }
--- a/internal/lrframe/head.go
+++ b/internal/lrframe/head.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -25,40 +26,77 @@
 	contentLength int64
 }
 
-// parseHead parses a complete head, including its blank line.
+// The headers that may occur once only, in the order of head counts.
+const (
+	authorization = iota
+	contentLength
+	transferEncoding
+	host
+	idempotencyKey
+	singleHeaders
+)
+
+func singleNames() [singleHeaders]string {
+	return [singleHeaders]string{"authorization", "content-length", "transfer-encoding", "host", "idempotency-key"}
+}
+
+// parseHead parses a complete head, including its blank line. It allocates no memory for the lines, since their number is the choice of the
+// client.
 func parseHead(data []byte) head {
-	lines := strings.Split(strings.TrimSuffix(string(data), "\n"), "\n")
-	counts := map[string]int{}
+	var counts [singleHeaders]int
 	var parsed head
-	for n, l := range lines {
-		line, terminated := strings.CutSuffix(l, "\r")
-		if !terminated {
-			return head{violation: "a line ends without CR LF"}
-		}
-		if strings.ContainsFunc(line, isControl) {
-			return head{violation: "a header holds a control character"}
+	rest, found := bytes.TrimSuffix(data, []byte("\n")), true
+	for n := 0; found; n++ {
+		var l []byte
+		l, rest, found = bytes.Cut(rest, []byte("\n"))
+		line, terminated := bytes.CutSuffix(l, []byte("\r"))
+		if violation := lineViolation(line, terminated); violation != "" {
+			return head{violation: violation}
 		}
-		if strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t") {
-			return head{violation: "a header is folded over several lines"}
+		name, value, hasName := bytes.Cut(line, []byte(":"))
+		if n == 0 || !hasName {
+			continue
 		}
-		name, value, found := strings.Cut(line, ":")
-		if n == 0 || !found {
+		single := singleIndex(name)
+		if single < 0 {
 			continue
 		}
-		name = strings.ToLower(name)
-		counts[name]++
-		if name == "content-length" {
-			parsed.contentLength, parsed.violation = parseLength(strings.TrimSpace(value))
+		counts[single]++
+		if single == contentLength {
+			parsed.contentLength, parsed.violation = parseLength(string(bytes.TrimSpace(value)))
 		}
 		if parsed.violation != "" {
 			return parsed
 		}
 	}
-	parsed.chunked = counts["transfer-encoding"] > 0
+	parsed.chunked = counts[transferEncoding] > 0
 	parsed.violation = violationOf(counts)
 	return parsed
 }
 
+func lineViolation(line []byte, terminated bool) string {
+	switch {
+	case !terminated:
+		return "a line ends without CR LF"
+	case slices.ContainsFunc(line, isControl):
+		return "a header holds a control character"
+	case bytes.HasPrefix(line, []byte(" ")) || bytes.HasPrefix(line, []byte("\t")):
+		return "a header is folded over several lines"
+	default:
+		return ""
+	}
+}
+
+// singleIndex returns the index of the header among those that may occur once only, or -1.
+func singleIndex(name []byte) int {
+	for n, single := range singleNames() {
+		if len(name) == len(single) && strings.EqualFold(string(name), single) {
+			return n
+		}
+	}
+	return -1
+}
+
 func parseLength(value string) (int64, string) {
 	length, err := strconv.ParseUint(value, 10, 63)
 	if err != nil || strings.HasPrefix(value, "+") {
@@ -67,20 +105,20 @@
 	return int64(length), ""
 }
 
-func violationOf(counts map[string]int) string {
-	for _, single := range []string{"authorization", "content-length", "transfer-encoding", "host", "idempotency-key"} {
-		if counts[single] > 1 {
+func violationOf(counts [singleHeaders]int) string {
+	for n, single := range singleNames() {
+		if counts[n] > 1 {
 			return "there is more than one " + single + " header"
 		}
 	}
-	if counts["content-length"] > 0 && counts["transfer-encoding"] > 0 {
+	if counts[contentLength] > 0 && counts[transferEncoding] > 0 {
 		return "both Content-Length and Transfer-Encoding are given"
 	}
 	return ""
 }
 
-func isControl(r rune) bool {
-	return r <= lastControl && r != '\t' || r == 0x7f
+func isControl(b byte) bool {
+	return b <= lastControl && b != '\t' || b == 0x7f
 }
 
 // headEnd returns the length of the head at the start of the data, or -1 if the head is incomplete. The caller knows that the head
--- a/internal/lrframe/listener.go
+++ b/internal/lrframe/listener.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
-	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 )
 
 // netHTTPSlack is the number of bytes beyond MaxHeaderBytes that net/http reads before it answers with status 431.
@@ -12,48 +17,28 @@
 
 type listener struct {
 	net.Listener
-	maxHead int
-}
-
-type conn struct {
-	net.Conn
-	inspector inspector
-	idle      idleState
+	gate *Gate
 }
 
 type contextKey struct{}
 
 // NewListener returns a listener whose connections are inspected. A head may have up to maxHeaderBytes bytes.
 func NewListener(l net.Listener, maxHeaderBytes int) net.Listener {
-	return &listener{Listener: l, maxHead: maxHeaderBytes + netHTTPSlack}
+	return NewGate(Limits{MaxHeaderBytes: maxHeaderBytes}, NewStats(zerolog.Nop())).Listener(l)
 }
 
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: accepted, inspector: inspector{maxHead: l.maxHead}, idle: idleState{acceptedAt: time.Now()}}, nil
-}
-
-// Read reads and inspects bytes of the connection.
-func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	if n > 0 && !c.idle.markActive() {
-		return 0, net.ErrClosed
-	}
-	c.inspector.inspect(data[:n])
-	return n, err
-}
-
-// CloseWrite closes the write side, so that the peer can still read the last response.
-func (c *conn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return nil
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := l.gate.admit(accepted)
+		if c != nil {
+			return c, nil
+		}
 	}
-	return half.CloseWrite()
 }
 
 // ConnContext stores the connection in the context of its requests. It is meant for the field of this name in http.Server.
@@ -75,6 +60,46 @@
 	return c.inspector.violation()
 }
 
+// NewReservation returns a reservation for the body of the request in the memory of its connection, or in the budget if the connection is
+// not inspected.
+func NewReservation(ctx context.Context, budget *lrmemory.Budget) *lrmemory.Reservation {
+	c := connOf(ctx)
+	if c == nil {
+		return budget.NewReservation()
+	}
+	return c.holder.NewReservation()
+}
+
+// ReadBody reads the body of the request to its end, as far as the limit and the reservation allow, and reports whether it reached the end.
+// From then on the connection is not closed in favour of others. A connection that was closed before has no whole body and no error.
+func ReadBody(ctx context.Context, reservation *lrmemory.Reservation, body io.Reader, limit int) (data []byte, isWhole bool, err error) {
+	data, isWhole, err = reservation.ReadAll(body, limit)
+	c := connOf(ctx)
+	if c == nil {
+		return data, isWhole, err
+	}
+	switch {
+	case errors.Is(err, errRefused):
+		return data, false, nil
+	case err != nil || !isWhole:
+		return data, isWhole, err
+	default:
+		return data, c.holder.Pin(), nil
+	}
+}
+
+// LingerOnClose makes the end of the connection of the request wait a moment for what the client is still sending. Without it, the
+// client may lose the answer with a reset.
+func LingerOnClose(ctx context.Context) {
+	c := connOf(ctx)
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lingers = c.reason != reasonConnections
+}
+
 // ResetOnClose makes the connection of the request end with a TCP reset. An HTTP/1.0 client takes any other end of a response without a
 // length for its regular end.
 func ResetOnClose(ctx context.Context) {
@@ -82,6 +107,9 @@
 	if !ok {
 		return
 	}
+	c.mutex.Lock()
+	c.lingers = false
+	c.mutex.Unlock()
 	lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if ok {
 		// SetLinger fails only if the connection has already ended.
--- a/internal/lrgateway/call.go
+++ b/internal/lrgateway/call.go
@@ -1,10 +1,8 @@
 package lrgateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -186,20 +184,6 @@
 	c.explanation.OutputTokens = result.OutputTokens
 }
 
-// readBody reads the whole body of the request. A body above the limit, in bytes, is an error.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	var buffer bytes.Buffer
-	_, err := io.Copy(&buffer, http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, lrerror.New(lrerror.KindBodyTooLarge, lrerror.NotRun, "the body is above %d bytes; send a shorter one", limit)
-	}
-	if err != nil {
-		return nil, lrerror.New(lrerror.KindBadRequest, lrerror.NotRun, "the body did not arrive whole; send it again").WithCause(err)
-	}
-	return buffer.Bytes(), nil
-}
-
 // preferCause returns the error with which the gateway canceled the context, if there is one, and err otherwise. The outcome is
 // always that of err.
 func preferCause(ctx context.Context, err error) error {
--- a/internal/lrgateway/framing_guard.go
+++ b/internal/lrgateway/framing_guard.go
@@ -13,6 +13,11 @@
 type framingGuard struct{}
 
 func (*framingGuard) Check(_ time.Time, call *Call) error {
+	refusal := lrframe.Refusal(call.Request.Context())
+	if refusal != nil {
+		call.writer.Header().Set("Connection", "close")
+		return refusal
+	}
 	violation := lrframe.Violation(call.Request.Context())
 	for _, name := range []string{"Authorization", HeaderIdempotencyKey} {
 		if len(call.Request.Header.Values(name)) > 1 {
--- a/internal/lrgateway/gateway.go
+++ b/internal/lrgateway/gateway.go
@@ -7,6 +7,7 @@
 package lrgateway
 
 import (
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrqueue"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrretry"
 )
@@ -75,6 +77,8 @@
 	WriteTimeout time.Duration
 	// MaxConnectionsPerAccount limits the concurrent requests of one client account on this instance. 0 means no limit.
 	MaxConnectionsPerAccount int
+	// Memory is the budget for request bodies. Nil means no bound.
+	Memory *lrmemory.Budget
 }
 
 // A Gateway is the HTTP handler for callers.
@@ -96,6 +100,9 @@
 	if dependencies.Ejector == nil {
 		dependencies.Ejector = lrretry.DefaultEjector()
 	}
+	if options.Memory == nil {
+		options.Memory = lrmemory.NewBudget(math.MaxInt)
+	}
 	g := &Gateway{Dependencies: dependencies, options: options, guards: DefaultGuards(options), activeCalls: newActiveCalls(), router: mux.NewRouter()}
 	g.guards = withFreshness(g.guards, dependencies.Freshness)
 	g.router.UseEncodedPath()
--- a/internal/lrgateway/guard.go
+++ b/internal/lrgateway/guard.go
@@ -1,13 +1,16 @@
 package lrgateway
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrconfig"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 )
 
 // A Guard checks one condition that a call must meet to be served. Guards run in order, before anything is sent to a backend
@@ -23,8 +26,8 @@
 		&authenticationGuard{},
 		&accountGuard{},
 		newConnectionGuard(options.MaxConnectionsPerAccount),
-		&bodyGuard{maxBytes: options.MaxBodyBytes, timeout: options.BodyTimeout},
-		&leakGuard{maxBytes: options.MaxBodyBytes},
+		&bodyGuard{maxBytes: options.MaxBodyBytes, timeout: options.BodyTimeout, memory: options.Memory},
+		&leakGuard{maxBytes: options.MaxBodyBytes, memory: options.Memory},
 	}
 }
 
@@ -105,16 +108,48 @@
 type bodyGuard struct {
 	maxBytes int64
 	timeout  time.Duration
+	memory   *lrmemory.Budget
 }
 
 func (b *bodyGuard) Check(now time.Time, call *Call) error {
 	controller := http.NewResponseController(call.writer)
 	_ = controller.SetReadDeadline(now.Add(b.timeout))
-	body, err := readBody(call.writer, call.Request, b.maxBytes)
+	body, err := b.read(call)
 	if err != nil {
+		// Some of the body may be unread.
+		call.writer.Header().Set("Connection", "close")
+		lrframe.LingerOnClose(call.Request.Context())
 		return err
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	call.Body = body
 	return nil
 }
+
+// read reads the whole body of the request.
+func (b *bodyGuard) read(call *Call) ([]byte, error) {
+	r := call.Request
+	if r.Body == http.NoBody {
+		return nil, nil
+	}
+	reservation := lrframe.NewReservation(r.Context(), b.memory)
+	call.addCleanup(reservation.Release)
+	body, isWhole, err := lrframe.ReadBody(r.Context(), reservation, http.MaxBytesReader(call.writer, r.Body, b.maxBytes), int(b.maxBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, lrerror.New(lrerror.KindBodyTooLarge, lrerror.NotRun, "the body is above %d bytes; send a shorter one", b.maxBytes)
+	case err != nil:
+		return nil, lrerror.New(lrerror.KindBadRequest, lrerror.NotRun, "the body did not arrive whole; send it again").WithCause(err)
+	case !isWhole:
+		return nil, memoryUsedUp()
+	default:
+		// Trailers are not forwarded, and a client may send many of them.
+		r.Trailer = nil
+		return body, nil
+	}
+}
+
+func memoryUsedUp() *lrerror.Error {
+	return lrerror.New(lrerror.KindOverloaded, lrerror.NotRun, "this instance holds as many bytes as it may; try again").WithRetryAfter(connectionRetryAfter)
+}
--- a/internal/lrgateway/leak_guard.go
+++ b/internal/lrgateway/leak_guard.go
@@ -3,17 +3,19 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 	"time"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrframe"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrerror"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrkey"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 )
 
 // leakGuard refuses a call that contains text in the form of a key in a place from which it cannot be removed before the call is
 // forwarded. Whether the key is valid does not matter, as this instance may not have received the key yet.
 type leakGuard struct {
 	maxBytes int64
+	memory   *lrmemory.Budget
 }
 
 func (l *leakGuard) Check(_ time.Time, call *Call) error {
@@ -23,7 +25,9 @@
 			return keyExposed()
 		}
 	}
-	decoded, err := l.decodedBody(r.Header.Values("Content-Encoding"), call.Body)
+	reservation := lrframe.NewReservation(r.Context(), l.memory)
+	defer reservation.Release()
+	decoded, err := l.decodedBody(reservation, r.Header.Values("Content-Encoding"), call.Body)
 	if err != nil {
 		return err
 	}
@@ -35,7 +39,7 @@
 
 // decodedBody returns the body, decompressed if needed, so that it can be searched for keys. A decompressed body above maxBytes
 // and any encoding but gzip are errors.
-func (l *leakGuard) decodedBody(encodings []string, body []byte) ([]byte, error) {
+func (l *leakGuard) decodedBody(reservation *lrmemory.Reservation, encodings []string, body []byte) ([]byte, error) {
 	if len(encodings) == 0 || len(body) == 0 {
 		return body, nil
 	}
@@ -46,11 +50,13 @@
 	if err != nil {
 		return nil, badRequest("the body is not valid gzip; send it without Content-Encoding").WithCause(err)
 	}
-	decoded, err := io.ReadAll(io.LimitReader(reader, l.maxBytes+1))
-	if err != nil {
+	decoded, isWhole, err := reservation.ReadAll(reader, int(l.maxBytes))
+	switch {
+	case err != nil:
 		return nil, badRequest("the body is not valid gzip; send it without Content-Encoding").WithCause(err)
-	}
-	if int64(len(decoded)) > l.maxBytes {
+	case !isWhole && int64(len(decoded)) <= l.maxBytes:
+		return nil, memoryUsedUp()
+	case !isWhole:
 		return nil, lrerror.New(lrerror.KindBodyTooLarge, lrerror.NotRun, "the body is above %d bytes; send a shorter one", l.maxBytes)
 	}
 	return decoded, nil
--- a/internal/lrgateway/write_error.go
+++ b/internal/lrgateway/write_error.go
@@ -26,6 +26,15 @@
 	}}
 }
 
+// EncodeRefusal returns the body of a refusal of a request that has no identifier, since it was not read.
+func EncodeRefusal(refusal *lrerror.Error) []byte {
+	data, err := json.Marshal(newErrorBody("", refusal))
+	if err != nil {
+		return []byte("{}")
+	}
+	return data
+}
+
 func writeError(w http.ResponseWriter, requestID string, failure *lrerror.Error) {
 	if failure.RetryAfter() > 0 {
 		seconds := int(math.Ceil(failure.RetryAfter().Seconds()))
--- a/internal/lrpeer/pool.go
+++ b/internal/lrpeer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -11,12 +12,22 @@
 // bufferBytes is the size of each read and write buffer of a connection. It is small since messages between instances are.
 const bufferBytes = 4 << 10
 
+const (
+	// maxHeaderListBytes bounds the header of a call, for which gRPC otherwise allows 16 MB. Calls between instances have a few hundred bytes.
+	maxHeaderListBytes = 16 << 10
+	// maxCallsPerConnection bounds the calls that one connection may have open at a time.
+	maxCallsPerConnection = 1024
+	// handshakeTimeout bounds how long a connection may take until it is ready for calls.
+	handshakeTimeout = 5 * time.Second
+)
+
 // ServerOptions returns the options of the gRPC server for other instances. The callback receives the method and value of
 // each panic in a handler.
 func ServerOptions(transport credentials.TransportCredentials, panicked func(method string, value any)) []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.Creds(transport), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
-		grpc.UnaryInterceptor(recovery(panicked)),
+		grpc.UnaryInterceptor(recovery(panicked)), grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.MaxConcurrentStreams(maxCallsPerConnection), grpc.ConnectionTimeout(handshakeTimeout),
 	}
 }
 
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -131,7 +131,7 @@
 
 // An EventReader reads the events of a stream.
 type EventReader interface {
-	// Next returns the next complete event. It returns io.EOF only when the stream is complete.
+	// Next returns the next complete event, whose bytes are valid until the next call. It returns io.EOF only when the stream is complete.
 	Next() (Event, error)
 }
 
--- a/pkg/lrerror/kind.go
+++ b/pkg/lrerror/kind.go
@@ -23,6 +23,7 @@
 	KindModelNotFound       = Kind{"modelNotFound", http.StatusNotFound}
 	KindConflict            = Kind{"conflict", http.StatusConflict}
 	KindBodyTooLarge        = Kind{"bodyTooLarge", http.StatusRequestEntityTooLarge}
+	KindHeaderTooLarge      = Kind{"headerTooLarge", http.StatusRequestHeaderFieldsTooLarge}
 	KindIdempotencyMismatch = Kind{"idempotencyMismatch", http.StatusUnprocessableEntity}
 	KindRateLimited         = Kind{"rateLimited", http.StatusTooManyRequests}
 	KindOverloaded          = Kind{"overloaded", http.StatusServiceUnavailable}
--- a/pkg/lrmemory/budget.go
+++ b/pkg/lrmemory/budget.go
@@ -15,10 +15,16 @@
 type Budget struct {
 	mutex     sync.Mutex
 	available int
+	// charged are the holders that use more than their allotment.
+	charged map[*Holder]bool
+	// evicting is the number of bytes that evicted holders have not released yet.
+	evicting int
+	// changed is closed when bytes have been released. It is nil while no holder waits.
+	changed chan struct{}
 }
 
-// NewBudget returns a Room of the given number of bytes.
-func NewBudget(bytes int) *Budget { return &Budget{available: bytes} }
+// NewBudget returns a budget of the given number of bytes.
+func NewBudget(bytes int) *Budget { return &Budget{available: bytes, charged: map[*Holder]bool{}} }
 
 // Available returns the number of bytes that are not reserved.
 func (r *Budget) Available() int {
@@ -37,19 +43,44 @@
 		return false
 	}
 	r.available -= bytes
+	if bytes < 0 {
+		r.notify()
+	}
 	return true
 }
 
 // A Reservation is the reservation of one request. It is not safe for concurrent use.
 type Reservation struct {
-	budget   *Budget
+	budget *Budget
+	// holder is the connection that the bytes are counted for. It is nil if they are charged to the budget alone.
+	holder   *Holder
 	reserved int
 }
 
+// Take reserves further bytes and reports whether it could.
+func (h *Reservation) Take(bytes int) bool {
+	isTaken := false
+	if h.holder != nil {
+		isTaken = h.holder.Take(bytes)
+	} else {
+		isTaken = h.budget.take(bytes)
+	}
+	if isTaken {
+		h.reserved += bytes
+	}
+	return isTaken
+}
+
 // Release returns all reserved bytes to the budget. The data that was read must not be used afterwards.
-func (h *Reservation) Release() {
-	h.budget.take(-h.reserved)
-	h.reserved = 0
+func (h *Reservation) Release() { h.giveBack(h.reserved) }
+
+func (h *Reservation) giveBack(bytes int) {
+	if h.holder != nil {
+		h.holder.Release(bytes)
+	} else {
+		h.budget.take(-bytes)
+	}
+	h.reserved -= bytes
 }
 
 // ReadAll reads to the end of the reader, as far as the limit in bytes and the budget allow, and reports whether it
@@ -59,10 +90,15 @@
 		if len(data) == cap(data) {
 			// One byte more than the limit distinguishes content that ends at the limit from longer content.
 			size := min(max(2*cap(data), initialReservation), limit+1)
-			if len(data) > limit || !h.budget.take(size-cap(data)) {
+			if limit-size < size/4 {
+				// A further step for the last bytes would need as much again.
+				size = limit + 1
+			}
+			// Both buffers exist while the bytes are copied.
+			if len(data) > limit || !h.Take(size) {
 				return data, false, nil
 			}
-			h.reserved += size - cap(data)
+			h.giveBack(cap(data))
 			data = append(make([]byte, 0, size), data...)
 		}
 		n, err := reader.Read(data[len(data):cap(data)])
--- a/pkg/lrsettings/parse.go
+++ b/pkg/lrsettings/parse.go
@@ -60,6 +60,10 @@
 			lrconfig.Suggest(key.Name(), fieldNames(target)), strings.Join(fieldNames(target), ", "))
 		return
 	}
+	if key.String() == "" && field.Kind() != reflect.String && field.Kind() != reflect.Slice {
+		// The platform leaves a value empty that it does not have.
+		return
+	}
 	switch field.Interface().(type) {
 	case string:
 		field.SetString(key.String())
@@ -125,11 +129,35 @@
 	p.checkAddress("address", s.Instance.Address)
 	p.checkAddress("adminAddress", s.Instance.AdminAddress)
 	p.checkAddress("peerAddress", s.Instance.PeerAddress)
+	p.checkClientLimits(s)
 	if s.Log.Format != "json" && s.Log.Format != "console" {
 		p.report("log", "format", "must be json or console")
 	}
 }
 
+// Least values of the limits of clients. Below them ordinary requests would be refused.
+const (
+	minHeldBytes   = 64 << 10
+	minHeaderLines = 64
+	minConnections = 8
+)
+
+func (p *parser) checkClientLimits(s Settings) {
+	if s.Server.MaxHeldBytes < minHeldBytes {
+		p.report("server", "maxHeldBytes", "must be at least %d", minHeldBytes)
+	}
+	if s.Server.MaxHeaderLines > 0 && s.Server.MaxHeaderLines < minHeaderLines {
+		p.report("server", "maxHeaderLines", "must be 0 or at least %d", minHeaderLines)
+	}
+	if s.Server.MaxConnections > 0 && s.Server.MaxConnections < minConnections {
+		p.report("server", "maxConnections", "must be 0 or at least %d", minConnections)
+	}
+	half := int(s.Instance.MemoryMB * (1 << 20) / 2)
+	if half > 0 && s.Server.MaxHeldBytes > half {
+		p.report("server", "maxHeldBytes", "is more than half of memoryMB; lower it to %d at most", half)
+	}
+}
+
 func (p *parser) checkAddress(key, value string) {
 	_, err := netip.ParseAddrPort(value)
 	if err != nil {
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -41,6 +41,10 @@
 	// Strength is the part of a processor that the instance has. Instances with a higher value do more of the work between
 	// instances.
 	Strength float64
+	// MemoryMB is the memory of the machine in megabytes. Zero means that it is unknown.
+	MemoryMB float64
+	// MaxDescriptors is the most descriptors that the process may open. Zero means the limit of the process.
+	MaxDescriptors int
 }
 
 // Platform configures the access to the platform's object API.
@@ -79,10 +83,15 @@
 type Server struct {
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
-	// MaxHeldBytes bounds the request and response bodies that an instance on the platform holds in memory at a time.
+	// MaxHeldBytes bounds the memory for the heads and bodies of requests, and on the platform for responses, that an instance holds at a
+	// time, beyond 16 KB for each connection.
 	MaxHeldBytes int
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes int
+	// MaxHeaderLines bounds the lines of the header of a request. Zero means as many as MaxHeaderBytes can hold.
+	MaxHeaderLines int
+	// MaxConnections bounds the connections of callers. Zero means as many as the descriptors and the memory suffice for.
+	MaxConnections int
 	// HeaderTimeout bounds how long the header of a request may take to arrive.
 	HeaderTimeout time.Duration
 	// BodyTimeout bounds how long the body of a request may take to arrive.
@@ -93,6 +102,8 @@
 	StreamTimeout time.Duration
 	// WriteTimeout is the longest that a caller may take to receive one event of a stream or a whole response.
 	WriteTimeout time.Duration
+	// StallTimeout is the longest that a caller may receive no byte of a response that is ready. Zero means no bound.
+	StallTimeout time.Duration
 	// DrainDelay is the time between the end of readiness and the end of listening in a graceful shutdown.
 	DrainDelay time.Duration
 	// DrainTimeout bounds how long a graceful shutdown waits for running requests.
@@ -222,8 +233,8 @@
 		},
 		Peers: Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
-			MaxBodyBytes: 16 << 20, MaxHeldBytes: 16 << 20, MaxHeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second,
-			BodyTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, StreamTimeout: 10 * time.Minute, WriteTimeout: 10 * time.Second,
+			MaxBodyBytes: 16 << 20, MaxHeldBytes: 32 << 20, MaxHeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second,
+			BodyTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, StreamTimeout: 10 * time.Minute, WriteTimeout: 10 * time.Second, StallTimeout: 3 * time.Second,
 			DrainDelay: 2 * time.Second, DrainTimeout: time.Minute, MaxConnectionsPerAccount: 512,
 		},
 		Routing: Routing{
