--- a/internal/lrframe/conn.go
+++ b/internal/lrframe/conn.go
@@ -239,12 +239,9 @@
 // evictFor evicts the connection for the reason, unless it serves a request.
 func (c *conn) evictFor(reason string) {
 	c.mutex.Lock()
-	c.refuseLocked(reason)
-	c.mutex.Unlock()
-	if !c.holder.Evict() {
-		c.mutex.Lock()
-		c.reason = ""
-		c.mutex.Unlock()
+	defer c.mutex.Unlock()
+	if c.holder.Evict() {
+		c.refuseLocked(reason)
 	}
 }
 
