Bound the memory for answers of services and for long log lines

Cause: lavenderrouter serve buffers each answer of a plain service, up to maxBodyBytes, with no bound on all of them together. The buffer of the log holds 4,096 lines for a stalled reader, and callers choose how long a request id is.

Ruled out: a refusal with 503 for an answer that does not fit, since 503 promises that the request has not run; an ejection, since the service is not at fault. Answers to paid actions are not charged: losing one would put its action in doubt.

Change: answers of idempotent forwards are charged to maxHeldBytes; one that does not fit is answered with 502 and outcome unknown. Log lines from 2 KB on are dropped while 2 MB of them wait for the reader.

--- a/internal/lrgateway/forward.go
+++ b/internal/lrgateway/forward.go
@@ -88,6 +88,8 @@
 // forwardIdempotent tries the backend servers of the service in order until one answers. A request that a server may have run
 // is retried on the next one only if its method is safe and the retry budget allows it.
 func (g *Gateway) forwardIdempotent(ctx context.Context, call *Call, request lrservice.Request) (lrservice.Response, error) {
+	request.Memory = g.options.Memory.NewReservation()
+	call.addCleanup(request.Memory.Release)
 	g.Budget.Earn()
 	unavailable := lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
 		"no backend server of service %s can be reached; retry later", call.Route.Service)
@@ -99,6 +101,11 @@
 			g.Ejector.Succeeded(s.Name)
 			return response, nil
 		}
+		if lrservice.ErrNoMemory.Has(err) {
+			g.Ejector.Succeeded(s.Name)
+			return response, lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
+				"this instance has no memory for the answer; find out whether the request ran before sending it again").WithCause(err)
+		}
 		if !lrservice.ErrNotSent.Has(err) {
 			failure = lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
 				"the service failed after it had received the request; find out whether it ran before sending it again").WithCause(err)
--- a/internal/lrlog/logger.go
+++ b/internal/lrlog/logger.go
@@ -25,10 +25,13 @@
 // function writes the lines that are still buffered and closes the logger. A line reports how many others were omitted.
 func New(output io.Writer, level zerolog.Level, linesPerSecond int, clock func() time.Time) (zerolog.Logger, func()) {
 	direct := zerolog.New(output).With().Timestamp().Logger()
-	ring := diode.NewWriter(output, ringLines, ringPollInterval, func(dropped int) {
+	long := &longLines{}
+	ring := diode.NewWriter(lineWriter{output: output, long: long}, ringLines, ringPollInterval, func(dropped int) {
+		long.reset()
 		direct.Warn().Int("lines", dropped).Msg("log: lines were lost, the reader is too slow")
 	})
-	log := zerolog.New(ring).Level(level).Hook(timestampHook{clock: clock})
+	long.next = ring
+	log := zerolog.New(long).Level(level).Hook(timestampHook{clock: clock})
 	limiter := newLineLimiter(linesPerSecond, clock, func(omitted int) {
 		log.Warn().Int("lines", omitted).Msg("log: lines were left out, see linesPerSecond")
 	})
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -7,11 +7,14 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 )
 
 const (
@@ -27,6 +30,8 @@
 	ErrNotSent = errs.Class("service: not sent")
 	// ErrUnknown means that the service may have received the request.
 	ErrUnknown = errs.Class("service: outcome unknown")
+	// ErrNoMemory means that the service has answered, but the memory for its answer is used up.
+	ErrNoMemory = errs.Class("service: no memory for the answer")
 )
 
 // A Request is one call to a plain service.
@@ -38,6 +43,8 @@
 	Body   []byte
 	// SendBefore is the send deadline: the first byte is sent before this time or never. Zero means no deadline.
 	SendBefore time.Time
+	// Memory is charged for the body of the answer. Nil means no bound but the size of one answer.
+	Memory *lrmemory.Reservation
 }
 
 // A Response is the complete answer of a plain service.
@@ -82,12 +89,18 @@
 		return Response{}, classify(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBytes+1))
-	if err != nil {
-		return Response{}, ErrUnknown.Wrap(err)
+	memory := request.Memory
+	if memory == nil {
+		memory = lrmemory.NewBudget(math.MaxInt).NewReservation()
 	}
-	if int64(len(body)) > c.maxBytes {
+	body, isWhole, err := memory.ReadAll(response.Body, int(c.maxBytes))
+	switch {
+	case err != nil:
+		return Response{}, ErrUnknown.Wrap(err)
+	case int64(len(body)) > c.maxBytes:
 		return Response{}, ErrUnknown.New("answer is above %d bytes", c.maxBytes)
+	case !isWhole:
+		return Response{}, ErrNoMemory.New("%d bytes were read", len(body))
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer}, nil
 }
