Test slowly sent bodies and the descriptors of lavenderrouter serve

Cause: the list of faults of one class had no run for bodies that are sent slowly, and none for the descriptors of lavenderrouter serve.

Descriptors of serve: connections with nothing, one byte or an idle one held before, after 3.4 to 15.4 s (172 descriptors); with a body not sent no ordinary request was answered within 30 s.

--- a/internal/lrcluster/cluster.go
+++ b/internal/lrcluster/cluster.go
@@ -35,6 +35,8 @@
 	instances []lrplatform.Instance
 	// extraSettings is added to the settings of every instance.
 	extraSettings string
+	// maxDescriptors limits the descriptors of every instance, unless it is zero.
+	maxDescriptors int
 }
 
 // Zones returns the availability zones of every cluster.
@@ -219,7 +221,9 @@
 	if err != nil {
 		return err
 	}
-	err = c.newProcess(i.Name, "lavenderrouter", []string{"serve", "--settings", path}).start()
+	p := c.newProcess(i.Name, "lavenderrouter", []string{"serve", "--settings", path})
+	p.maxDescriptors = c.maxDescriptors
+	err = p.start()
 	if err != nil {
 		return err
 	}
--- a/internal/lrcluster/process.go
+++ b/internal/lrcluster/process.go
@@ -23,6 +23,8 @@
 	program string
 	args    []string
 	log     string
+	// maxDescriptors limits the descriptors that the process may have open. Zero leaves the limit of the parent.
+	maxDescriptors int
 	command *exec.Cmd
 	exited  chan struct{}
 	result  error
@@ -35,6 +37,11 @@
 	}
 	defer func() { _ = output.Close() }()
 	p.command = exec.Command(p.program, p.args...)
+	if p.maxDescriptors > 0 {
+		// The shell is replaced by the program.
+		script := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, p.maxDescriptors)
+		p.command = exec.Command("/bin/sh", append([]string{"-c", script, p.program}, p.args...)...)
+	}
 	p.command.Stdout, p.command.Stderr = output, output
 	err = p.command.Start()
 	if err != nil {
--- a/internal/lrframe/crowdtest/crowd.go
+++ b/internal/lrframe/crowdtest/crowd.go
@@ -13,12 +13,17 @@
 	sendTimeout = 2 * time.Second
 	// abortRounds is the number of times that a client which aborts its request sends it again.
 	abortRounds = 4
+	// pieceBytes and pieceInterval are the size of the pieces of a body that is sent slowly, and the time between them.
+	pieceBytes    = 2 << 10
+	pieceInterval = 20 * time.Millisecond
 )
 
 // A Crowd is a group of clients with one connection each.
 type Crowd struct {
 	mutex sync.Mutex
 	conns []net.Conn
+	// slow are the clients that go on sending.
+	slow sync.WaitGroup
 }
 
 // Connect opens connections to the address until the end of the test. Connections that cannot be opened are left out.
@@ -65,6 +70,22 @@
 		if kind.aborts {
 			_ = conn.Close()
 		}
+		if kind.isSlow {
+			c.slow.Go(func() { sendPieces(conn) })
+		}
+	}
+}
+
+// sendPieces sends pieces of a body until the connection is closed.
+func sendPieces(conn net.Conn) {
+	piece := make([]byte, pieceBytes)
+	for {
+		time.Sleep(pieceInterval)
+		_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+		_, err := conn.Write(piece)
+		if err != nil {
+			return
+		}
 	}
 }
 
@@ -81,6 +102,11 @@
 
 // Close closes the connections.
 func (c *Crowd) Close() {
+	c.closeAll()
+	c.slow.Wait()
+}
+
+func (c *Crowd) closeAll() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, conn := range c.conns {
--- a/internal/lrframe/crowdtest/heads.go
+++ b/internal/lrframe/crowdtest/heads.go
@@ -27,6 +27,8 @@
 	isPlain bool
 	// aborts closes each connection after it has sent its bytes, and sends the same on new connections.
 	aborts bool
+	// isSlow sends small pieces of the body one after the other, until the end of the test.
+	isSlow bool
 }
 
 const (
@@ -55,6 +57,7 @@
 		{Name: "trailers", fill: twoLetters, end: lineEnd, fields: chunked, body: "0\r\n" + lines(twoLetters, 4000)},
 		{Name: "bodies not sent", isPlain: true, end: lineEnd, fields: "Content-Length: 4194304\r\n"},
 		{Name: "bodies sent in part", isPlain: true, end: lineEnd, fields: "Content-Length: 4194304\r\n", body: strings.Repeat("x", 256<<10)},
+		{Name: "bodies sent slowly", isPlain: true, end: lineEnd, fields: "Content-Length: 4194304\r\n", isSlow: true},
 		{Name: "aborted", fill: twoLetters, end: lineEnd, fields: withLength, aborts: true},
 	}
 }
