--- a/internal/lrcluster/process.go
+++ b/internal/lrcluster/process.go
@@ -25,9 +25,9 @@
 	log     string
 	// maxDescriptors limits the descriptors that the process may have open. Zero leaves the limit of the parent.
 	maxDescriptors int
-	command *exec.Cmd
-	exited  chan struct{}
-	result  error
+	command        *exec.Cmd
+	exited         chan struct{}
+	result         error
 }
 
 func (p *process) start() error {
--- a/internal/lrframe/gate_test.go
+++ b/internal/lrframe/gate_test.go
@@ -45,7 +45,7 @@
 		if refusal == nil && r.Body != http.NoBody {
 			reservation := NewReservation(r.Context(), memory)
 			defer reservation.Release()
-			_, isWhole, err := ReadBody(r.Context(), reservation, r.Body, 4<<20)
+			_, isWhole, err := ReadBody(r, reservation, r.Body, 4<<20)
 			if err != nil || !isWhole {
 				refusal = refusalFor(reasonMemory)
 			}
--- a/internal/lrframe/listener.go
+++ b/internal/lrframe/listener.go
@@ -72,9 +72,10 @@
 
 // ReadBody reads the body of the request to its end, as far as the limit and the reservation allow, and reports whether it reached the end.
 // From then on the connection is not closed in favour of others. A connection that was closed before has no whole body and no error.
-func ReadBody(ctx context.Context, reservation *lrmemory.Reservation, body io.Reader, limit int) (data []byte, isWhole bool, err error) {
+func ReadBody(r *http.Request, reservation *lrmemory.Reservation, body io.Reader, limit int) (data []byte, isWhole bool, err error) {
+	reservation.Expect(int(max(r.ContentLength, 0)))
 	data, isWhole, err = reservation.ReadAll(body, limit)
-	c := connOf(ctx)
+	c := connOf(r.Context())
 	if c == nil {
 		return data, isWhole, err
 	}
--- a/internal/lrgateway/guard.go
+++ b/internal/lrgateway/guard.go
@@ -134,7 +134,7 @@
 	}
 	reservation := lrframe.NewReservation(r.Context(), b.memory)
 	call.addCleanup(reservation.Release)
-	body, isWhole, err := lrframe.ReadBody(r.Context(), reservation, http.MaxBytesReader(call.writer, r.Body, b.maxBytes), int(b.maxBytes))
+	body, isWhole, err := lrframe.ReadBody(r, reservation, http.MaxBytesReader(call.writer, r.Body, b.maxBytes), int(b.maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/pkg/lrmemory/budget.go
+++ b/pkg/lrmemory/budget.go
@@ -8,8 +8,13 @@
 	"sync"
 )
 
-// initialReservation is the number of bytes that ReadAll reserves first. Each further step doubles the reservation.
-const initialReservation = 4 << 10
+const (
+	// initialReservation is the number of bytes that ReadAll reserves first. Each further step doubles the reservation.
+	initialReservation = 4 << 10
+	// expectedGrowth is the factor of a step towards an expected size. The steps are few, since what is copied from one to the next is
+	// garbage, and not a single one, since a client may announce more than it sends.
+	expectedGrowth = 16
+)
 
 // A Budget is a budget of bytes that several requests share. It is safe for concurrent use.
 type Budget struct {
@@ -55,6 +60,24 @@
 	// holder is the connection that the bytes are counted for. It is nil if they are charged to the budget alone.
 	holder   *Holder
 	reserved int
+	// expected is the number of bytes that ReadAll is expected to read. Zero means that it is unknown.
+	expected int
+}
+
+// Expect sets the number of bytes that ReadAll is expected to read.
+func (h *Reservation) Expect(bytes int) { h.expected = bytes }
+
+// nextSize returns the size of the next buffer. One byte more than the expected size lets the end be seen.
+func (h *Reservation) nextSize(size, limit int) int {
+	next := max(2*size, initialReservation)
+	if size > 0 && h.expected >= size {
+		next = min(expectedGrowth*size, min(h.expected, limit)+1)
+	}
+	if limit-next < next/4 {
+		// A further step for the last bytes would need as much again.
+		next = limit + 1
+	}
+	return next
 }
 
 // Take reserves further bytes and reports whether it could.
@@ -89,11 +112,7 @@
 	for {
 		if len(data) == cap(data) {
 			// One byte more than the limit distinguishes content that ends at the limit from longer content.
-			size := min(max(2*cap(data), initialReservation), limit+1)
-			if limit-size < size/4 {
-				// A further step for the last bytes would need as much again.
-				size = limit + 1
-			}
+			size := h.nextSize(cap(data), limit)
 			// Both buffers exist while the bytes are copied.
 			if len(data) > limit || !h.Take(size) {
 				return data, false, nil
--- a/pkg/lrmemory/budget_test.go
+++ b/pkg/lrmemory/budget_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"testing"
 	"testing/iotest"
 )
@@ -44,6 +45,24 @@
 	}
 }
 
+// An expected size must neither lose bytes nor be trusted: content may be shorter or longer, and may reach the limit.
+func TestReadAllWithAnExpectedSize(t *testing.T) {
+	const limit = 200_000
+	for _, expected := range []int{1, initialReservation, 5000, 70_000, limit - 1, limit, 10 * limit, math.MaxInt} {
+		for _, size := range []int{0, 10, initialReservation, 5000, 70_000, limit, limit + 1} {
+			budget := NewBudget(3 * limit)
+			reservation := budget.NewReservation()
+			reservation.Expect(expected)
+			content := bytes.Repeat([]byte("x"), size)
+			data, isWhole, err := reservation.ReadAll(bytes.NewReader(content), limit)
+			requireTrue(t, err == nil && isWhole == (size <= limit), "expected %d, size %d: whole %v, error %v", expected, size, isWhole, err)
+			requireTrue(t, len(data) >= min(size, limit), "expected %d, size %d: %d bytes", expected, size, len(data))
+			reservation.Release()
+			requireTrue(t, budget.Available() == 3*limit, "%d bytes are available", budget.Available())
+		}
+	}
+}
+
 // TestFailedReadIsNotWhole reads from a reader that fails in the middle.
 func TestFailedReadIsNotWhole(t *testing.T) {
 	reservation := NewBudget(1 << 20).NewReservation()
--- a/pkg/lrmemory/holder_test.go
+++ b/pkg/lrmemory/holder_test.go
@@ -33,7 +33,9 @@
 	_, lightEvictions := newTestHolder(t, budget, "a", 300)
 	requireTrue(t, !budget.NewHolder("a", testAllotment, func() {}).Take(600), "a holder of like size got the bytes")
 	taken := make(chan bool)
-	go func() { taken <- budget.NewHolder("a", testAllotment, func() { t.Error("the new holder is evicted") }).Take(300) }()
+	go func() {
+		taken <- budget.NewHolder("a", testAllotment, func() { t.Error("the new holder is evicted") }).Take(300)
+	}()
 	for !heavy.IsEvicted() {
 		time.Sleep(time.Millisecond)
 	}
