Charge nothing for connections whose server does not report their state

Cause: a server that is set up with lrframe.ConnContext but without Gate.ConnState, as in the benchmark of the gateway, never ends a request for the gate, so that the list of its requests grew by an entry for each.

Change: without reports of the state only the framing is inspected, as before the limits.

Measured: the tests of lrframe and platform pass twice with the race detector; the program builds for arm64.

--- a/internal/lrframe/conn.go
+++ b/internal/lrframe/conn.go
@@ -37,6 +37,8 @@
 	gate      *Gate
 	inspector inspector
 	idle      idleState
+	// isTracked is set if the server calls Gate.ConnState. Otherwise the ends of requests are unknown, and nothing is charged for them.
+	isTracked bool
 	// holder accounts for the memory of the connection, and address is what it is grouped by.
 	holder  *lrmemory.Holder
 	address string
@@ -131,6 +133,9 @@
 func (c *conn) note(data []byte) {
 	c.inspector.inspect(data)
 	completed := c.inspector.takeCompleted()
+	if !c.isTracked {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.hasInput = c.hasInput || len(data) > 0
--- a/internal/lrframe/gate.go
+++ b/internal/lrframe/gate.go
@@ -48,7 +48,11 @@
 // ConnState tracks the connections of a server. It is meant for the field of this name in http.Server.
 func (*Gate) ConnState(c net.Conn, state http.ConnState) {
 	inspected, ok := c.(*conn)
-	if ok && state == http.StateIdle {
+	switch {
+	case !ok:
+	case state == http.StateNew:
+		inspected.isTracked = true
+	case state == http.StateIdle:
 		inspected.endRequest()
 	}
 }
