--- a/internal/lrframe/gate_test.go
+++ b/internal/lrframe/gate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -74,8 +73,8 @@
 	return c
 }
 
-// requireStatus reads an answer and checks its status. The connection must not be reset before.
-func requireStatus(t *testing.T, c net.Conn, status int) *http.Response {
+// requireStatus reads an answer, checks its status and returns its header. The connection must not be reset before.
+func requireStatus(t *testing.T, c net.Conn, status int) http.Header {
 	t.Helper()
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
@@ -85,7 +84,7 @@
 	_ = response.Body.Close()
 	requireEqual(t, err, nil)
 	requireEqual(t, response.StatusCode, status)
-	return response
+	return response.Header
 }
 
 const ordinary = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -118,7 +117,7 @@
 	first := send(t, address, headOf("/wait", 4000))
 	time.Sleep(100 * time.Millisecond)
 	refused := requireStatus(t, send(t, address, headOf("/", 4000)), http.StatusServiceUnavailable)
-	requireEqual(t, refused.Header.Get("Retry-After"), "1")
+	requireEqual(t, refused.Get("Retry-After"), "1")
 	requireStatus(t, send(t, address, ordinary), http.StatusOK)
 	release()
 	requireStatus(t, first, http.StatusOK)
@@ -205,7 +204,7 @@
 	requireStatus(t, send(t, l.Addr().String(), "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"), http.StatusOK)
 	for end := time.Now().Add(testTimeout); memory.Available() != bytes || gate.Connections() != 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal(fmt.Sprintf("%d of %d bytes are free, %d connections are open", memory.Available(), bytes, gate.Connections()))
+			t.Fatalf("%d of %d bytes are free, %d connections are open", memory.Available(), bytes, gate.Connections())
 		}
 	}
 }
