--- a/pkg/lrlimit/demand.go
+++ b/pkg/lrlimit/demand.go
@@ -81,6 +81,9 @@
 	d.offered = d.offered*decay + reported.Rate*elapsed
 	d.squares = d.squares*decay + reported.Squares*elapsed
 	d.smoothed = d.smoothed.interpolate(d.reported, math.Exp(-elapsed/demandTimeConstant.Seconds()))
+	if elapsed > ReportHorizon.Seconds() {
+		d.smoothed = reported
+	}
 	d.heardAt, d.reported, d.others = now, reported, d.smoothed
 	least := reported.Rate - riseDeviations*math.Sqrt(reported.Rate*d.size()/demandPeriod.Seconds())
 	if least > d.smoothed.Rate {
--- a/pkg/lrlimit/part.go
+++ b/pkg/lrlimit/part.go
@@ -65,6 +65,8 @@
 	paid float64
 	// wait is the time after which the part suffices for the request.
 	wait time.Duration
+	// pace is the part of the request that the part suffices for.
+	pace float64
 }
 
 // record adds to the recent use.
@@ -102,7 +104,7 @@
 	counted := min(tokens, max(p.size(), own*countedShare))
 	admission := min(pace, max(limit-recent.paid, 0)/counted)
 	return partDecision{
-		admitted: roll < admission, paid: counted * min(admission, 1),
+		admitted: roll < admission, paid: counted * min(admission, 1), pace: min(admission, 1),
 		wait: time.Duration(max(1-admission, 0) * tokens / max(p.share*bucket.rate, 1) * float64(time.Second)),
 	}
 }
--- a/pkg/lrlimit/shared.go
+++ b/pkg/lrlimit/shared.go
@@ -28,7 +28,9 @@
 	// fleet is what is known of the other instances, and withDemand the accounts for which they reported demand.
 	fleet      fleetView
 	withDemand []string
-	random     *rand.Rand
+	// inUse holds the accounts with recent requests here.
+	inUse  map[string]*sharedAccount
+	random *rand.Rand
 }
 
 type sharedAccount struct {
@@ -52,7 +54,7 @@
 func newSharedLimiter(startsFull bool, random *rand.Rand) *SharedLimiter {
 	return &SharedLimiter{
 		accounts: map[string]*sharedAccount{}, share: 1, startsFull: startsFull, fleet: fleetView{instances: 1},
-		random: random,
+		inUse: map[string]*sharedAccount{}, random: random,
 	}
 }
 
@@ -117,11 +119,13 @@
 	Rate  float64
 	Burst float64
 	Share float64
+	// Pace is the part of the demand that the level suffices for, as far as this instance knows, or one where the level is below the request.
+	Pace float64
 }
 
-// Error returns the level, the limits and the share that led to the refusal.
+// Error returns the level, the limits, the share and the pace that led to the refusal.
 func (e OverRateError) Error() string {
-	return fmt.Sprintf("level %.0f, rate %.0f, burst %.0f, share %.2f", e.Level, e.Rate, e.Burst, e.Share)
+	return fmt.Sprintf("level %.0f, rate %.0f, burst %.0f, share %.2f, pace %.2f", e.Level, e.Rate, e.Burst, e.Share, e.Pace)
 }
 
 // Reserve takes the tokens if the account may use them. Otherwise it returns the reason and false. A rate of zero means no
@@ -138,15 +142,16 @@
 	a.bucket.burst = burst*s.share + a.part.unreported(s.fleet, a.bucket.rate)
 	a.bucket = a.bucket.WithTokens(0)
 	a.part.offer(now, tokens)
+	s.inUse[account] = a
 	need := min(tokens, burst*s.share)
-	refusal := OverRateError{Wait: a.bucket.Wait(need), Level: a.bucket.Tokens(), Rate: rate, Burst: burst, Share: s.share}
+	refusal := OverRateError{Wait: a.bucket.Wait(need), Level: a.bucket.Tokens(), Rate: rate, Burst: burst, Share: s.share, Pace: 1}
 	if a.bucket.Tokens() < need {
 		return refusal, false
 	}
 	decision := a.part.decide(now, s.fleet, a.bucket, need, s.random.Float64())
 	a.part.record(now, span{paid: decision.paid})
 	if !decision.admitted {
-		refusal.Wait = decision.wait
+		refusal.Wait, refusal.Pace = decision.wait, decision.pace
 		return refusal, false
 	}
 	a.bucket = a.bucket.WithTokens(-tokens)
@@ -230,7 +235,9 @@
 			continue
 		}
 		a.bucket = a.bucket.WithTime(now).WithTokens(-delta)
-		a.part.record(now, span{heard: delta})
+		if a.isUnseen || a.part.recent != nil {
+			a.part.record(now, span{heard: delta})
+		}
 	}
 }
 
--- a/pkg/lrlimit/shared_demand.go
+++ b/pkg/lrlimit/shared_demand.go
@@ -17,11 +17,10 @@
 	defer s.mutex.Unlock()
 	demand := map[string]Demand{}
 	parts := map[string]float64{}
-	for name, a := range s.accounts {
+	for name, a := range s.inUse {
 		if a.part.isIdle(now) {
 			a.part.recent = nil
-		}
-		if a.part.recent == nil || !a.hasLimits() {
+			delete(s.inUse, name)
 			continue
 		}
 		d := a.part.recent.rate(now, demandPeriod, 0)
--- a/scripts/bench/main.go
+++ b/scripts/bench/main.go
@@ -32,6 +32,7 @@
 	return []area{
 		{name: "route", measure: measureRoute},
 		{name: "limit", measure: measureLimit},
+		{name: "allowance", measure: measureAllowance},
 		{name: "state", measure: measureState},
 		{name: "stream", measure: measureStream},
 		{name: "gateway", measure: measureGateway},
