Count slow answers of a new version before they end

Answers that take several times longer come late, so that a version of which a third is slow looked good at first: with 1.5 s usual and 7.5 s for the slow ones it was completed. An attempt now counts as slow as soon as it has taken three times the usual time. The bar for slow answers was too high for the two servers that are observed (30% slow at 200 requests a second was not found): 8 answers and 1e-5 instead of 12 and 1e-6, and a lower bar for the last 3 s.

The observation also ends earlier where answers usually take long: with 1.5 s a good version was completed after 12.18 s of 12.

--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -155,7 +155,7 @@
 	began := p.Clock()
 	r.promptComputed, r.answerBegun = false, false
 	r.attemptAt, r.firstEventAt = began, time.Time{}
-	defer p.Releases.End(r.release)
+	defer func() { p.Releases.End(r.release) }()
 	defer func() { p.Balancer.End(choice, r.promptComputed) }()
 	decision := p.Quarantine.Begin(began, r.traits)
 	if decision.Admission == lrquarantine.Rejected {
@@ -165,6 +165,7 @@
 	}
 	r.attempts++
 	p.Ejector.Started(began, server.ID)
+	p.Releases.Sent(began, &r.release, lrcanary.Server{ID: server.ID, Release: server.Release}, r.route.Name)
 	reply, err := p.Backend.Send(ctx, Attempt{
 		Request: r.Request, Server: server, MaxConnections: r.maxConnections(), Account: r.account.Name, CacheScope: r.cacheScope(server),
 		Urgency: r.route.PriorityOf(r.account), TimeLeft: r.deadline.Sub(began), ResumeAfter: r.lastEventID,
--- a/pkg/lrcanary/board.go
+++ b/pkg/lrcanary/board.go
@@ -54,6 +54,17 @@
 	// running is the number of attempts in flight, and runningNew of those that were assigned to the new release of the present order.
 	running    int
 	runningNew int
+	// flights are the attempts that were sent under the present order and have not ended.
+	flights map[*flight]bool
+}
+
+// flight is an attempt that was sent to a server.
+type flight struct {
+	sentAt time.Time
+	server Server
+	route  string
+	// isSlow is set once the attempt is counted as slow, before its answer is complete.
+	isSlow bool
 }
 
 // NewBoard returns a Board without roll-outs.
@@ -121,7 +132,7 @@
 		r.isGuessed = true
 		r.orderedAt = now.Add(-e.Duration / 2)
 	}
-	s.rollout, s.runningNew = r, 0
+	s.rollout, s.runningNew, s.flights = r, 0, map[*flight]bool{}
 }
 
 // update applies the status of the entry.
@@ -212,6 +223,7 @@
 	IsNew   bool
 	service *service
 	order   uint64
+	flight  *flight
 }
 
 // Assign decides for which release of the service the attempt is. An attempt that is not the first of its request goes to the old release
@@ -234,6 +246,36 @@
 	return a
 }
 
+// Sent records that the attempt is sent to the server. One that takes too long counts as slow before it ends: otherwise a slow release looks
+// good at first, since its fast answers come first.
+func (b *Board) Sent(now time.Time, a *Assignment, server Server, route string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s := a.service
+	if s == nil || s.rollout == nil || s.rollout.order != a.order {
+		return
+	}
+	a.flight = &flight{sentAt: now, server: server, route: route}
+	s.flights[a.flight] = true
+}
+
+// noteOverdue counts the attempts that take too long as slow. It must be called with the mutex held.
+func (b *Board) noteOverdue(now time.Time, s *service) {
+	r := s.rollout
+	for f := range s.flights {
+		usual := r.usual[f.route]
+		if !f.isSlow && !r.banned[f.server.Release] && isSlow(now.Sub(f.sentAt), usual.LogWhole, usual.Wholes) {
+			f.isSlow = true
+			key := r.keyOf(f.server, f.route)
+			b.own[key] = b.own[key].Plus(Counts{Answers: 1, Slow: 1})
+		}
+	}
+}
+
+func (r *rollout) keyOf(server Server, route string) Key {
+	return Key{Order: r.order, Route: route, IsNew: server.Release == r.entry.To, Group: GroupOf(server.ID)}
+}
+
 // End records that the attempt has ended or was not made.
 func (b *Board) End(a Assignment) {
 	b.mutex.Lock()
@@ -243,6 +285,7 @@
 		return
 	}
 	s.running--
+	delete(s.flights, a.flight)
 	if a.IsNew && s.rollout != nil && s.rollout.order == a.order && s.runningNew > 0 {
 		s.runningNew--
 	}
@@ -260,8 +303,11 @@
 	if r.order != a.order || !r.isJudged() || r.banned[server.Release] || isNew != a.IsNew {
 		return
 	}
-	key := Key{Order: r.order, Route: route, IsNew: isNew, Group: GroupOf(server.ID)}
-	b.own[key] = b.own[key].Plus(outcome.counts(r.usual[route]))
+	key, counts := r.keyOf(server, route), outcome.counts(r.usual[route])
+	if a.flight != nil && a.flight.isSlow {
+		counts.Answers, counts.Slow = 0, 0
+	}
+	b.own[key] = b.own[key].Plus(counts)
 }
 
 // total returns the evidence of all instances. It must be called with the mutex held.
@@ -281,6 +327,7 @@
 			continue
 		}
 		r.judgedAt = now
+		b.noteOverdue(now, s)
 		total := b.total()
 		r.updateUsual(total)
 		v, isBad := r.exam().judge(total, r.recent(now, total))
--- a/pkg/lrcanary/evidence.go
+++ b/pkg/lrcanary/evidence.go
@@ -148,6 +148,18 @@
 	if n < minTimed || d < minSlow {
 		return false
 	}
-	usual := math.Exp(float64(logSum) / float64(n) / logUnits)
-	return float64(d)/float64(time.Millisecond) > slowFactor*usual
+	return d > slowFactor*meanOf(logSum, n)
+}
+
+// meanOf returns the geometric mean of times.
+func meanOf(logSum, n int64) time.Duration {
+	return time.Duration(math.Exp(float64(logSum)/float64(n)/logUnits) * float64(time.Millisecond))
+}
+
+// usualTime returns the geometric mean of the times to complete answers, or zero while it is not known.
+func (c Counts) usualTime() time.Duration {
+	if c.Wholes < minTimed {
+		return 0
+	}
+	return meanOf(c.LogWhole, c.Wholes)
 }
--- a/pkg/lrcanary/fleet_cases_test.go
+++ b/pkg/lrcanary/fleet_cases_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// TestLongAnswers guards against a schedule that fits short answers only, and against slow answers that are not found because they come late.
+func TestLongAnswers(t *testing.T) {
+	for _, usual := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, share := range []float64{0, 0.3, 1} {
+			t.Run(fmt.Sprint(usual, "/", share, " slow"), func(t *testing.T) {
+				f := newTestFleet(31, 5, func(f *testFleet, server Server, _ string) (bool, time.Duration) {
+					if server.Release == "v2" && f.random.Float64() < share {
+						return false, 5 * usual
+					}
+					return false, usual
+				})
+				f.perSecond = 400
+				f.order("v2", duration)
+				f.run(duration + 2*time.Second)
+				if share == 0 {
+					f.checkGood(t)
+				} else {
+					f.checkExposure(t)
+					requireEqual(t, f.entry.Decision(), RolledBack)
+				}
+			})
+		}
+	}
+}
+
 // TestSizesAndDurations guards against a schedule that fits one size only.
 func TestSizesAndDurations(t *testing.T) {
 	for _, perSecond := range []float64{5, 60, 3000} {
--- a/pkg/lrcanary/fleet_test.go
+++ b/pkg/lrcanary/fleet_test.go
@@ -269,6 +269,7 @@
 	} else if f.entry.Decision() == Completed {
 		f.toStopped++
 	}
+	b.Sent(f.now, &a, server, route)
 	f.load[server.ID]++
 	f.running = append(f.running, running{f.now.Add(took), b, a, server, route, isFailed, took})
 }
--- a/pkg/lrcanary/rollout.go
+++ b/pkg/lrcanary/rollout.go
@@ -12,6 +12,12 @@
 	// snapshotInterval is the time between two snapshots of the evidence, and recentTime how far the recent evidence reaches back.
 	snapshotInterval = 500 * time.Millisecond
 	recentTime       = 3 * time.Second
+	// finishFactor is how many times the usual time of the slowest route old servers may need for the requests that they have, and
+	// finishMargin the time to tell of that and to store the status.
+	finishFactor = 2
+	finishMargin = time.Second
+	// earliestPart is the part of the duration in which the new release is observed at least.
+	earliestPart = 0.4
 	// judgeInterval is the time between two looks at the evidence.
 	judgeInterval = 100 * time.Millisecond
 	// minNewAnswers is the number of answers of the new release from which the traffic may move.
@@ -196,7 +202,8 @@
 	case Waiting:
 		return Observing, ""
 	case Observing:
-		if age < r.schedule.moveAt || inStage < min(minObservation, r.schedule.moveAt/2) {
+		moveAt := r.moveAt()
+		if age < moveAt || inStage < min(minObservation, moveAt/2) {
 			return Observing, ""
 		}
 		return r.afterObservation(age, total)
@@ -210,6 +217,17 @@
 	}
 }
 
+// moveAt returns when the observation ends: so early that the requests at old servers can end within the duration.
+func (r *rollout) moveAt() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range r.usual {
+		longest = max(longest, c.usualTime())
+	}
+	needed := 2*r.schedule.step + finishFactor*longest + finishMargin
+	earliest := time.Duration(earliestPart * float64(r.entry.Duration))
+	return min(r.schedule.moveAt, max(r.entry.Duration-needed, earliest))
+}
+
 // afterObservation decides at the end of the observation whether the evidence is enough to move the traffic.
 func (r *rollout) afterObservation(age time.Duration, total Evidence) (Stage, string) {
 	n, old := total.total(r.order, true), total.total(r.order, false)
--- a/pkg/lrcanary/verdict.go
+++ b/pkg/lrcanary/verdict.go
@@ -50,9 +50,10 @@
 const ratio = 1.3
 
 // failureBar and slowBar apply all the time, at each look at the evidence. Answers are slow for reasons such as empty caches at new servers,
-// therefore slowBar is higher.
-func failureBar() bar { return bar{chance: 2e-5, least: 5, tolerance: 0.005} }
-func slowBar() bar    { return bar{chance: 1e-6, least: 12, tolerance: 0.1} }
+// therefore slowBar is higher, and the recent answers must exceed stillSlowBar.
+func failureBar() bar   { return bar{chance: 2e-5, least: 5, tolerance: 0.005} }
+func slowBar() bar      { return bar{chance: 1e-5, least: 8, tolerance: 0.05} }
+func stillSlowBar() bar { return bar{chance: 0.02, least: 3, tolerance: 0.05} }
 
 // lateBar applies once, before the traffic moves. While doubtBar is exceeded, the observation goes on as long as the duration allows.
 func lateBar() bar  { return bar{chance: 0.002, least: 4, tolerance: 0.005} }
@@ -190,11 +191,12 @@
 			return v, true
 		}
 	}
-	_, isSlow := e.judgeBy(reasonSlow, slowBar(), slowOf, all, all)
+	v, isSlow := e.judgeBy(reasonSlow, slowBar(), slowOf, all, all)
 	if !isSlow {
 		return Verdict{}, false
 	}
-	return e.judgeBy(reasonSlow, slowBar(), slowOf, late, all)
+	_, isSlow = e.judgeBy(reasonSlow, stillSlowBar(), slowOf, late, all)
+	return v, isSlow
 }
 
 // judgeLate returns a verdict on evidence that is too weak for judge but too strong to move the traffic.
--- a/scripts/bench/release.go
+++ b/scripts/bench/release.go
@@ -50,7 +50,9 @@
 					chosen = s
 				}
 			}
-			board.Record(a, chosen, []string{"a", "b", "c", "d"}[n%releaseRoutes], lrcanary.Outcome{Whole: time.Second})
+			route := []string{"a", "b", "c", "d"}[n%releaseRoutes]
+			board.Sent(now, &a, chosen, route)
+			board.Record(a, chosen, route, lrcanary.Outcome{Whole: time.Second})
 			board.End(a)
 		}
 	})
