--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -168,7 +168,7 @@
 	began := p.Clock()
 	r.promptComputed, r.answerBegun, r.isRetryGranted = false, false, false
 	r.attemptAt, r.firstEventAt = began, time.Time{}
-	defer p.Releases.End(r.release)
+	defer func() { p.Releases.End(r.release) }()
 	defer func() { p.Balancer.End(choice, r.promptComputed) }()
 	decision := p.Quarantine.Begin(began, r.traits)
 	if decision.Admission == lrquarantine.Rejected {
@@ -178,6 +178,7 @@
 	}
 	r.attempts++
 	p.Ejector.Started(began, server.ID)
+	p.Releases.Sent(began, &r.release, lrcanary.Server{ID: server.ID, Release: server.Release}, r.route.Name)
 	sendCtx, current := r.monitor(ctx, began, choice, server)
 	r.current = current
 	defer current.end()
