Let small requests pass while the level of their account covers them

Cause: while an account is over its rate, all of its requests were admitted by the same chance, also payments of 200 tokens beside prompts of thousands.

Change: a request of up to a tenth of the usual size is not held back while the level covers it.

--- a/pkg/lrlimit/part.go
+++ b/pkg/lrlimit/part.go
@@ -27,6 +27,9 @@
 	overload = 1.2
 	// startShare is the part of the burst that an account begins with at an instance while the others show overload.
 	startShare = 0.5
+	// smallShare is the share of the usual size up to which a request is not held back while the level covers it: all of these together
+	// matter little, and a payment should not be refused like a long prompt.
+	smallShare = 0.1
 	// countedShare is the share of an instance's part up to which a request is counted in full.
 	countedShare = 0.25
 )
@@ -36,7 +39,7 @@
 // All instances divide the same tokens: the level before all use within the horizon. Each admits requests at the pace at which all of them
 // together use that up, and none uses more of it than its share of the demand. So they stay within the level whether reports
 // arrive or not. A request that the pace admits in part is admitted with that probability, whatever its size, so that large
-// requests are served where the instance's part is smaller than one. Where the level suffices for all demand, nothing is held back.
+// requests are served where the instance's part is smaller than one; far smaller ones than usual need the level alone. Where the level suffices for all demand, nothing is held back.
 type part struct {
 	demandView
 	// recent is nil while the account is not used.
@@ -86,7 +89,7 @@
 
 // decide decides on a request that the level covers. The roll is a random number below 1.
 func (p *part) decide(now time.Time, fleet fleetView, bucket Bucket, tokens, roll float64) partDecision {
-	if fleet.instances <= 1 || tokens <= 0 {
+	if fleet.instances <= 1 || tokens <= smallShare*p.size() {
 		return partDecision{admitted: true, paid: tokens}
 	}
 	p.updateShare(now, fleet, p.recent.rate(now, ownDemandPeriod+fleet.delay, fleet.delay).Rate)
--- a/pkg/lrlimit/shared_demand_test.go
+++ b/pkg/lrlimit/shared_demand_test.go
@@ -59,3 +59,21 @@
 	}
 	requireTrue(t, len(s.accounts) == 0, "%d accounts are kept", len(s.accounts))
 }
+
+// TestSmallRequestsNeedTheLevelAlone guards against payments that are refused as often as long prompts while an account exceeds its rate: they
+// cost a few tokens, and refusing them saves nothing.
+func TestSmallRequestsNeedTheLevelAlone(t *testing.T) {
+	f := newSurgeFleet(5, 16)
+	f.run(4*time.Second, 0.33)
+	f.run(4*time.Second, 4)
+	refused := 0
+	for n := range 400 {
+		f.run(surgeTick, 4)
+		_, ok := f.instances[n%16].Reserve(f.now, surgeAccount, surgeRate, surgeBurst, 200)
+		if !ok {
+			refused++
+		}
+	}
+	requireTrue(t, refused <= 4, "%d of 400 small requests are refused", refused)
+	requireTrue(t, f.most <= platformBound, "%.0f admitted within a window, %.0f are allowed", f.most, platformBound)
+}
