Read no orders for roll-outs where the settings bound no exposure, and put rollouts of weights off only under heavy load

Change: [rollouts] exposureShare has no default; the platform fills it in where a deployment has roll-outs. A rollout of weights is put off from a mean wait of 150 ms instead of 60 ms.

TestReleases passes.

--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -86,7 +86,13 @@
 
 // feeds returns the feeds that other instances can read from this one.
 func (d *Daemon) feeds() map[string]lrfleet.SharedFeed {
-	return map[string]lrfleet.SharedFeed{feedTables: d.tables, feedServers: d.servers, feedDesired: d.desired, feedInstances: d.instances, feedVerdicts: d.verdicts, feedRollouts: d.rollouts}
+	feeds := map[string]lrfleet.SharedFeed{
+		feedTables: d.tables, feedServers: d.servers, feedDesired: d.desired, feedInstances: d.instances, feedVerdicts: d.verdicts,
+	}
+	if d.rollouts != nil {
+		feeds[feedRollouts] = d.rollouts
+	}
+	return feeds
 }
 
 // registerNoticeGauges registers the numbers of backend servers by what they say of themselves.
--- a/internal/lredge/releases.go
+++ b/internal/lredge/releases.go
@@ -22,7 +22,8 @@
 	rolloutsTimeout = time.Second
 )
 
-// wireReleases creates the part that moves the traffic of services to other versions. Nothing depends on it where there are no orders.
+// wireReleases creates the part that moves the traffic of services to other versions. It reads no orders where the settings bound no exposure:
+// such a deployment has no roll-outs, and each read of the platform is paid for.
 func (d *Daemon) wireReleases() {
 	d.releases = lrcanary.NewBoard(lrcanary.Options{
 		ExposureShare: d.settings.Rollouts.ExposureShare, StartedAt: d.startedAt, Random: rand.Float64, OnChange: d.releaseChanged,
@@ -31,16 +32,19 @@
 		Board: d.releases, Directory: d.directory, Statuses: d.ports.RolloutStatuses, Keeper: d.leaseKeeper, LeaseClock: lrclock.BootTime,
 		Instances: func() int { return d.sharer.Instances() }, Stored: d.metrics.releaseStored, Go: d.supervisor.Go, Log: d.log,
 	})
+	if d.settings.Rollouts.ExposureShare <= 0 {
+		return
+	}
 	d.rollouts = lrfleet.NewFollower(d.ports.Rollouts, d.followerOptions(feedRollouts, rolloutsInterval), d.log, d.releaseDuty.SetEntries)
 	d.supervisor.Add("followRollouts", d.rollouts.Run)
 	d.supervisor.Add("refreshRollouts", d.rollouts.RunRefresh)
 	d.supervisor.Add("moveReleases", lrsupervise.Every(releaseInterval, d.releaseDuty.Step))
 }
 
-// knowsRollouts reports whether this instance has read the orders, or has tried for long enough. Before, it might send requests to a version
+// knowsRollouts reports whether this instance has read the orders, reads none, or has tried for long enough. Before, it might send requests to a version
 // that was rolled back.
 func (d *Daemon) knowsRollouts(now time.Time) bool {
-	return d.rollouts.Version().Revision > 0 || now.Sub(d.startedAt) > rolloutsTimeout
+	return d.rollouts == nil || d.rollouts.Version().Revision > 0 || now.Sub(d.startedAt) > rolloutsTimeout
 }
 
 // releaseChanged logs a change of the stage of a roll-out with the figures that decided.
--- a/pkg/lrrollout/hold.go
+++ b/pkg/lrrollout/hold.go
@@ -4,7 +4,7 @@
 
 const (
 	// crowdedWait is the mean wait at the engines from which the engines that load weights make callers elsewhere wait.
-	crowdedWait = 60 * time.Millisecond
+	crowdedWait = 150 * time.Millisecond
 	// holdShare is the share of the deadline for which a rollout is put off while callers wait. The rest is enough for the rollout itself
 	// and for the successor of a holder that ends.
 	holdShare = 0.5
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -204,7 +204,7 @@
 
 // Rollouts bounds what a bad version of a service may do while the traffic moves to it.
 type Rollouts struct {
-	// ExposureShare is the share of the requests of the service that a bad version may get.
+	// ExposureShare is the share of the requests of the service that a bad version may get. Zero means that there are no roll-outs.
 	ExposureShare float64
 }
 
@@ -266,7 +266,6 @@
 		},
 		Retries:   Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
 		Admission: Admission{Enabled: true},
-		Rollouts:  Rollouts{ExposureShare: 0.1},
 		Paid:      Paid{Retention: 30 * 24 * time.Hour, CallTimeout: 30 * time.Second},
 		Log:       Log{Format: "json", Level: "info", LinesPerSecond: 400},
 	}
