Read the memory of a process in one place

Cause: the soak and the tests of untrusted clients each parsed the status of a process, for another field.

No bound or check changes.

--- a/internal/lrframe/crowdtest/process.go
+++ b/internal/lrframe/crowdtest/process.go
@@ -9,12 +9,18 @@
 )
 
 // PeakMemory returns the largest resident memory in bytes that the process has had, or zero if it has ended.
-func PeakMemory(pid int) int {
+func PeakMemory(pid int) int { return statusBytes(pid, "VmHWM:") }
+
+// ResidentMemory returns the present resident memory of the process in bytes, or zero if it has ended.
+func ResidentMemory(pid int) int { return statusBytes(pid, "VmRSS:") }
+
+// statusBytes returns a size from the status of the process in bytes, or zero if it has ended.
+func statusBytes(pid int, field string) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	_, rest, _ := strings.Cut(string(data), field)
 	fields := strings.Fields(rest)
 	if len(fields) == 0 {
 		return 0
