Log what becomes of each answer to the read of a feed

Cause: the record of the incident shows 'history is gone, listing anew' in a row, and nothing else: neither the revision held nor the one listed, nor that a list was dropped. Its hypotheses (docs/incidents/2026-12-06-lists-dropped.md) cannot be told apart by logs or metrics.

Change: the line names the revision held and the time since entries were last applied. An answer that is not applied is logged and counted, with its revision and the era of the store. Two counters by feed. No decision changes: answers are applied and dropped as before.

--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -80,7 +80,16 @@
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 				Name: "lavenderrouter_edge_feed_revision", Help: "Revision of the platform up to which this instance has every change of the feed.",
 				ConstLabels: labels,
-			}, func() float64 { return float64(f.Version().Revision) }))
+			}, func() float64 { return float64(f.Version().Revision) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name: "lavenderrouter_edge_feed_history_gone_total", Help: "Watches for which the platform no longer had the changes of the feed.",
+				ConstLabels: labels,
+			}, func() float64 { return float64(f.Stats().HistoryGone) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name:        "lavenderrouter_edge_feed_dropped_total",
+				Help:        "Answers of the platform that were not applied because the entries of the feed include later changes.",
+				ConstLabels: labels,
+			}, func() float64 { return float64(f.Stats().Dropped) }))
 	}
 }
 
--- a/internal/lrfleet/feed.go
+++ b/internal/lrfleet/feed.go
@@ -16,6 +16,8 @@
 	Deleted []string
 	// Revision is the revision of the platform up to which the changes are complete.
 	Revision uint64
+	// Era is the era of the platform's store in which it has counted the revision, or zero if the store names none.
+	Era uint64
 }
 
 // A Feed reads the entries of one kind from the platform.
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -81,6 +81,9 @@
 	recoveredAt time.Time
 	// missing maps entries that lapsed around an outage to the time at which they are removed.
 	missing map[string]time.Time
+	// appliedAt is when entries or changes were last applied, and stats what has become of the platform's answers.
+	appliedAt time.Time
+	stats     FeedStats
 }
 
 // NewFollower returns a Follower without entries. It calls onChange with all entries after each change.
@@ -108,7 +111,7 @@
 			listed, failures = true, 0
 			lrsupervise.Sleep(ctx, watchPause)
 		case ErrHistoryGone.Has(err):
-			f.log.Warn().Str("feed", f.options.Name).Msg("fleet: history is gone, listing anew")
+			f.recordHistoryGone(time.Now())
 			listed = false
 			lrsupervise.Sleep(ctx, f.backoff(1))
 		default:
@@ -248,9 +251,11 @@
 func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
 	f.mutex.Lock()
 	if changes.Revision < f.version.Revision {
+		f.recordDropped(now, changes.Revision, changes.Era)
 		f.mutex.Unlock()
 		return
 	}
+	f.appliedAt = now
 	entries := maps.Clone(f.entries)
 	isSet := f.set(entries, changes.Set)
 	isRemoved := f.remove(now, entries, changes.Deleted)
--- a/internal/lrfleet/shared_feed.go
+++ b/internal/lrfleet/shared_feed.go
@@ -10,6 +10,8 @@
 type SharedFeed interface {
 	// Version identifies the entries that this instance holds.
 	Version() FeedVersion
+	// Stats counts what has become of the answers of the platform.
+	Stats() FeedStats
 	// Report returns what other instances need to know: the version of the entries, and how long ago any instance is known to have read
 	// the feed from the platform.
 	Report(now time.Time) (FeedVersion, time.Duration)
