Apply lists of a store whose revisions have gone back

Cause: a list at a lower revision than the one held is taken for an answer that was overtaken and is dropped. The next watch starts from the revision held, which the store does not have, and gets 410: list, drop, 410, until as many revisions are given out again. Instances also order what they hold by the revision alone, so that the old entries pass from one to another, to instances that have just started too, and a dropped list counted as a read for all.

Change: a list that answers a call counts if its revision is not below the one that was held when the call began: a linearizable store never answers with less, unless it has gone back. If it has, the list begins a new count of rewinds, which comes before the revision wherever copies are ordered: in the follower, in what instances report, and in what they fetch from one another. A watch that is answered below its revision is followed by a list. Dropped lists are no reads.

--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -30,7 +30,9 @@
 		if !ok {
 			continue
 		}
-		version := FeedVersion{Revision: state.GetRevisions()[feed], Digest: state.GetFeedDigests()[feed]}
+		version := FeedVersion{
+			Rewinds: state.GetFeedRewinds()[feed], Revision: state.GetRevisions()[feed], Digest: state.GetFeedDigests()[feed],
+		}
 		isBehind := f.RecordReport(now, version, millis(age))
 		if _, known := s.lags[feed]; isBehind && !known {
 			s.lags[feed] = lag{since: now, version: version, source: state.GetName()}
@@ -99,7 +101,7 @@
 func (s *Sharer) applyFeed(now time.Time, name, feed string, reply *lrpeerpb.FetchFeedReply) {
 	f := s.Feeds[feed]
 	before := f.Version().Revision
-	err := f.Decode(now, reply.GetEntries(), reply.GetRevision())
+	err := f.Decode(now, reply.GetEntries(), FeedVersion{Rewinds: reply.GetRewinds(), Revision: reply.GetRevision()})
 	if err != nil {
 		s.Log.Warn().Err(err).Str("peer", name).Str("feed", feed).Msg("fleet: feed of the instance is unreadable")
 		return
@@ -114,9 +116,9 @@
 	if !ok {
 		return &lrpeerpb.FetchFeedReply{}, nil
 	}
-	entries, revision, err := f.Encode()
+	entries, version, err := f.Encode()
 	if err != nil {
 		return nil, err
 	}
-	return &lrpeerpb.FetchFeedReply{Entries: entries, Revision: revision}, nil
+	return &lrpeerpb.FetchFeedReply{Entries: entries, Rewinds: version.Rewinds, Revision: version.Revision}, nil
 }
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -87,7 +87,7 @@
 	state := &lrpeerpb.FleetState{
 		UptimeMillis: uint64(max(now.Sub(s.startedAt).Milliseconds(), 0)),
 		Name:         s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
-		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{},
+		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{}, FeedRewinds: map[string]uint32{},
 		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsTimeout,
 		HeardNear: p.received.SameZone, HeardFar: p.received.OtherZones, HeardProcess: p.receivedProcess, SilentZones: s.unreachableZones(now), Rollout: s.rolloutState(now),
 		SilentInstances: s.silentFor(now, p),
@@ -112,6 +112,9 @@
 	for name, f := range s.Feeds {
 		version, age := f.Report(now)
 		state.Revisions[name], state.FeedDigests[name] = version.Revision, version.Digest
+		if version.Rewinds > 0 {
+			state.FeedRewinds[name] = version.Rewinds
+		}
 		state.ReadAges[name] = uint32(min(age, maxReadAge).Milliseconds())
 	}
 	for _, w := range s.Directory.DesiredAges(now) {
--- a/internal/lrfleet/feed.go
+++ b/internal/lrfleet/feed.go
@@ -25,6 +25,6 @@
 	// List returns all entries.
 	List(ctx context.Context) (Changes[T], error)
 	// Watch waits until entries change after the revision, at most for the given time. It returns ErrHistoryGone when the changes since
-	// then are no longer available.
+	// then are no longer available. Changes at an earlier revision mean that the platform has gone back.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes[T], error)
 }
--- a/internal/lrfleet/feed_stats.go
+++ b/internal/lrfleet/feed_stats.go
@@ -32,3 +32,9 @@
 	f.log.Warn().Str("feed", f.options.Name).Uint64("revision", revision).Uint64("era", era).Uint64("held", f.version.Revision).
 		Dur("applied", now.Sub(f.appliedAt)).Msg("fleet: answer is older than the entries, not applied")
 }
+
+// recordRewind logs that the platform has gone back to an earlier revision. It must be called with the mutex held.
+func (f *Follower[T]) recordRewind(version FeedVersion) {
+	f.log.Warn().Str("feed", f.options.Name).Uint64("held", f.version.Revision).Uint64("revision", version.Revision).
+		Uint32("rewinds", version.Rewinds).Msg("fleet: platform has gone back to an earlier revision")
+}
--- a/internal/lrfleet/feed_version.go
+++ b/internal/lrfleet/feed_version.go
@@ -1,6 +1,7 @@
 package lrfleet
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
@@ -10,15 +11,33 @@
 // same entries, since it also grows with changes of other feeds; the revisions of the entries do not either, since a removed entry leaves
 // none.
 type FeedVersion struct {
+	// Rewinds is the number of times that an instance has found the platform to have gone back to an earlier revision. A revision counts
+	// for more than all those from before.
+	Rewinds uint32
 	// Revision is the revision of the platform up to which the entries include every change.
 	Revision uint64
 	// Digest is a hash of the entries. It is zero when there are none.
 	Digest uint64
 }
 
+// compare orders versions by the changes of the platform that they include.
+func (v FeedVersion) compare(other FeedVersion) int {
+	return cmp.Or(cmp.Compare(v.Rewinds, other.Rewinds), cmp.Compare(v.Revision, other.Revision))
+}
+
 // supersedes reports whether entries of version v include changes that those of the other version lack.
 func (v FeedVersion) supersedes(other FeedVersion) bool {
-	return v.Revision > other.Revision && v.Digest != other.Digest
+	return v.compare(other) > 0 && v.Digest != other.Digest
+}
+
+// listedAt returns the version of a list that the platform has answered at the revision to a call that began while v was held. Answers of
+// the platform to calls that begin later are at the same or a later revision, unless it has gone back to an earlier one.
+func (v FeedVersion) listedAt(revision uint64) FeedVersion {
+	listed := FeedVersion{Rewinds: v.Rewinds, Revision: revision}
+	if revision < v.Revision {
+		listed.Rewinds++
+	}
+	return listed
 }
 
 // entryDigest returns the hash of one entry in its JSON form. The digest of a feed is the sum of those of its entries.
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -160,22 +160,27 @@
 	defer cancel()
 	f.recordWatch(time.Now())
 	defer f.recordWatch(time.Time{})
-	changes, err := f.feed.Watch(ctx, f.Version().Revision, f.options.Wait)
+	base := f.Version()
+	changes, err := f.feed.Watch(ctx, base.Revision, f.options.Wait)
 	if err != nil {
 		return err
 	}
-	f.Apply(time.Now(), changes)
+	if changes.Revision < base.Revision {
+		return ErrHistoryGone.New("the platform has gone back to revision %d", changes.Revision)
+	}
+	f.apply(time.Now(), base, changes)
 	return nil
 }
 
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	base := f.Version()
 	changes, err := f.feed.List(ctx)
 	if err != nil {
 		return err
 	}
-	f.Replace(time.Now(), changes)
+	f.replace(time.Now(), base, changes)
 	return nil
 }
 
@@ -193,45 +198,66 @@
 	return nil
 }
 
-// Replace applies a list of all entries that the platform has just answered.
+// Replace applies a list of all entries that the platform has just answered to a call that began while the present entries were held.
 func (f *Follower[T]) Replace(now time.Time, changes Changes[T]) {
+	f.replace(now, f.Version(), changes)
+}
+
+// replace applies a list of all entries that the platform has just answered to a call that began while base was held. A list from before
+// the present entries is dropped: it has arrived after the newer list of another instance.
+func (f *Follower[T]) replace(now time.Time, base FeedVersion, changes Changes[T]) {
 	f.applyMutex.Lock()
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
-	f.recordRead(now, now)
 	f.recordContact(now)
+	listed := base.listedAt(changes.Revision)
+	if listed.compare(f.version) < 0 {
+		f.recordDropped(now, changes.Revision, changes.Era)
+		f.mutex.Unlock()
+		return
+	}
+	f.recordRead(now, now)
 	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
-	f.apply(now, changes)
+	f.update(now, listed, changes)
 }
 
-// Apply applies changes that the platform has just answered.
-func (f *Follower[T]) Apply(now time.Time, changes Changes[T]) {
+// Apply applies changes that the platform has just answered to a watch from the version of the present entries.
+func (f *Follower[T]) Apply(now time.Time, changes Changes[T]) { f.apply(now, f.Version(), changes) }
+
+// apply applies changes since base that the platform has just answered, unless the entries include later ones or the platform has gone back
+// meanwhile, so that the changes belong to other entries.
+func (f *Follower[T]) apply(now time.Time, base FeedVersion, changes Changes[T]) {
 	f.applyMutex.Lock()
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
+	f.recordContact(now)
+	if base.Rewinds != f.version.Rewinds || changes.Revision < f.version.Revision {
+		f.recordDropped(now, changes.Revision, changes.Era)
+		f.mutex.Unlock()
+		return
+	}
 	if f.options.IsChanging {
 		f.recordRead(now, now)
 	}
-	f.recordContact(now)
 	f.mutex.Unlock()
-	f.apply(now, changes)
+	f.update(now, FeedVersion{Rewinds: base.Rewinds, Revision: changes.Revision}, changes)
 }
 
 // ReplaceFromPeer applies a list of all entries that another instance holds, and reports whether it did. A list that is not later than
 // the own one is ignored.
-func (f *Follower[T]) ReplaceFromPeer(now time.Time, changes Changes[T]) bool {
+func (f *Follower[T]) ReplaceFromPeer(now time.Time, version FeedVersion, changes Changes[T]) bool {
 	f.applyMutex.Lock()
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
-	if changes.Revision <= f.version.Revision {
+	if version.compare(f.version) <= 0 {
 		f.mutex.Unlock()
 		return false
 	}
 	f.detectOutage(now, now)
 	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	f.mutex.Unlock()
-	f.apply(now, changes)
+	f.update(now, version, changes)
 	return true
 }
 
@@ -246,22 +272,20 @@
 	return missing
 }
 
-// apply applies changes unless the entries already include later ones: an answer of the platform may arrive after the newer list of
-// another instance. It must be called with applyMutex held.
-func (f *Follower[T]) apply(now time.Time, changes Changes[T]) {
+// update applies changes, after which the entries have the given version apart from its digest. It must be called with applyMutex held.
+func (f *Follower[T]) update(now time.Time, version FeedVersion, changes Changes[T]) {
 	f.mutex.Lock()
-	if changes.Revision < f.version.Revision {
-		f.recordDropped(now, changes.Revision, changes.Era)
-		f.mutex.Unlock()
-		return
-	}
 	f.appliedAt = now
+	if version.Rewinds > f.version.Rewinds && f.version.Revision > 0 {
+		f.recordRewind(version)
+	}
 	entries := maps.Clone(f.entries)
 	isSet := f.set(entries, changes.Set)
 	isRemoved := f.remove(now, entries, changes.Deleted)
 	isExpired := f.expire(now, entries)
 	f.entries = entries
-	f.version = FeedVersion{Revision: changes.Revision, Digest: f.digest()}
+	version.Digest = f.digest()
+	f.version = version
 	f.mutex.Unlock()
 	if isSet || isRemoved || isExpired {
 		f.onChange(now, entries)
@@ -348,10 +372,10 @@
 	f.applyMutex.Lock()
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
-	pending, revision := len(f.missing), f.version.Revision
+	pending, version := len(f.missing), f.version
 	f.mutex.Unlock()
 	if pending > 0 {
-		f.apply(now, Changes[T]{Revision: revision})
+		f.update(now, version, Changes[T]{})
 	}
 }
 
@@ -365,11 +389,17 @@
 // Snapshot returns the entries to send to another instance. Entries that are missing since an outage are omitted: each instance keeps
 // them only for its own grace period.
 func (f *Follower[T]) Snapshot() Changes[T] {
+	changes, _ := f.snapshot()
+	return changes
+}
+
+// snapshot returns the entries to send to another instance with their version.
+func (f *Follower[T]) snapshot() (Changes[T], FeedVersion) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	entries := maps.Clone(f.entries)
 	for name := range f.missing {
 		delete(entries, name)
 	}
-	return Changes[T]{Set: entries, Revision: f.version.Revision}
+	return Changes[T]{Set: entries, Revision: f.version.Revision}, f.version
 }
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -215,7 +215,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{}, down: true}
 		f, _ := followed(ctx, feed, FollowerOptions{})
-		f.ReplaceFromPeer(time.Now(), listOf(1))
+		f.ReplaceFromPeer(time.Now(), FeedVersion{Revision: 1}, listOf(1))
 		for range 100 {
 			readElsewhere(f, time.Now(), 0)
 			time.Sleep(100 * time.Millisecond)
@@ -231,13 +231,13 @@
 func TestListsFromPeersNeverGoBack(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(time.Time, map[string]string) {})
-	f.ReplaceFromPeer(now, Changes[string]{Set: map[string]string{"a": "2"}, Revision: 2})
-	requireEqual(t, "an older list is applied", f.ReplaceFromPeer(now, Changes[string]{Set: map[string]string{"a": "1"}, Revision: 1}), false)
+	f.ReplaceFromPeer(now, FeedVersion{Revision: 2}, Changes[string]{Set: map[string]string{"a": "2"}})
+	requireEqual(t, "an older list is applied", f.ReplaceFromPeer(now, FeedVersion{Revision: 1}, Changes[string]{Set: map[string]string{"a": "1"}}), false)
 	requireEqual(t, "value", f.Snapshot().Set["a"], "2")
-	entries, revision, err := f.Encode()
+	entries, version, err := f.Encode()
 	requireEqual(t, "error", err, nil)
 	other := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(time.Time, map[string]string) {})
-	requireEqual(t, "error", other.Decode(now, entries, revision), nil)
+	requireEqual(t, "error", other.Decode(now, entries, version), nil)
 	requireEqual(t, "value on the other instance", other.Snapshot().Set["a"], "2")
 }
 
@@ -296,7 +296,7 @@
 	f.recordFailure(now, errDown)
 	now = now.Add(3 * time.Second)
 	readElsewhere(f, now, 50*time.Millisecond)
-	f.ReplaceFromPeer(now, listOf(11, "a"))
+	f.ReplaceFromPeer(now, FeedVersion{Revision: 11}, listOf(11, "a"))
 	f.Expire(now.Add(time.Second))
 	requireEqual(t, "changes within the grace", changes, 1)
 	f.Expire(now.Add(2 * time.Second))
@@ -321,9 +321,9 @@
 	dropped.Replace(now.Add(time.Second), listOf(11, "a"))
 	waiting.recordFailure(now, errDown)
 	waiting.Replace(now.Add(3*time.Second), listOf(12, "a", "c"))
-	entries, revision, err := waiting.Encode()
+	entries, version, err := waiting.Encode()
 	requireEqual(t, "error", err, nil)
-	requireEqual(t, "error", dropped.Decode(now.Add(3*time.Second), entries, revision), nil)
+	requireEqual(t, "error", dropped.Decode(now.Add(3*time.Second), entries, version), nil)
 	requireEqual(t, "known", known(dropped), "a,c")
 }
 
@@ -332,7 +332,7 @@
 func TestListFromPeerIsFetchedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := followerWithGrace(now, "a")
-	f.ReplaceFromPeer(now, listOf(15, "a"))
+	f.ReplaceFromPeer(now, FeedVersion{Revision: 15}, listOf(15, "a"))
 	requireEqual(t, "revision", f.Version().Revision, uint64(15))
 }
 
@@ -375,8 +375,8 @@
 	changes := 0
 	f.onChange = func(time.Time, map[string]string) { changes++ }
 	now = now.Add(3 * time.Second)
-	f.ReplaceFromPeer(now, listOf(11, "a"))
-	f.ReplaceFromPeer(now.Add(100*time.Millisecond), listOf(12, "a"))
+	f.ReplaceFromPeer(now, FeedVersion{Revision: 11}, listOf(11, "a"))
+	f.ReplaceFromPeer(now.Add(100*time.Millisecond), FeedVersion{Revision: 12}, listOf(12, "a"))
 	readElsewhere(f, now.Add(100*time.Millisecond), 50*time.Millisecond)
 	f.Expire(now.Add(time.Second))
 	requireEqual(t, "changes within the grace", changes, 0)
@@ -391,7 +391,7 @@
 	now := time.Unix(1000, 0)
 	f := followerWithGrace(now, "a", "b")
 	now = now.Add(1500 * time.Millisecond)
-	f.ReplaceFromPeer(now, listOf(11, "a"))
+	f.ReplaceFromPeer(now, FeedVersion{Revision: 11}, listOf(11, "a"))
 	requireEqual(t, "known", known(f), "a")
 }
 
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -47,8 +47,8 @@
 }
 
 // RecordReport applies the report of another instance, and reports whether its entries supersede the own ones. Equal entries include
-// every change up to the later of the two revisions. A read counts only once its result is known to have arrived here: an instance that
-// lags behind, or that cannot tell, goes on reading for itself.
+// every change up to the later of the two versions. A read counts only once its result is known to have arrived here: an instance that
+// lags behind, or that cannot tell, goes on reading for itself. A read from before the platform went back does not count.
 func (f *Follower[T]) RecordReport(now time.Time, version FeedVersion, age time.Duration) (isBehind bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -56,10 +56,10 @@
 		return false
 	}
 	isEqual := version.Digest == f.version.Digest
-	if isEqual {
-		f.version.Revision = max(f.version.Revision, version.Revision)
+	if isEqual && version.compare(f.version) > 0 {
+		f.version = version
 	}
-	if isEqual || version.Revision < f.version.Revision {
+	if isEqual || version.Rewinds == f.version.Rewinds && version.Revision < f.version.Revision {
 		f.recordRead(now, now.Add(-age))
 	}
 	return version.supersedes(f.version)
--- a/internal/lrfleet/removal_test.go
+++ b/internal/lrfleet/removal_test.go
@@ -89,7 +89,10 @@
 	if r.down {
 		return Changes[string]{}, false, errDown
 	}
-	changes = Changes[string]{Set: map[string]string{}, Revision: max(r.revision, after)}
+	if after > r.revision {
+		return Changes[string]{}, false, ErrHistoryGone.New("revision %d", after)
+	}
+	changes = Changes[string]{Set: map[string]string{}, Revision: r.revision}
 	for _, e := range r.events {
 		if e.revision <= after {
 			continue
@@ -377,7 +380,7 @@
 	<-entered
 	second := make(chan struct{})
 	group.Go(func() {
-		f.ReplaceFromPeer(time.Now(), listOf(11, "a"))
+		f.ReplaceFromPeer(time.Now(), FeedVersion{Revision: 11}, listOf(11, "a"))
 		close(second)
 	})
 	select {
--- a/internal/lrfleet/shared_feed.go
+++ b/internal/lrfleet/shared_feed.go
@@ -17,30 +17,30 @@
 	Report(now time.Time) (FeedVersion, time.Duration)
 	// RecordReport applies the report of another instance. It reports whether the entries of that instance supersede the own ones.
 	RecordReport(now time.Time, version FeedVersion, age time.Duration) (isBehind bool)
-	// Encode returns the JSON form of all entries by name, and the revision up to which they include every change.
-	Encode() (map[string][]byte, uint64, error)
-	// Decode applies entries that another instance has encoded, if they supersede the own ones.
-	Decode(now time.Time, entries map[string][]byte, revision uint64) error
+	// Encode returns the JSON form of all entries by name, and their version.
+	Encode() (map[string][]byte, FeedVersion, error)
+	// Decode applies entries of the version that another instance has encoded, if they supersede the own ones.
+	Decode(now time.Time, entries map[string][]byte, version FeedVersion) error
 }
 
-// Encode returns the JSON form of all entries by name, and the revision up to which they include every change.
-func (f *Follower[T]) Encode() (map[string][]byte, uint64, error) {
-	snapshot := f.Snapshot()
+// Encode returns the JSON form of all entries by name, and their version.
+func (f *Follower[T]) Encode() (map[string][]byte, FeedVersion, error) {
+	snapshot, version := f.snapshot()
 	encoded := make(map[string][]byte, len(snapshot.Set))
 	for name, entry := range snapshot.Set {
 		data, err := json.Marshal(entry)
 		if err != nil {
-			return nil, 0, fmt.Errorf("encode %s %s: %w", f.options.Name, name, err)
+			return nil, FeedVersion{}, fmt.Errorf("encode %s %s: %w", f.options.Name, name, err)
 		}
 		encoded[name] = data
 	}
-	return encoded, snapshot.Revision, nil
+	return encoded, version, nil
 }
 
 // Decode applies the JSON form of all entries of another instance. It does nothing if the own entries include changes up to their
-// revision.
-func (f *Follower[T]) Decode(now time.Time, entries map[string][]byte, revision uint64) error {
-	changes := Changes[T]{Set: make(map[string]T, len(entries)), Revision: revision}
+// version.
+func (f *Follower[T]) Decode(now time.Time, entries map[string][]byte, version FeedVersion) error {
+	changes := Changes[T]{Set: make(map[string]T, len(entries))}
 	for name, data := range entries {
 		var entry T
 		err := json.Unmarshal(data, &entry)
@@ -49,6 +49,6 @@
 		}
 		changes.Set[name] = entry
 	}
-	f.ReplaceFromPeer(now, changes)
+	f.ReplaceFromPeer(now, version, changes)
 	return nil
 }
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -283,7 +283,7 @@
 		s.Feeds["feed"] = followers[s.Self.Name]
 	}
 	for _, name := range []string{"a0", "c0"} {
-		followers[name].ReplaceFromPeer(f.now, listOf(11, "a", "b"))
+		followers[name].ReplaceFromPeer(f.now, FeedVersion{Revision: 11}, listOf(11, "a", "b"))
 	}
 	followers["a0"].Replace(f.now, listOf(11, "a", "b"))
 	for _, s := range f.sharers {
