Order copies of a feed by the era of the store

Seen: with a store that comes back from an older copy and has reached the revision held again before an instance reads it, a watch from there gets no error. Changes that were written before it are never in force.

Cause: revisions that are given out again. A revision alone does not name a state of the store, neither for the next watch nor among instances. The count of rewinds helps only where a read shows a lower revision.

Change: a version holds the era that the store names in each answer, and the era counts for more than the revision. An answer to a watch of another era is not applied, a list follows. A lower era, or none any more, is found out like a lower revision. With a store that names no era, an instance that it has not answered just before lists in place of the next watch, since only a list holds all changes.

Ruled out: comparing the times of reads. Instances know them to a tenth of a second only, while revisions order changes exactly.

--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -31,7 +31,8 @@
 			continue
 		}
 		version := FeedVersion{
-			Rewinds: state.GetFeedRewinds()[feed], Revision: state.GetRevisions()[feed], Digest: state.GetFeedDigests()[feed],
+			Rewinds: state.GetFeedRewinds()[feed], Era: state.GetFeedEras()[feed], Revision: state.GetRevisions()[feed],
+			Digest: state.GetFeedDigests()[feed],
 		}
 		isBehind := f.RecordReport(now, version, millis(age))
 		if _, known := s.lags[feed]; isBehind && !known {
@@ -101,7 +102,7 @@
 func (s *Sharer) applyFeed(now time.Time, name, feed string, reply *lrpeerpb.FetchFeedReply) {
 	f := s.Feeds[feed]
 	before := f.Version().Revision
-	err := f.Decode(now, reply.GetEntries(), FeedVersion{Rewinds: reply.GetRewinds(), Revision: reply.GetRevision()})
+	err := f.Decode(now, reply.GetEntries(), FeedVersion{Rewinds: reply.GetRewinds(), Era: reply.GetEra(), Revision: reply.GetRevision()})
 	if err != nil {
 		s.Log.Warn().Err(err).Str("peer", name).Str("feed", feed).Msg("fleet: feed of the instance is unreadable")
 		return
@@ -120,5 +121,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &lrpeerpb.FetchFeedReply{Entries: entries, Rewinds: version.Rewinds, Revision: version.Revision}, nil
+	return &lrpeerpb.FetchFeedReply{Entries: entries, Rewinds: version.Rewinds, Era: version.Era, Revision: version.Revision}, nil
 }
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -87,7 +87,7 @@
 	state := &lrpeerpb.FleetState{
 		UptimeMillis: uint64(max(now.Sub(s.startedAt).Milliseconds(), 0)),
 		Name:         s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
-		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{}, FeedRewinds: map[string]uint32{},
+		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{}, FeedRewinds: map[string]uint32{}, FeedEras: map[string]uint64{},
 		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsTimeout,
 		HeardNear: p.received.SameZone, HeardFar: p.received.OtherZones, HeardProcess: p.receivedProcess, SilentZones: s.unreachableZones(now), Rollout: s.rolloutState(now),
 		SilentInstances: s.silentFor(now, p),
@@ -115,6 +115,9 @@
 		if version.Rewinds > 0 {
 			state.FeedRewinds[name] = version.Rewinds
 		}
+		if version.Era > 0 {
+			state.FeedEras[name] = version.Era
+		}
 		state.ReadAges[name] = uint32(min(age, maxReadAge).Milliseconds())
 	}
 	for _, w := range s.Directory.DesiredAges(now) {
--- a/internal/lrfleet/feed_stats.go
+++ b/internal/lrfleet/feed_stats.go
@@ -30,11 +30,11 @@
 func (f *Follower[T]) recordDropped(now time.Time, revision, era uint64) {
 	f.stats.Dropped++
 	f.log.Warn().Str("feed", f.options.Name).Uint64("revision", revision).Uint64("era", era).Uint64("held", f.version.Revision).
-		Dur("applied", now.Sub(f.appliedAt)).Msg("fleet: answer is older than the entries, not applied")
+		Uint64("heldEra", f.version.Era).Dur("applied", now.Sub(f.appliedAt)).Msg("fleet: answer is older than the entries, not applied")
 }
 
 // recordRewind logs that the platform has gone back to an earlier revision. It must be called with the mutex held.
 func (f *Follower[T]) recordRewind(version FeedVersion) {
-	f.log.Warn().Str("feed", f.options.Name).Uint64("held", f.version.Revision).Uint64("revision", version.Revision).
-		Uint32("rewinds", version.Rewinds).Msg("fleet: platform has gone back to an earlier revision")
+	f.log.Warn().Str("feed", f.options.Name).Uint64("held", f.version.Revision).Uint64("heldEra", f.version.Era).
+		Uint64("revision", version.Revision).Uint64("era", version.Era).Uint32("rewinds", version.Rewinds).Msg("fleet: platform has gone back to an earlier revision")
 }
--- a/internal/lrfleet/feed_version.go
+++ b/internal/lrfleet/feed_version.go
@@ -11,9 +11,12 @@
 // same entries, since it also grows with changes of other feeds; the revisions of the entries do not either, since a removed entry leaves
 // none.
 type FeedVersion struct {
-	// Rewinds is the number of times that an instance has found the platform to have gone back to an earlier revision. A revision counts
-	// for more than all those from before.
+	// Rewinds is the number of times that an instance has found the platform to have gone back to an earlier revision without a higher era.
+	// A revision counts for more than all those from before.
 	Rewinds uint32
+	// Era is the era of the platform's store in which the revision was counted. It rises each time that the store comes back from an older
+	// copy, and is zero for a store that names none.
+	Era uint64
 	// Revision is the revision of the platform up to which the entries include every change.
 	Revision uint64
 	// Digest is a hash of the entries. It is zero when there are none.
@@ -22,7 +25,7 @@
 
 // compare orders versions by the changes of the platform that they include.
 func (v FeedVersion) compare(other FeedVersion) int {
-	return cmp.Or(cmp.Compare(v.Rewinds, other.Rewinds), cmp.Compare(v.Revision, other.Revision))
+	return cmp.Or(cmp.Compare(v.Rewinds, other.Rewinds), cmp.Compare(v.Era, other.Era), cmp.Compare(v.Revision, other.Revision))
 }
 
 // supersedes reports whether entries of version v include changes that those of the other version lack.
@@ -30,11 +33,17 @@
 	return v.compare(other) > 0 && v.Digest != other.Digest
 }
 
-// listedAt returns the version of a list that the platform has answered at the revision to a call that began while v was held. Answers of
-// the platform to calls that begin later are at the same or a later revision, unless it has gone back to an earlier one.
-func (v FeedVersion) listedAt(revision uint64) FeedVersion {
-	listed := FeedVersion{Rewinds: v.Rewinds, Revision: revision}
-	if revision < v.Revision {
+// continues reports whether changes since a version of the other's kind can be applied to entries of version v: revisions were counted on.
+func (v FeedVersion) continues(other FeedVersion) bool {
+	return v.Rewinds == other.Rewinds && v.Era == other.Era
+}
+
+// listedAt returns the version of a list that the platform has answered to a call that began while v was held. Answers to calls that begin
+// later are at the same or a later revision, unless the store has come back from an older copy. A store that names no higher era then is found
+// out by its revision.
+func (v FeedVersion) listedAt(era, revision uint64) FeedVersion {
+	listed := FeedVersion{Rewinds: v.Rewinds, Era: era, Revision: revision}
+	if listed.compare(v) < 0 {
 		listed.Rewinds++
 	}
 	return listed
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -153,7 +153,7 @@
 }
 
 func (f *Follower[T]) step(ctx context.Context, listed bool) error {
-	if !listed {
+	if !listed || f.mayHaveGoneBack(time.Now()) {
 		return f.list(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
@@ -165,8 +165,8 @@
 	if err != nil {
 		return err
 	}
-	if changes.Revision < base.Revision {
-		return ErrHistoryGone.New("the platform has gone back to revision %d", changes.Revision)
+	if changes.Era != base.Era || changes.Revision < base.Revision {
+		return ErrHistoryGone.New("the store is at revision %d of era %d", changes.Revision, changes.Era)
 	}
 	f.apply(time.Now(), base, changes)
 	return nil
@@ -210,7 +210,7 @@
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
 	f.recordContact(now)
-	listed := base.listedAt(changes.Revision)
+	listed := base.listedAt(changes.Era, changes.Revision)
 	if listed.compare(f.version) < 0 {
 		f.recordDropped(now, changes.Revision, changes.Era)
 		f.mutex.Unlock()
@@ -232,7 +232,7 @@
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
 	f.recordContact(now)
-	if base.Rewinds != f.version.Rewinds || changes.Revision < f.version.Revision {
+	if !base.continues(f.version) || changes.Revision < f.version.Revision {
 		f.recordDropped(now, changes.Revision, changes.Era)
 		f.mutex.Unlock()
 		return
@@ -241,7 +241,7 @@
 		f.recordRead(now, now)
 	}
 	f.mutex.Unlock()
-	f.update(now, FeedVersion{Rewinds: base.Rewinds, Revision: changes.Revision}, changes)
+	f.update(now, FeedVersion{Rewinds: base.Rewinds, Era: base.Era, Revision: changes.Revision}, changes)
 }
 
 // ReplaceFromPeer applies a list of all entries that another instance holds, and reports whether it did. A list that is not later than
@@ -276,7 +276,7 @@
 func (f *Follower[T]) update(now time.Time, version FeedVersion, changes Changes[T]) {
 	f.mutex.Lock()
 	f.appliedAt = now
-	if version.Rewinds > f.version.Rewinds && f.version.Revision > 0 {
+	if f.version.Revision > 0 && !version.continues(f.version) {
 		f.recordRewind(version)
 	}
 	entries := maps.Clone(f.entries)
@@ -401,5 +401,5 @@
 	for name := range f.missing {
 		delete(entries, name)
 	}
-	return Changes[T]{Set: entries, Revision: f.version.Revision}, f.version
+	return Changes[T]{Set: entries, Revision: f.version.Revision, Era: f.version.Era}, f.version
 }
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -26,6 +26,15 @@
 	f.watchingSince = since
 }
 
+// mayHaveGoneBack reports whether the platform may have come back from an older copy unnoticed, with the revision held given out again: its
+// store names no era, and has not answered this instance just before. A watch would miss changes then, and a list does not.
+func (f *Follower[T]) mayHaveGoneBack(now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	isAnswered := f.failingSince.IsZero() && now.Sub(f.answeredAt) <= f.options.Wait
+	return f.version.Era == 0 && !isAnswered
+}
+
 // Report returns the version of the entries, and how long ago any instance is known to have read the feed from the platform. Both belong
 // together: the entries include every change up to that read.
 func (f *Follower[T]) Report(now time.Time) (FeedVersion, time.Duration) {
@@ -59,7 +68,7 @@
 	if isEqual && version.compare(f.version) > 0 {
 		f.version = version
 	}
-	if isEqual || version.Rewinds == f.version.Rewinds && version.Revision < f.version.Revision {
+	if isEqual || version.continues(f.version) && version.Revision < f.version.Revision {
 		f.recordRead(now, now.Add(-age))
 	}
 	return version.supersedes(f.version)
--- a/internal/lrfleet/removal_test.go
+++ b/internal/lrfleet/removal_test.go
@@ -30,6 +30,8 @@
 	revision uint64
 	events   []feedEvent
 	down     bool
+	// era is what the platform names as the era of its store.
+	era uint64
 }
 
 type feedEvent struct {
@@ -70,7 +72,7 @@
 	if r.down {
 		return Changes[string]{}, errDown
 	}
-	return Changes[string]{Set: maps.Clone(r.entries), Revision: r.revision}, nil
+	return Changes[string]{Set: maps.Clone(r.entries), Revision: r.revision, Era: r.era}, nil
 }
 
 func (r *revisedFeed) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes[string], error) {
@@ -92,7 +94,7 @@
 	if after > r.revision {
 		return Changes[string]{}, false, ErrHistoryGone.New("revision %d", after)
 	}
-	changes = Changes[string]{Set: map[string]string{}, Revision: r.revision}
+	changes = Changes[string]{Set: map[string]string{}, Revision: r.revision, Era: r.era}
 	for _, e := range r.events {
 		if e.revision <= after {
 			continue
--- a/internal/lrfleet/rewind_test.go
+++ b/internal/lrfleet/rewind_test.go
@@ -23,6 +23,10 @@
 	restarted bool
 	// partitioned is a zone that is cut off from the others meanwhile, but not from the platform.
 	partitioned string
+	// eras are the eras that the platform names before and after, and givenOut the number of its revisions that are given out again before
+	// an instance reads one.
+	eras     [2]uint64
+	givenOut int
 }
 
 // copyOf returns the entries and the revision of the platform.
@@ -33,10 +37,10 @@
 }
 
 // rewind replaces the state of the platform by an earlier one, and forgets the changes since.
-func (r *revisedFeed) rewind(entries map[string]string, revision uint64) {
+func (r *revisedFeed) rewind(entries map[string]string, revision, era uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.entries, r.revision = maps.Clone(entries), revision
+	r.entries, r.revision, r.era = maps.Clone(entries), revision, era
 	kept := r.events[:0]
 	for _, e := range r.events {
 		if e.revision <= revision {
@@ -52,7 +56,7 @@
 func TestChangesAreInForceAfterThePlatformWentBack(t *testing.T) {
 	for kind, options := range map[string]FollowerOptions{"changing": changingFeed(), "rare": rareFeed()} {
 		for _, perZone := range []int{1, 3, 20} {
-			for _, c := range []rewindCase{{perZone, false, ""}, {perZone, true, ""}, {perZone, false, "b"}} {
+			for _, c := range []rewindCase{{perZone: perZone}, {perZone: perZone, restarted: true}, {perZone: perZone, partitioned: "b"}} {
 				t.Run(fmt.Sprintf("%s feed, %+v", kind, c), func(t *testing.T) {
 					t.Parallel()
 					synctest.Test(t, func(t *testing.T) { playRewind(t, newFollowingFleet(c.perZone, options), c) })
@@ -62,9 +66,47 @@
 	}
 }
 
+// TestChangesAreInForceThoughRevisionsAreGivenOutAgain restores the platform from an older copy, and it has reached the revision held again
+// before an instance reads it. A watch from there got no error and missed the changes before it, and instances could not tell the entries from
+// before by their revision.
+func TestChangesAreInForceThoughRevisionsAreGivenOutAgain(t *testing.T) {
+	for kind, options := range map[string]FollowerOptions{"changing": changingFeed(), "rare": rareFeed()} {
+		for _, perZone := range []int{1, 3, 20} {
+			// With 150, the revision is above the one held; with 50, instances of both eras meet.
+			for _, givenOut := range []int{50, 150} {
+				for _, c := range []rewindCase{{}, {restarted: true}, {partitioned: "b"}} {
+					c.perZone, c.givenOut, c.eras = perZone, givenOut, [2]uint64{1, 2}
+					t.Run(fmt.Sprintf("%s feed, %+v", kind, c), func(t *testing.T) {
+						t.Parallel()
+						synctest.Test(t, func(t *testing.T) { playRewind(t, newFollowingFleet(c.perZone, options), c) })
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestChangesAreInForceWhateverEraIsNamed restores a platform that names no higher era than before: none, as older ones, none any more, or a
+// lower one.
+func TestChangesAreInForceWhateverEraIsNamed(t *testing.T) {
+	for _, eras := range [][2]uint64{{0, 0}, {3, 0}, {3, 2}, {0, 3}, {3, 3}} {
+		for _, givenOut := range []int{0, 150} {
+			if eras == [2]uint64{3, 3} && givenOut > 0 {
+				continue // Nothing tells such a store from one that never went back.
+			}
+			c := rewindCase{perZone: 3, eras: eras, givenOut: givenOut}
+			t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { playRewind(t, newFollowingFleet(c.perZone, changingFeed()), c) })
+			})
+		}
+	}
+}
+
 func playRewind(t *testing.T, f *followingFleet, c rewindCase) {
 	t.Helper()
 	defer f.stopAll()
+	f.platform.era = c.eras[0]
 	f.platform.put("kept", "1")
 	for n := range f.sharers {
 		f.start(n)
@@ -80,7 +122,11 @@
 	before := f.historyGone()
 	f.platform.setDown(true)
 	f.play(500*time.Millisecond, func() {})
-	f.platform.rewind(entries, revision)
+	f.platform.rewind(entries, revision, c.eras[1])
+	f.platform.put("early", "1")
+	for range c.givenOut {
+		f.platform.touch()
+	}
 	f.platform.setDown(false)
 	f.partition(c.partitioned)
 	for n := range f.sharers {
@@ -94,6 +140,7 @@
 	f.platform.put("new", "1")
 	f.play(changeBound, func() {})
 	requireEqual(t, "holders of the new entry", f.holders("new"), len(f.sharers))
+	requireEqual(t, "holders of the entry written before a read", f.holders("early"), len(f.sharers))
 	requireEqual(t, "holders of the changed entry", f.holdersOf("kept", "2"), len(f.sharers))
 	f.partition("")
 	f.play(changeBound, func() {})
