Let no older copy of the store revive backend servers or take back their weights

Seen: servers that have said that they leave, or whose entries were removed, get requests again after the store has come back from an older copy, until they write their entries again or these expire (three heartbeats). Requests go to weights that servers no longer have, and are rejected.

Cause: entries are used as the store lists them. Those of an older copy show what their writers have changed since as it was before.

Change: for four heartbeats after the store has gone back, what is known of a server from before counts beside its entry: a start that leaves does not stay, a later start is not replaced by an earlier one, weights do not become older, and a start whose entry was removed stays out of use. This holds for the own use alone; entries are handed on as listed. The new setting [platform] heartbeatInterval says how often servers write.

Ruled out: ordering entries by their sequence. An entry does not change with its sequence alone, so the one listed may be behind for good. Believing a leave for good: another writer could take a server out of use by one entry.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -67,6 +67,9 @@
 	expireInterval = 200 * time.Millisecond
 	// lapseGrace is how long after an outage of the platform entries that are missing from its list are still used.
 	lapseGrace = 2200 * time.Millisecond
+	// restoreHeartbeats is the number of heartbeats of backend servers after which no entry is from an older copy of the store any more: it
+	// removes those of servers that were silent for three of them.
+	restoreHeartbeats = 4
 	// serverWatchWait limits one watch of the backend servers. It is short so that other instances soon detect that this one no longer
 	// receives changes.
 	serverWatchWait = 800 * time.Millisecond
@@ -161,9 +164,9 @@
 }
 
 // followerOptions returns the options for a feed that rarely changes.
-func (d *Daemon) followerOptions(name string, interval time.Duration) lrfleet.FollowerOptions {
+func followerOptions[T any](d *Daemon, name string, interval time.Duration) lrfleet.FollowerOptions[T] {
 	p := d.settings.Platform
-	return lrfleet.FollowerOptions{
+	return lrfleet.FollowerOptions[T]{
 		Name: name, Wait: p.WatchWait, Interval: interval, Delay: d.rankDelay,
 		Watches: func() bool { return d.sharer.Rank(d.clock()) < p.Watchers },
 	}
@@ -171,8 +174,8 @@
 
 func (d *Daemon) wireFeeds() {
 	p := d.settings.Platform
-	options := d.followerOptions
-	d.tables = lrfleet.NewFollower(d.ports.Tables, options(feedTables, p.RefreshInterval), d.log,
+	tables := followerOptions[lrtable.Spec](d, feedTables, p.RefreshInterval)
+	d.tables = lrfleet.NewFollower(d.ports.Tables, tables, d.log,
 		func(_ time.Time, entries map[string]lrtable.Spec) {
 			spec, ok := entries[d.ports.TableName]
 			if ok {
@@ -180,17 +183,22 @@
 				d.reportTargets(d.directory.Table().Spec())
 			}
 		})
-	servers := options(feedServers, p.ServerInterval)
+	servers := followerOptions[lrfleet.Server](d, feedServers, p.ServerInterval)
 	servers.IsChanging, servers.LapseGrace, servers.Wait = true, lapseGrace, serverWatchWait
+	servers.Restore = &lrfleet.RestorePolicy[lrfleet.Server]{
+		Grace: restoreHeartbeats * p.HeartbeatInterval, Merge: lrfleet.LaterServer,
+		IsSameStart: func(removed, listed lrfleet.Server) bool { return listed.Incarnation <= removed.Incarnation },
+	}
 	d.servers = lrfleet.NewFollower(d.ports.Servers, servers, d.log,
 		func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
-	d.desired = lrfleet.NewFollower(d.ports.DesiredVersions, options(feedDesired, p.RefreshInterval), d.log,
+	desired := followerOptions[lrfleet.DesiredVersion](d, feedDesired, p.RefreshInterval)
+	d.desired = lrfleet.NewFollower(d.ports.DesiredVersions, desired, d.log,
 		func(now time.Time, entries map[string]lrfleet.DesiredVersion) {
 			for _, w := range entries {
 				d.directory.SetDesired(now, w.Model, w.Version)
 			}
 		})
-	instances := options(feedInstances, p.InstanceInterval)
+	instances := followerOptions[lrfleet.Instance](d, feedInstances, p.InstanceInterval)
 	instances.Watches = func() bool { return false }
 	d.instances = lrfleet.NewFollower(d.ports.Instances, instances, d.log,
 		func(now time.Time, entries map[string]lrfleet.Instance) { d.sharer.SetInstances(now, entries) })
--- a/internal/lredge/quarantine.go
+++ b/internal/lredge/quarantine.go
@@ -26,7 +26,7 @@
 	options := lrquarantine.DefaultTrackerOptions(d.settings.Instance.Name)
 	options.OnDecision = d.verdictDecided
 	d.quarantine = lrquarantine.NewTracker(d.clock(), options)
-	d.verdicts = lrfleet.NewFollower(d.ports.Verdicts, d.followerOptions(feedVerdicts, verdictInterval), d.log, d.newVerdictReader())
+	d.verdicts = lrfleet.NewFollower(d.ports.Verdicts, followerOptions[lrquarantine.Verdict](d, feedVerdicts, verdictInterval), d.log, d.newVerdictReader())
 	d.supervisor.Add("followVerdicts", d.verdicts.Run)
 	d.supervisor.Add("refreshVerdicts", d.verdicts.RunRefresh)
 	d.supervisor.Add("saveVerdicts", lrsupervise.Every(saveVerdictsInterval, d.saveVerdicts))
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -15,7 +15,7 @@
 )
 
 // FollowerOptions configure how a Follower reads a feed.
-type FollowerOptions struct {
+type FollowerOptions[T any] struct {
 	// Name identifies the feed in the log.
 	Name string
 	// Wait is how long a watch waits for a change.
@@ -34,6 +34,8 @@
 	// LapseGrace is how long after an outage of the platform missing entries are still kept. They may have lapsed because of
 	// the outage.
 	LapseGrace time.Duration
+	// Restore says how entries are used after the platform has gone back. Nil means that they are used as they are listed.
+	Restore *RestorePolicy[T]
 }
 
 const (
@@ -58,7 +60,7 @@
 // A Follower holds the entries of one feed and keeps them up to date. It is safe for use by several goroutines.
 type Follower[T any] struct {
 	feed     Feed[T]
-	options  FollowerOptions
+	options  FollowerOptions[T]
 	log      zerolog.Logger
 	onChange func(now time.Time, entries map[string]T)
 
@@ -84,13 +86,17 @@
 	// appliedAt is when entries or changes were last applied, and stats what has become of the platform's answers.
 	appliedAt time.Time
 	stats     FeedStats
+	// removed holds entries that were removed of late, and restored what was known when the platform last went back. Both are unused without
+	// a RestorePolicy.
+	removed  map[string]removedEntry[T]
+	restored *restored[T]
 }
 
 // NewFollower returns a Follower without entries. It calls onChange with all entries after each change.
-func NewFollower[T any](feed Feed[T], options FollowerOptions, log zerolog.Logger, onChange func(now time.Time, entries map[string]T)) *Follower[T] {
+func NewFollower[T any](feed Feed[T], options FollowerOptions[T], log zerolog.Logger, onChange func(now time.Time, entries map[string]T)) *Follower[T] {
 	return &Follower[T]{
 		feed: feed, options: options, log: log, onChange: onChange, entries: map[string]T{}, digests: map[string]uint64{},
-		missing: map[string]time.Time{},
+		missing: map[string]time.Time{}, removed: map[string]removedEntry[T]{},
 	}
 }
 
@@ -278,6 +284,7 @@
 	f.appliedAt = now
 	if f.version.Revision > 0 && !version.continues(f.version) {
 		f.recordRewind(version)
+		f.beginRestore(now)
 	}
 	entries := maps.Clone(f.entries)
 	isSet := f.set(entries, changes.Set)
@@ -286,9 +293,11 @@
 	f.entries = entries
 	version.Digest = f.digest()
 	f.version = version
+	isRestored := f.endRestore(now)
+	used := f.used(now)
 	f.mutex.Unlock()
-	if isSet || isRemoved || isExpired {
-		f.onChange(now, entries)
+	if isSet || isRemoved || isExpired || isRestored {
+		f.onChange(now, used)
 	}
 }
 
@@ -343,6 +352,7 @@
 			continue
 		}
 		isRemoved = true
+		f.rememberRemoved(now, name, entries[name])
 		f.forget(entries, name)
 	}
 	return isRemoved
@@ -361,20 +371,22 @@
 	for name, end := range f.missing {
 		if !now.Before(end) {
 			expired = true
+			f.rememberRemoved(now, name, entries[name])
 			f.forget(entries, name)
 		}
 	}
 	return expired
 }
 
-// Expire deletes missing entries whose grace period after an outage is over. It must be called periodically.
+// Expire deletes missing entries whose grace period after an outage is over, and uses entries as listed once that of RestorePolicy is over. It
+// must be called periodically.
 func (f *Follower[T]) Expire(now time.Time) {
 	f.applyMutex.Lock()
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
-	pending, version := len(f.missing), f.version
+	isPending, version := len(f.missing) > 0 || f.restored != nil, f.version
 	f.mutex.Unlock()
-	if pending > 0 {
+	if isPending {
 		f.update(now, version, Changes[T]{})
 	}
 }
--- a/internal/lrfleet/follower_test.go
+++ b/internal/lrfleet/follower_test.go
@@ -94,7 +94,7 @@
 }
 
 // followed runs a follower of the feed. The function that it returns lists the names of the known entries.
-func followed(ctx context.Context, feed *fakeFeed, options FollowerOptions) (*Follower[string], func() string) {
+func followed(ctx context.Context, feed *fakeFeed, options FollowerOptions[string]) (*Follower[string], func() string) {
 	var mutex sync.Mutex
 	var known map[string]string
 	options.Delay = func() time.Duration { return 0 }
@@ -122,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
-		_, known := followed(ctx, feed, FollowerOptions{Interval: 800 * time.Millisecond})
+		_, known := followed(ctx, feed, FollowerOptions[string]{Interval: 800 * time.Millisecond})
 		time.Sleep(time.Second)
 		feed.change(func(f *fakeFeed) { f.watchesHang = true })
 		feed.set("b", "1")
@@ -137,7 +137,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
-		_, known := followed(ctx, feed, FollowerOptions{})
+		_, known := followed(ctx, feed, FollowerOptions[string]{})
 		time.Sleep(time.Second)
 		feed.set("b", "1")
 		feed.set("a", "")
@@ -155,7 +155,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{"a": "1", "b": "1"}, revision: 1}
-		f, known := followed(ctx, feed, FollowerOptions{LapseGrace: 2 * time.Second})
+		f, known := followed(ctx, feed, FollowerOptions[string]{LapseGrace: 2 * time.Second})
 		time.Sleep(time.Second)
 		feed.change(func(f *fakeFeed) { f.down = true })
 		time.Sleep(3 * time.Second)
@@ -176,7 +176,7 @@
 func TestEntryListedAgainWithinGraceStays(t *testing.T) {
 	now := time.Unix(1000, 0)
 	changes := 0
-	f := NewFollower(Feed[string](nil), FollowerOptions{LapseGrace: 2 * time.Second}, zerolog.Nop(), func(time.Time, map[string]string) { changes++ })
+	f := NewFollower(Feed[string](nil), FollowerOptions[string]{LapseGrace: 2 * time.Second}, zerolog.Nop(), func(time.Time, map[string]string) { changes++ })
 	f.Replace(now, Changes[string]{Set: map[string]string{"a": "1"}, Revision: 1})
 	f.recordFailure(now, errDown)
 	f.Replace(now.Add(3*time.Second), Changes[string]{Set: map[string]string{}, Revision: 2})
@@ -191,7 +191,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
-		f, _ := followed(ctx, feed, FollowerOptions{Interval: 500 * time.Millisecond})
+		f, _ := followed(ctx, feed, FollowerOptions[string]{Interval: 500 * time.Millisecond})
 		time.Sleep(100 * time.Millisecond)
 		before, _ := feed.counts()
 		for range 50 {
@@ -214,7 +214,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{}, down: true}
-		f, _ := followed(ctx, feed, FollowerOptions{})
+		f, _ := followed(ctx, feed, FollowerOptions[string]{})
 		f.ReplaceFromPeer(time.Now(), FeedVersion{Revision: 1}, listOf(1))
 		for range 100 {
 			readElsewhere(f, time.Now(), 0)
@@ -230,20 +230,20 @@
 // TestListsFromPeersNeverGoBack checks that an older list of another instance is ignored and that a list survives Encode and Decode.
 func TestListsFromPeersNeverGoBack(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(time.Time, map[string]string) {})
+	f := NewFollower(Feed[string](nil), FollowerOptions[string]{}, zerolog.Nop(), func(time.Time, map[string]string) {})
 	f.ReplaceFromPeer(now, FeedVersion{Revision: 2}, Changes[string]{Set: map[string]string{"a": "2"}})
 	requireEqual(t, "an older list is applied", f.ReplaceFromPeer(now, FeedVersion{Revision: 1}, Changes[string]{Set: map[string]string{"a": "1"}}), false)
 	requireEqual(t, "value", f.Snapshot().Set["a"], "2")
 	entries, version, err := f.Encode()
 	requireEqual(t, "error", err, nil)
-	other := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(time.Time, map[string]string) {})
+	other := NewFollower(Feed[string](nil), FollowerOptions[string]{}, zerolog.Nop(), func(time.Time, map[string]string) {})
 	requireEqual(t, "error", other.Decode(now, entries, version), nil)
 	requireEqual(t, "value on the other instance", other.Snapshot().Set["a"], "2")
 }
 
 // followerWithGrace returns a follower of the named entries, which has a grace period of two seconds after an outage.
 func followerWithGrace(now time.Time, names ...string) *Follower[string] {
-	f := NewFollower(Feed[string](nil), FollowerOptions{IsChanging: true, LapseGrace: 2 * time.Second}, zerolog.Nop(), func(time.Time, map[string]string) {})
+	f := NewFollower(Feed[string](nil), FollowerOptions[string]{IsChanging: true, LapseGrace: 2 * time.Second}, zerolog.Nop(), func(time.Time, map[string]string) {})
 	f.Replace(now, listOf(10, names...))
 	return f
 }
@@ -290,7 +290,7 @@
 func TestEntryLapsedWhileNobodyRead(t *testing.T) {
 	now := time.Unix(1000, 0)
 	changes := 0
-	f := NewFollower(Feed[string](nil), FollowerOptions{IsChanging: true, LapseGrace: 2 * time.Second}, zerolog.Nop(),
+	f := NewFollower(Feed[string](nil), FollowerOptions[string]{IsChanging: true, LapseGrace: 2 * time.Second}, zerolog.Nop(),
 		func(time.Time, map[string]string) { changes++ })
 	f.Replace(now, listOf(10, "a", "b"))
 	f.recordFailure(now, errDown)
@@ -342,7 +342,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
-		f, _ := followed(ctx, feed, FollowerOptions{IsChanging: true, Interval: 400 * time.Millisecond})
+		f, _ := followed(ctx, feed, FollowerOptions[string]{IsChanging: true, Interval: 400 * time.Millisecond})
 		time.Sleep(time.Second)
 		requireEqual(t, "age while a watch waits", ageOf(f, time.Now()), 0)
 		feed.change(func(f *fakeFeed) { f.down = true })
@@ -358,7 +358,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		feed := &fakeFeed{entries: map[string]string{"a": "1"}, revision: 1}
-		_, _ = followed(ctx, feed, FollowerOptions{Interval: 800 * time.Millisecond})
+		_, _ = followed(ctx, feed, FollowerOptions[string]{Interval: 800 * time.Millisecond})
 		time.Sleep(500 * time.Millisecond)
 		lists, _ := feed.counts()
 		requireEqual(t, "lists", lists, 1)
--- a/internal/lrfleet/removal_test.go
+++ b/internal/lrfleet/removal_test.go
@@ -114,13 +114,13 @@
 type followingFleet struct {
 	*testFleet
 	platform  *revisedFeed
-	options   FollowerOptions
+	options   FollowerOptions[string]
 	followers map[string]*Follower[string]
 	stops     map[string]context.CancelFunc
 	group     sync.WaitGroup
 }
 
-func newFollowingFleet(perZone int, options FollowerOptions) *followingFleet {
+func newFollowingFleet(perZone int, options FollowerOptions[string]) *followingFleet {
 	f := &followingFleet{
 		testFleet: newTestFleet(perZone), platform: &revisedFeed{entries: map[string]string{}, revision: 1}, options: options,
 		followers: map[string]*Follower[string]{}, stops: map[string]context.CancelFunc{},
@@ -201,12 +201,12 @@
 	return count
 }
 
-func changingFeed() FollowerOptions {
-	return FollowerOptions{IsChanging: true, Interval: 400 * time.Millisecond, Wait: 800 * time.Millisecond, LapseGrace: 2200 * time.Millisecond}
+func changingFeed() FollowerOptions[string] {
+	return FollowerOptions[string]{IsChanging: true, Interval: 400 * time.Millisecond, Wait: 800 * time.Millisecond, LapseGrace: 2200 * time.Millisecond}
 }
 
-func rareFeed() FollowerOptions {
-	return FollowerOptions{Interval: 800 * time.Millisecond, Wait: 20 * time.Second}
+func rareFeed() FollowerOptions[string] {
+	return FollowerOptions[string]{Interval: 800 * time.Millisecond, Wait: 20 * time.Second}
 }
 
 // removalCase says how an entry is removed while instances restart.
@@ -223,7 +223,7 @@
 // that they alone know of its removal; the others learn it from them, since the feed counts as read by all. No instance may use the entry
 // later than the drain bound, nor hand it back to those that have started anew.
 func TestEntryRemovedBehindARestartIsUsedNoMore(t *testing.T) {
-	for kind, options := range map[string]FollowerOptions{"changing": changingFeed(), "rare": rareFeed()} {
+	for kind, options := range map[string]FollowerOptions[string]{"changing": changingFeed(), "rare": rareFeed()} {
 		var cases []removalCase
 		if options.IsChanging {
 			cases = append(cases, removalCase{140, "last", "newest", true})
@@ -370,7 +370,7 @@
 func TestChangesAreAppliedInTheirOrder(t *testing.T) {
 	const patience = 50 * time.Millisecond
 	inUse, entered, release := 0, make(chan struct{}), make(chan struct{})
-	f := NewFollower(Feed[string](nil), FollowerOptions{}, zerolog.Nop(), func(_ time.Time, entries map[string]string) {
+	f := NewFollower(Feed[string](nil), FollowerOptions[string]{}, zerolog.Nop(), func(_ time.Time, entries map[string]string) {
 		if len(entries) == 2 {
 			close(entered)
 			<-release
--- /dev/null
+++ b/internal/lrfleet/restored_test.go
@@ -0,0 +1,116 @@
+package lrfleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// restoreGrace is the grace period of the tests, and earlier an era of the store that later follows.
+	restoreGrace   = 5 * time.Second
+	earlier, later = 1, 2
+)
+
+// restoringFollower follows servers, of which it knows the given ones at revision 100 of an earlier era.
+type restoringFollower struct {
+	*Follower[Server]
+	now  time.Time
+	used map[string]Server
+}
+
+func newRestoringFollower(known ...Server) *restoringFollower {
+	r := &restoringFollower{now: time.Unix(1000, 0)}
+	options := FollowerOptions[Server]{IsChanging: true, LapseGrace: 2 * time.Second, Restore: &RestorePolicy[Server]{
+		Grace: restoreGrace, Merge: LaterServer, IsSameStart: func(removed, listed Server) bool { return listed.Incarnation <= removed.Incarnation },
+	}}
+	r.Follower = NewFollower(Feed[Server](nil), options, zerolog.Nop(), func(_ time.Time, servers map[string]Server) { r.used = servers })
+	r.list(100, earlier, known...)
+	return r
+}
+
+// list applies a list of the store.
+func (r *restoringFollower) list(revision, era uint64, servers ...Server) {
+	changes := Changes[Server]{Set: map[string]Server{}, Revision: revision, Era: era}
+	for _, s := range servers {
+		changes.Set[s.ID] = s
+	}
+	r.Replace(r.now, changes)
+}
+
+// wait lets time pass.
+func (r *restoringFollower) wait(d time.Duration) {
+	r.now = r.now.Add(d)
+	r.Expire(r.now)
+}
+
+// inUse lists the servers that take requests.
+func (r *restoringFollower) inUse() string {
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(r.used)) {
+		if !r.used[id].IsLeaving {
+			ids = append(ids, id)
+		}
+	}
+	return strings.Join(ids, ",")
+}
+
+func server(id string, born int64) Server { return Server{ID: id, Incarnation: born} }
+
+func leaving(id string, born int64) Server { return Server{ID: id, Incarnation: born, IsLeaving: true} }
+
+// TestOlderCopyRevivesNoServer restores the store from a copy from before servers said that they leave or were removed. They got requests
+// again until their entries were written again or had expired.
+func TestOlderCopyRevivesNoServer(t *testing.T) {
+	t.Run("leaving", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), leaving("b", 1))
+		r.list(50, later, server("a", 1), server("b", 1))
+		requireEqual(t, "in use", r.inUse(), "a")
+		r.list(52, later, server("a", 1), leaving("b", 1))
+		r.wait(restoreGrace)
+		requireEqual(t, "in use later", r.inUse(), "a")
+	})
+	t.Run("removed", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), server("b", 1))
+		r.list(101, earlier, server("a", 1))
+		r.list(50, later, server("a", 1), server("b", 1))
+		requireEqual(t, "in use", r.inUse(), "a")
+		r.list(51, later, server("a", 1), server("b", 1), server("c", 1))
+		requireEqual(t, "in use after another list", r.inUse(), "a,c")
+	})
+	t.Run("removed and copied twice", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), leaving("b", 1), server("c", 1))
+		r.list(101, earlier, server("a", 1), leaving("b", 1))
+		r.list(50, later, server("a", 1), server("b", 1), server("c", 1))
+		r.wait(time.Second)
+		r.list(50, later+1, server("a", 1), server("b", 1), server("c", 1))
+		requireEqual(t, "in use", r.inUse(), "a")
+	})
+	t.Run("started anew", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), leaving("b", 1))
+		r.list(101, earlier, server("a", 2))
+		r.list(50, later, server("a", 1), server("b", 7))
+		requireEqual(t, "in use", r.inUse(), "a,b")
+		requireEqual(t, "start in use", r.used["a"].Incarnation, int64(2))
+	})
+	t.Run("weights", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1).WithVersion("m", 4))
+		r.list(50, later, server("a", 1).WithVersion("m", 3))
+		requireEqual(t, "version", r.used["a"].Versions["m"], int64(4))
+	})
+}
+
+// TestServerIsUsedOnceItsEntryIsNoCopy checks that a server which is listed in spite of all when the grace period is over gets requests: its
+// entry was removed though it goes on running, or it stays after all.
+func TestServerIsUsedOnceItsEntryIsNoCopy(t *testing.T) {
+	r := newRestoringFollower(leaving("a", 1), server("b", 1))
+	r.list(101, earlier, leaving("a", 1))
+	r.list(50, later, server("a", 1), server("b", 1))
+	requireEqual(t, "in use", r.inUse(), "")
+	r.wait(restoreGrace)
+	requireEqual(t, "in use after the grace", r.inUse(), "a,b")
+}
--- a/internal/lrfleet/rewind_test.go
+++ b/internal/lrfleet/rewind_test.go
@@ -54,7 +54,7 @@
 // revision than the one held were dropped, the next watch began at the revision held, which the platform does not have, and instances handed
 // the old entries to one another: until the revisions had caught up, no change was in force.
 func TestChangesAreInForceAfterThePlatformWentBack(t *testing.T) {
-	for kind, options := range map[string]FollowerOptions{"changing": changingFeed(), "rare": rareFeed()} {
+	for kind, options := range map[string]FollowerOptions[string]{"changing": changingFeed(), "rare": rareFeed()} {
 		for _, perZone := range []int{1, 3, 20} {
 			for _, c := range []rewindCase{{perZone: perZone}, {perZone: perZone, restarted: true}, {perZone: perZone, partitioned: "b"}} {
 				t.Run(fmt.Sprintf("%s feed, %+v", kind, c), func(t *testing.T) {
@@ -70,7 +70,7 @@
 // before an instance reads it. A watch from there got no error and missed the changes before it, and instances could not tell the entries from
 // before by their revision.
 func TestChangesAreInForceThoughRevisionsAreGivenOutAgain(t *testing.T) {
-	for kind, options := range map[string]FollowerOptions{"changing": changingFeed(), "rare": rareFeed()} {
+	for kind, options := range map[string]FollowerOptions[string]{"changing": changingFeed(), "rare": rareFeed()} {
 		for _, perZone := range []int{1, 3, 20} {
 			// With 150, the revision is above the one held; with 50, instances of both eras meet.
 			for _, givenOut := range []int{50, 150} {
--- a/internal/lrfleet/server.go
+++ b/internal/lrfleet/server.go
@@ -66,6 +66,24 @@
 	return s
 }
 
+// LaterServer returns the server with what is known of both states of its entry, of which one may be from an older copy of the platform's
+// store. A start of a server that leaves does not stay after all, and its weights do not become older.
+func LaterServer(known, listed Server) Server {
+	if known.Incarnation != listed.Incarnation {
+		if known.Incarnation > listed.Incarnation {
+			return known
+		}
+		return listed
+	}
+	listed.IsLeaving = listed.IsLeaving || known.IsLeaving
+	for model, version := range known.Versions {
+		if version > listed.Versions[model] {
+			listed = listed.WithVersion(model, version)
+		}
+	}
+	return listed
+}
+
 // An Instance is a router instance as it is registered in the platform.
 type Instance struct {
 	Name        string `json:"name"`
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -67,6 +67,8 @@
 	ServerInterval time.Duration
 	// RefreshInterval is the time between two reads of a whole list by all instances together.
 	RefreshInterval time.Duration
+	// HeartbeatInterval is the time between two heartbeats of a backend server. The platform removes its entry after three without one.
+	HeartbeatInterval time.Duration
 }
 
 // Peers configures how other instances are found while the platform is down.
@@ -247,6 +249,7 @@
 			CallTimeout: 2 * time.Second, ListInterval: time.Second,
 			WatchWait: 20 * time.Second, Watchers: 8, InstanceInterval: 2 * time.Second,
 			ServerInterval: 400 * time.Millisecond, RefreshInterval: 800 * time.Millisecond,
+			HeartbeatInterval: 1200 * time.Millisecond,
 		},
 		Peers: Peers{HeartbeatInterval: 500 * time.Millisecond, Fanout: 3, WatchersPerZone: 2},
 		Server: Server{
