Keep backend servers that an older copy of the store lacks until they are written again

Seen: a server that has registered since the copy from which the store comes back is dropped, though it runs, until its next heartbeat.

Cause: the grace for missing entries begins only after an outage of 1.8 s. A store can come back from a copy after a shorter one.

Evidence: TestServerThatTheCopyLacksIsUsed failed before: a in use, want a and b.

Change: the grace begins whenever the store has gone back.

Measured: the test passes.

--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -52,6 +52,8 @@
 
 // beginRestore keeps what is known of the entries now that the platform has gone back. It must be called with the mutex held.
 func (f *Follower[T]) beginRestore(now time.Time) {
+	// Entries that were written since the copy are written again as those are that have lapsed in an outage.
+	f.recoveredAt = now
 	if f.options.Restore == nil {
 		return
 	}
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -114,3 +114,15 @@
 	r.wait(restoreGrace)
 	requireEqual(t, "in use after the grace", r.inUse(), "a,b")
 }
+
+// TestServerThatTheCopyLacksIsUsed restores the store from a copy from before a server was registered. It was dropped until its next heartbeat
+// though it runs.
+func TestServerThatTheCopyLacksIsUsed(t *testing.T) {
+	r := newRestoringFollower(server("a", 1), server("b", 1))
+	r.list(50, later, server("a", 1))
+	requireEqual(t, "in use", r.inUse(), "a,b")
+	r.wait(time.Second)
+	r.list(51, later, server("a", 1), server("b", 1))
+	r.wait(restoreGrace)
+	requireEqual(t, "in use later", r.inUse(), "a,b")
+}
