Keep the latest routing table and weights over an older copy of the store

Seen: instances that are running keep a routing table that the store has lost, but one that starts before the operator has written it again serves the earlier one, and keys that were withdrawn since.

Cause: feeds hold what the store lists. The later table lives only where requests are routed, and is handed on to nobody.

Change: entries that never go back by a version of their own (tables, wanted weights) are kept in the feed over an earlier listed state, so that others get them. Copies that are as late but differ are merged by these versions.

Ruled out: the same for verdicts, since their writers must see what the store lacks; for servers and instances, whose entries have no version.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -175,6 +175,7 @@
 func (d *Daemon) wireFeeds() {
 	p := d.settings.Platform
 	tables := followerOptions[lrtable.Spec](d, feedTables, p.RefreshInterval)
+	tables.Latest = later(func(s lrtable.Spec) uint64 { return s.Version })
 	d.tables = lrfleet.NewFollower(d.ports.Tables, tables, d.log,
 		func(_ time.Time, entries map[string]lrtable.Spec) {
 			spec, ok := entries[d.ports.TableName]
@@ -192,6 +193,7 @@
 	d.servers = lrfleet.NewFollower(d.ports.Servers, servers, d.log,
 		func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
 	desired := followerOptions[lrfleet.DesiredVersion](d, feedDesired, p.RefreshInterval)
+	desired.Latest = later(func(v lrfleet.DesiredVersion) int64 { return v.Version })
 	d.desired = lrfleet.NewFollower(d.ports.DesiredVersions, desired, d.log,
 		func(now time.Time, entries map[string]lrfleet.DesiredVersion) {
 			for _, w := range entries {
@@ -212,6 +214,16 @@
 	d.supervisor.Add("expireServers", lrsupervise.Every(expireInterval, func(_ context.Context, now time.Time) { d.servers.Expire(now) }))
 }
 
+// later returns a function that returns the entry with the higher version.
+func later[T any, V cmp.Ordered](version func(entry T) V) func(known, listed T) T {
+	return func(known, listed T) T {
+		if version(known) > version(listed) {
+			return known
+		}
+		return listed
+	}
+}
+
 // rankDelay returns the rank delay of this instance.
 func (d *Daemon) rankDelay() time.Duration {
 	return rankDelay(d.sharer.Rank(d.clock()), d.sharer.PropagationDelay())
--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -60,12 +60,11 @@
 		return nil, ""
 	}
 	for feed, l := range s.lags {
-		own := s.Feeds[feed].Version()
-		if !l.version.supersedes(own) {
+		if !s.Feeds[feed].IsBehind(l.version) {
 			delete(s.lags, feed)
 			continue
 		}
-		if now.Sub(l.since) < catchUpAfter && own.Revision > 0 {
+		if now.Sub(l.since) < catchUpAfter && s.Feeds[feed].Version().Revision > 0 {
 			continue
 		}
 		delete(s.lags, feed)
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -34,6 +34,9 @@
 	// LapseGrace is how long after an outage of the platform missing entries are still kept. They may have lapsed because of
 	// the outage.
 	LapseGrace time.Duration
+	// Latest returns the later one of two states of an entry by a version of its own, for entries that never go back. Nil means that the
+	// platform decides.
+	Latest func(known, listed T) T
 	// Restore says how entries are used after the platform has gone back. Nil means that they are used as they are listed.
 	Restore *RestorePolicy[T]
 }
@@ -251,17 +254,20 @@
 }
 
 // ReplaceFromPeer applies a list of all entries that another instance holds, and reports whether it did. A list that is not later than
-// the own one is ignored.
+// the own one is ignored. From one that is as late, entries that never go back are merged into the own ones.
 func (f *Follower[T]) ReplaceFromPeer(now time.Time, version FeedVersion, changes Changes[T]) bool {
 	f.applyMutex.Lock()
 	defer f.applyMutex.Unlock()
 	f.mutex.Lock()
-	if version.compare(f.version) <= 0 {
+	order := version.compare(f.version)
+	if order < 0 || order == 0 && f.options.Latest == nil {
 		f.mutex.Unlock()
 		return false
 	}
-	f.detectOutage(now, now)
-	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
+	if order > 0 {
+		f.detectOutage(now, now)
+		changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
+	}
 	f.mutex.Unlock()
 	f.update(now, version, changes)
 	return true
@@ -318,6 +324,9 @@
 	for name, entry := range listed {
 		delete(f.missing, name)
 		before, ok := entries[name]
+		if ok && f.options.Latest != nil {
+			entry = f.options.Latest(before, entry)
+		}
 		if ok && reflect.DeepEqual(before, entry) {
 			continue
 		}
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -71,7 +71,21 @@
 	if isEqual || version.continues(f.version) && version.Revision < f.version.Revision {
 		f.recordRead(now, now.Add(-age))
 	}
-	return version.supersedes(f.version)
+	return f.isBehind(version)
+}
+
+// IsBehind reports whether entries of the version include changes that the own ones lack.
+func (f *Follower[T]) IsBehind(version FeedVersion) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.isBehind(version)
+}
+
+// isBehind must be called with the mutex held. Entries that never go back may differ at the same version: an instance that has started after
+// the platform went back knows only what the older copy holds.
+func (f *Follower[T]) isBehind(version FeedVersion) bool {
+	isAsLate := version.compare(f.version) == 0 && version.Digest != f.version.Digest
+	return version.supersedes(f.version) || f.options.Latest != nil && isAsLate
 }
 
 // recordRead records that an instance has read the feed at the given time. It must be called with the mutex held.
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -126,3 +126,29 @@
 	r.wait(restoreGrace)
 	requireEqual(t, "in use later", r.inUse(), "a,b")
 }
+
+// TestLatestEntryOutlivesOlderCopy restores the store from a copy that holds an earlier version of an entry that never goes back. An instance
+// that has started since knew only the earlier one, also with nothing written to the store meanwhile.
+func TestLatestEntryOutlivesOlderCopy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newFollower := func() *Follower[string] {
+		options := FollowerOptions[string]{Latest: func(known, listed string) string { return max(known, listed) }}
+		return NewFollower(Feed[string](nil), options, zerolog.Nop(), func(time.Time, map[string]string) {})
+	}
+	old, started := newFollower(), newFollower()
+	list := func(f *Follower[string], revision, era uint64, value string) {
+		f.Replace(now, Changes[string]{Set: map[string]string{"main": value}, Revision: revision, Era: era})
+	}
+	list(old, 100, earlier, "v20")
+	list(old, 50, later, "v17")
+	list(started, 50, later, "v17")
+	requireEqual(t, "value of the one that knew it", old.Snapshot().Set["main"], "v20")
+	requireEqual(t, "the started one is behind", started.RecordReport(now, old.Version(), 0), true)
+	entries, version, err := old.Encode()
+	requireEqual(t, "error", err, nil)
+	requireEqual(t, "error", started.Decode(now, entries, version), nil)
+	requireEqual(t, "value of the started one", started.Snapshot().Set["main"], "v20")
+	requireEqual(t, "still behind", started.IsBehind(old.Version()) || old.IsBehind(started.Version()), false)
+	list(started, 60, later, "v21")
+	requireEqual(t, "value after the next version", started.Snapshot().Set["main"], "v21")
+}
--- a/internal/lrfleet/shared_feed.go
+++ b/internal/lrfleet/shared_feed.go
@@ -10,6 +10,8 @@
 type SharedFeed interface {
 	// Version identifies the entries that this instance holds.
 	Version() FeedVersion
+	// IsBehind reports whether entries of the version include changes that the own ones lack.
+	IsBehind(version FeedVersion) bool
 	// Stats counts what has become of the answers of the platform.
 	Stats() FeedStats
 	// Report returns what other instances need to know: the version of the entries, and how long ago any instance is known to have read
