Store verdicts on crashing prompts again when the store has lost them

After the store had come back from an older copy, verdicts of the lost seconds were in no store: a restart of all instances would have let the crashing prompts through again, and rejected those again whose verdict had been taken back.

Cause: an instance that had stored a verdict once never looked whether the store kept it.

Each change of the verdicts' list is now compared with the verdicts that are held. What the list lacks, or has in an earlier version, is stored by the first instance by rank, 2 s and its rank delay later; the others see it in the list and make no call. An instance that has stored a verdict itself waits 10 s for the list to show it, and stores it again if it doesn't. Left out are verdicts that are forgotten within two minutes, so that the cleaner and the instances don't delete and store one in turns, and lifted ones of which the store holds nothing. A failed write is tried again after a second (it was 250 ms). Nothing is read or written in addition in calm.

--- a/internal/lredge/quarantine.go
+++ b/internal/lredge/quarantine.go
@@ -16,6 +16,11 @@
 	verdictInterval = 3 * time.Second
 	// saveVerdictsInterval is the time between two checks for verdicts to store.
 	saveVerdictsInterval = 250 * time.Millisecond
+	// confirmVerdictDelay is the time within which the list shows a verdict that has been stored. A store that comes back from an older
+	// copy may lose it before.
+	confirmVerdictDelay = 10 * time.Second
+	// retryVerdictDelay is the time between two attempts to store a verdict.
+	retryVerdictDelay = time.Second
 	// forgetVerdictsInterval is the time between two checks for stored verdicts that are no longer held.
 	forgetVerdictsInterval = time.Minute
 )
@@ -40,7 +45,8 @@
 		Uint32("crashes", v.Crashes).Uint32("trials", v.Trials).Uint32("version", v.Version).Msg("quarantine: verdict")
 }
 
-// newVerdictReader returns a function that applies the stored verdicts that it has not applied before.
+// newVerdictReader returns a function that applies the stored verdicts that it has not applied before, and has those stored again that the
+// store has lost. Of the instances that hold one, the first by rank stores it.
 func (d *Daemon) newVerdictReader() func(now time.Time, entries map[string]lrquarantine.Verdict) {
 	applied := map[string]uint32{}
 	return func(now time.Time, entries map[string]lrquarantine.Verdict) {
@@ -55,10 +61,14 @@
 			applied[name] = v.Version
 		}
 		d.quarantine.Merge(now, updates)
+		d.quarantine.SaveLost(now, func(trait lrquarantine.Trait) (lrquarantine.Verdict, bool) {
+			v, ok := entries[trait.String()]
+			return v, ok
+		}, d.rankDelay())
 	}
 }
 
-// saveVerdicts stores the verdicts that this instance has decided.
+// saveVerdicts stores the verdicts that this instance has decided or that the store has lost, until the list shows them.
 func (d *Daemon) saveVerdicts(ctx context.Context, now time.Time) {
 	unsaved := d.quarantine.Unsaved(now)
 	if len(unsaved) == 0 {
@@ -73,9 +83,10 @@
 		err := store.Save(ctx, v, v)
 		if err != nil {
 			d.log.Warn().Err(err).Str("trait", v.Trait.String()).Msg("quarantine: verdict not stored yet")
+			d.quarantine.SaveAt(now.Add(retryVerdictDelay), v)
 			continue
 		}
-		d.quarantine.Saved(v)
+		d.quarantine.SaveAt(now.Add(confirmVerdictDelay), v)
 	}
 }
 
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -363,6 +363,42 @@
 	requireEqual(t, len(decider.Unsaved(decider.now)), 1, "verdicts that the decider stores later")
 }
 
+// TestLostVerdictIsStoredAgain guards against a verdict that is in no store after that has come back from an older copy, and against
+// instances that store without need what they are about to forget.
+func TestLostVerdictIsStoredAgain(t *testing.T) {
+	held := lrquarantine.Verdict{Trait: 7, Version: 3, IsQuarantined: true}
+	earlier := lrquarantine.Verdict{Trait: 7, Version: 2}
+	cases := []struct {
+		name    string
+		stored  []lrquarantine.Verdict
+		isSound bool
+		seenAge time.Duration
+		want    int
+	}{
+		{"missing", nil, false, 0, 1},
+		{"an earlier version", []lrquarantine.Verdict{earlier}, false, 0, 1},
+		{"taken back, and stored as it was before", []lrquarantine.Verdict{earlier}, true, 0, 1},
+		{"taken back, and missing", nil, true, 0, 0},
+		{"stored", []lrquarantine.Verdict{held}, false, 0, 0},
+		{"soon forgotten", nil, false, 9 * time.Minute, 0},
+		{"forgotten", nil, false, 11 * time.Minute, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i, verdict := newInstance(), held
+			verdict.IsQuarantined = !c.isSound
+			i.Merge(i.now, lrquarantine.Updates{Verdicts: []lrquarantine.VerdictUpdate{{Verdict: verdict, SeenAge: c.seenAge}}})
+			i.SaveLost(i.now, func(lrquarantine.Trait) (lrquarantine.Verdict, bool) {
+				return append(c.stored, lrquarantine.Verdict{})[0], len(c.stored) > 0
+			}, time.Second)
+			i.advance(2900 * time.Millisecond)
+			requireEqual(t, len(i.Unsaved(i.now)), 0, "verdicts to store while others may store them")
+			i.advance(100 * time.Millisecond)
+			requireEqual(t, len(i.Unsaved(i.now)), c.want, "verdicts to store")
+		})
+	}
+}
+
 // TestTrackerMemoryIsBounded guards against crashes without end that fill the memory.
 func TestTrackerMemoryIsBounded(t *testing.T) {
 	options := lrquarantine.DefaultTrackerOptions("a")
--- a/pkg/lrquarantine/updates.go
+++ b/pkg/lrquarantine/updates.go
@@ -13,6 +13,9 @@
 	newsDelay = 300 * time.Millisecond
 	// saveDelay is how long an instance that has not observed a crash waits at least until it stores a verdict.
 	saveDelay = 2 * time.Second
+	// forgetMargin is the time before the end of the retention in which a verdict that the store has lost is not stored again. It exceeds
+	// the time between the moments at which the instances forget it.
+	forgetMargin = 2 * time.Minute
 )
 
 // Updates are what an instance tells the others. Times are ages, since the clocks of instances differ.
@@ -198,6 +201,34 @@
 	}
 }
 
+// SaveAt makes this instance store the verdict at the given time, unless it holds another one by now.
+func (t *Tracker) SaveAt(at time.Time, verdict Verdict) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	v, ok := t.verdicts[verdict.Trait]
+	if ok && v.Version == verdict.Version {
+		t.unsaved[verdict.Trait] = at
+	}
+}
+
+// SaveLost makes this instance store the verdicts that the list of stored ones lacks or has in an earlier version, since the store has
+// come back from an older copy. It stores them after the delay, and after the time in which an instance that has just decided one stores
+// it. A verdict that is soon forgotten is left out, so that the instances do not store it and delete it in turns.
+func (t *Tracker) SaveLost(now time.Time, stored func(trait Trait) (Verdict, bool), delay time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.evict(now)
+	for trait, v := range t.verdicts {
+		_, isDue := t.unsaved[trait]
+		last, isStored := stored(trait)
+		isLost := last.Version < v.Version && (isStored || v.IsQuarantined)
+		if isDue || !isLost || now.Sub(v.seenAt) >= t.options.Retention-forgetMargin {
+			continue
+		}
+		t.unsaved[trait] = now.Add(saveDelay + delay)
+	}
+}
+
 // Knows reports whether the Tracker holds a verdict on the trait.
 func (t *Tracker) Knows(now time.Time, trait Trait) bool {
 	t.mutex.Lock()
