Read the configuration's head again after a watch without changes

On the project's own interface, an instance that watches the platform did not see a change that was made after the platform had come back from an older copy, until the next one. Where all instances of a zone watch (up to watchersPerZone), nobody there did.

Cause: the watch began after a revision that the restored platform did not have yet, or had given out again for something else.

Relay.Watch begins again with a read of the whole kind (one object) after each watch that ended without a change, so that the change is there after the wait of one watch, 30 s; this costs one read of the head each 30 s for each watcher. The Memory behind the stand-in answers a watch from a revision that it doesn't have with all objects, at once. Memory.Copy and Memory.Restore are for tests.

Not mended: the follower orders heads by version alone. A change that the platform lost, and another one under the same version, are reported as a fork and the lost one stays in force until the next change.

--- a/internal/lrplatform/memory.go
+++ b/internal/lrplatform/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -33,6 +34,29 @@
 	return &Memory{objects: map[objectKey]Object{}, changed: make(chan struct{})}
 }
 
+// A MemoryCopy is the content of a Memory at one moment.
+type MemoryCopy struct {
+	revision uint64
+	objects  map[objectKey]Object
+	history  []historyEntry
+}
+
+// Copy returns the content, for Restore.
+func (m *Memory) Copy() MemoryCopy {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return MemoryCopy{revision: m.revision, objects: maps.Clone(m.objects), history: slices.Clone(m.history)}
+}
+
+// Restore goes back to the copy, as a platform does that has lost what was written since. Its revisions are given out again.
+func (m *Memory) Restore(content MemoryCopy) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.revision, m.objects, m.history = content.revision, maps.Clone(content.objects), slices.Clone(content.history)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // SetInstances replaces the list of instances.
 func (m *Memory) SetInstances(instances []Instance) {
 	m.mutex.Lock()
@@ -103,11 +127,12 @@
 	return nil
 }
 
-// Watch waits until objects of the kind have changed after the revision.
+// Watch waits until objects of the kind have changed after the revision. From one that the Memory does not have or no longer has, it returns
+// all objects of the kind at once.
 func (m *Memory) Watch(ctx context.Context, kind string, after uint64) (Changes, error) {
 	for {
 		changes, wait := m.changesAfter(kind, after)
-		if len(changes.Objects) > 0 || (after == 0 && changes.Revision > 0) {
+		if len(changes.Objects) > 0 || (after == 0 && changes.Revision > 0) || after > changes.Revision {
 			return changes, nil
 		}
 		select {
@@ -153,7 +178,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	changes := Changes{Revision: m.revision}
-	if after == 0 || (len(m.history) > 0 && m.history[0].revision > after+1) {
+	if after == 0 || after > m.revision || (len(m.history) > 0 && m.history[0].revision > after+1) {
 		changes.Objects = m.list(kind, "")
 		return changes, m.changed
 	}
--- a/internal/lrstate/relay.go
+++ b/internal/lrstate/relay.go
@@ -158,12 +158,21 @@
 			retry = min(2*retry, maxRetryDelay)
 			continue
 		}
-		after, retry = changes.Revision, firstRetryDelay
+		after, retry = nextWatch(after, changes), firstRetryDelay
 		r.options.OnPlatform()
 	}
 	return nil
 }
 
+// nextWatch returns the revision after which the next watch begins. After one without changes the head is read again: a platform that has
+// come back from an older copy gives out its revisions again, so that the watch may begin after a change that was not seen.
+func nextWatch(after uint64, changes lrplatform.Changes) uint64 {
+	if after > 0 && len(changes.Objects) == 0 {
+		return 0
+	}
+	return changes.Revision
+}
+
 // awaitMembers waits until the configuration has been read and then, for a bounded time, until another member is known.
 // Without it every instance would watch the platform when all of them start together.
 func (r *Relay) awaitMembers(ctx context.Context) {
