Write the records of paid actions again when the platform has lost them

On the project's own interface, a paid action ran twice when the platform came back from a copy that was older than its record and the caller repeated the request with its idempotency key: the record was gone, or claimed by an attempt that seemed to have sent nothing. An action whose answer was lost with the copy stayed in doubt.

Cause: the record alone tells whether an action was sent, and nobody looked whether the platform kept it.

The instance that has sent an action reads its record again 15 s after the end, once, and writes it again where it is gone or earlier (lrpaid.Restore, a conditional update). It never replaces a record that another attempt has dispatched: that action has run twice, which is logged as an error and counted as the violation paidSentOnce. At most 4,096 records wait, each with at most 4 KB of its answer.

Left open: a request that is repeated within the 15 s, or after the instance has ended within them, still runs the action twice.

The runs over pairs of faults and random faults of the package now confirm the records too, and pass.

--- a/internal/lrdaemon/wire_paid.go
+++ b/internal/lrdaemon/wire_paid.go
@@ -8,8 +8,12 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 )
 
-// cleanInterval is the time between two steps of the removal of expired records of paid actions.
-const cleanInterval = time.Minute
+const (
+	// cleanInterval is the time between two steps of the removal of expired records of paid actions.
+	cleanInterval = time.Minute
+	// confirmInterval is the time between two checks for records of paid actions to be read again.
+	confirmInterval = time.Second
+)
 
 // wirePaid creates the runner of paid actions. A graceful shutdown waits for the actions that are in progress.
 func (d *Daemon) wirePaid() {
@@ -23,6 +27,7 @@
 		defer cancel()
 		ledger.Close(ctx)
 	})
+	d.supervisor.Add("confirmPaid", lrsupervise.Every(confirmInterval, ledger.ConfirmRecords))
 	cleaner := lrledger.NewCleaner(d.platform, d.members, d.settings.Paid.Retention, d.log)
 	d.supervisor.Add("expirePaid", lrsupervise.Every(cleanInterval, cleaner.Clean))
 }
--- a/internal/lrledger/ledger.go
+++ b/internal/lrledger/ledger.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -73,6 +74,9 @@
 	options Options
 	// slots limits the number of running actions. An action holds a slot until its outcome has been recorded.
 	slots *semaphore.Weighted
+	mutex sync.Mutex
+	// unconfirmed holds the records that are to be read again, the next one first.
+	unconfirmed []sentRecord
 }
 
 // New returns a Ledger.
--- a/internal/lrledger/ledger_test.go
+++ b/internal/lrledger/ledger_test.go
@@ -93,6 +93,7 @@
 	s.waitForPending()
 	s.endFaults()
 	time.Sleep(2 * longFreezeDuration)
+	s.confirmRecords()
 	last := s.send(2, testBody, longWait)
 	violations := s.check()
 	if s.route.Query != "" && last.err != nil && lrerror.From(last.err).Outcome() == lrerror.Unknown {
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -24,7 +24,9 @@
 	switch {
 	case err == nil:
 		answer := lrpaid.NewAnswer(response.Status, response.Header, response.Body)
-		a.converge(ctx, dispatched, lrpaid.RecordAnswer(a.Clock(), a.attempt, answer), func() { a.finish(response, nil) })
+		now := a.Clock()
+		a.converge(ctx, dispatched, lrpaid.RecordAnswer(now, a.attempt, answer), func() { a.finish(response, nil) })
+		a.confirmLater(a.name, dispatched.record.WithAnswer(now, answer))
 	case lrservice.ErrNotSent.Has(err) && !a.Clock().Before(a.policy.SendDeadline(a.dispatchStartedAt)):
 		a.release(ctx, dispatched, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
 			"the time to send the action was over, so this request was not run; send it again with the same idempotency key, "+
@@ -38,6 +40,7 @@
 		a.fail(lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
 			"the service failed after it had received the action, which is never sent twice; send it again with the same "+
 				"idempotency key to learn the outcome, or ask the operator").WithCause(err))
+		a.confirmLater(a.name, dispatched.record)
 	}
 }
 
--- a/pkg/lrpaid/answer.go
+++ b/pkg/lrpaid/answer.go
@@ -31,6 +31,12 @@
 	return answer
 }
 
+// WithoutContent returns the answer without headers and body.
+func (a Answer) WithoutContent() Answer {
+	a.Header, a.Body, a.Truncated = nil, nil, true
+	return a
+}
+
 func recordedHeader(header http.Header) http.Header {
 	recorded := header.Clone()
 	recorded.Del("Set-Cookie")
--- a/pkg/lrpaid/change.go
+++ b/pkg/lrpaid/change.go
@@ -46,3 +46,14 @@
 		return r.WithAnswer(now, answer), true
 	}
 }
+
+// Restore returns the change that puts the record of an action that was sent in place of an earlier one, to which the platform has gone
+// back, or of the claim of an attempt that has not sent the action.
+func Restore(sent Record) Change {
+	return func(r Record) (Record, bool) {
+		if r.State.Settled() || sent.IsSentAgain(r) || r.Nonce == sent.Nonce && r.State == sent.State {
+			return r, false
+		}
+		return sent, true
+	}
+}
--- a/pkg/lrpaid/record.go
+++ b/pkg/lrpaid/record.go
@@ -109,3 +109,9 @@
 func (r Record) InDoubt(now time.Time) bool {
 	return r.State == StateDispatched && now.After(r.Deadline)
 }
+
+// IsSentAgain reports whether the present record is that of another attempt, which may have sent the action that was sent under this
+// record.
+func (r Record) IsSentAgain(present Record) bool {
+	return present.Nonce != r.Nonce && present.State != StateClaimed && present.State != StateReleased
+}
