Write the membership view again when the platform has lost it

On the project's own interface, the homes of client accounts were confirmed by their fellow members alone after the platform had come back from a copy that is older than the present view. The next change of the members was written under the number of a view that was in use, so that instances could hold different lists of members for one number.

Cause: ViewKeeper.readPlatform derived the next view from the stored one, whatever the instance held.

An instance that holds a view with a higher number than the stored one writes it again, by a conditional update, before anything else. Where two do, one of them gets a conflict and reads the view at its next refresh.

Not covered: another instance that changes the members before the view is written again.

--- a/internal/lrgrant/limiter_test.go
+++ b/internal/lrgrant/limiter_test.go
@@ -178,6 +178,28 @@
 	})
 }
 
+// The platform comes back from a copy that is older than the present view. The next view got a number that was in use, so that instances
+// took different lists of members for the same view, and none confirmed its lease by the platform.
+func TestLostViewIsWrittenAgain(t *testing.T) {
+	platform := lrplatform.NewMemory()
+	instances := startInstances(t, platform, 2)
+	zone := instances[0].keeper.options.Zone
+	number := func() uint64 {
+		_, stored, err := instances[0].keeper.readView(context.Background(), zone)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return stored.Number
+	}
+	older, before := platform.Copy(), number()
+	instances[0].keeper.Leave(context.Background())
+	eventually(t, "the members hold the view without the one that left", func() bool {
+		return instances[3].keeper.View(zone).Number > before && number() > before
+	})
+	platform.Restore(older)
+	eventually(t, "the platform holds that view again", func() bool { return number() > before })
+}
+
 // hangingPlatform answers no Get while it hangs, until the caller's context ends.
 type hangingPlatform struct {
 	*lrplatform.Memory
--- a/internal/lrgrant/views.go
+++ b/internal/lrgrant/views.go
@@ -30,6 +30,11 @@
 		return err
 	}
 	k.adopt(view)
+	held := k.View(k.options.Zone)
+	if held.Number > view.Number {
+		// A platform that has come back from an older copy has lost views, whose numbers must not be given out again.
+		return k.writeView(ctx, object, held)
+	}
 	k.confirmByPlatform(sentAt, view.Number)
 	next, changed := k.nextView(ctx, view)
 	if !changed {
