Let nothing of a lost version of the configuration stay in force

On the project's own interface, an instance that held a version which the platform had lost with an older copy kept parts of it after it had read a later one: a key of the lost version was still accepted, and a change under its number, made after the copy came back, was missing. The version it showed was that of the others. Only a restart ended that.

Cause: the platform gives the lost version's number out again. (1) A peer sends the difference to the version of the number that the other instance names, which may be another content of the same number. (2) Shards that a head does not list were kept from the version before.

Evidence: TestLostVersionLeavesNothingBehind on the code before: read from the platform, the keys are first, lost, second, third; from a peer first, lost, third; wanted are first, second, third.

Not mended: until the next version, an instance that holds the lost version stays at it, and reports a fork if it sees the other one.

--- a/internal/lrstate/fetch.go
+++ b/internal/lrstate/fetch.go
@@ -13,7 +13,7 @@
 type ShardFetcher func(ctx context.Context, digests []string) (map[string][]byte, error)
 
 // FetchSnapshot returns the snapshot of the head, and the fetched values under their digests. It fetches only the
-// shards that differ from those of the base.
+// shards that differ from those of the base. Shards of the base that the head does not list are left out.
 func FetchSnapshot(ctx context.Context, base *lrconfig.Snapshot, head lrconfig.Head, fetch ShardFetcher) (*lrconfig.Snapshot, map[string][]byte, error) {
 	missing := missingShards(base.Head(), head)
 	digests := slices.Sorted(maps.Values(missing))
@@ -37,7 +37,13 @@
 		}
 		changed[name] = shard
 	}
-	return base.WithShards(head, changed), values, nil
+	shards := changed
+	for name := range head.Shards {
+		if _, isChanged := missing[name]; !isChanged {
+			shards[name] = base.Shard(name)
+		}
+	}
+	return lrconfig.NewSnapshot(head, shards), values, nil
 }
 
 func missingShards(base, head lrconfig.Head) map[string]string {
--- a/internal/lrstate/peers.go
+++ b/internal/lrstate/peers.go
@@ -50,14 +50,32 @@
 	if err != nil {
 		return lrconfig.Head{}, err
 	}
-	reply, err := lrpeerpb.NewConfigurationClient(connection).FetchHead(ctx, &lrpeerpb.FetchHeadRequest{Above: base.Version})
+	return headFromPeer(base, func(above uint64) (lrconfig.Head, uint64, error) {
+		reply, err := lrpeerpb.NewConfigurationClient(connection).FetchHead(ctx, &lrpeerpb.FetchHeadRequest{Above: above})
+		if err != nil {
+			return lrconfig.Head{}, 0, fmt.Errorf("ask peer %s: %w", s.address, err)
+		}
+		head := lrconfig.Head{
+			Version: reply.GetHead().GetVersion(), WriteID: reply.GetHead().GetWriteId(), Shards: reply.GetHead().GetShards(),
+		}
+		return head, reply.GetBase(), nil
+	})
+}
+
+// headFromPeer returns a peer's head above the base. The fetch returns the peer's head above a version, and the version to which its shards
+// are the difference or zero. If the peer has held another head under the version of the base, the difference does not fit, and the whole
+// head is fetched.
+func headFromPeer(base lrconfig.Head, fetch func(above uint64) (lrconfig.Head, uint64, error)) (lrconfig.Head, error) {
+	head, differenceTo, err := fetch(base.Version)
 	if err != nil {
-		return lrconfig.Head{}, fmt.Errorf("ask peer %s: %w", s.address, err)
+		return head, err
 	}
-	head := lrconfig.Head{
-		Version: reply.GetHead().GetVersion(), WriteID: reply.GetHead().GetWriteId(), Shards: reply.GetHead().GetShards(),
+	head = completeHead(base, head, differenceTo)
+	if head.Version == 0 || head.IsConsistent() {
+		return head, nil
 	}
-	return completeHead(base, head, reply.GetBase()), nil
+	head, _, err = fetch(0)
+	return head, err
 }
 
 // completeHead returns the head with all its shards. When the difference version is that of the base, the head lists only
--- a/internal/lrstate/simulation_test.go
+++ b/internal/lrstate/simulation_test.go
@@ -82,8 +82,15 @@
 	if s.simulation.partitioned[s.from][s.to] {
 		return lrconfig.Head{}, errPartitioned
 	}
-	head, difference := s.simulation.instances[s.to].follower.HeadAbove(base.Version)
-	return completeHead(base, head, difference), nil
+	return headOf(s.simulation.instances[s.to].follower, base)
+}
+
+// headOf returns the head above the base that an instance gets from the one of the follower.
+func headOf(f *Follower, base lrconfig.Head) (lrconfig.Head, error) {
+	return headFromPeer(base, func(above uint64) (lrconfig.Head, uint64, error) {
+		head, differenceTo := f.HeadAbove(above)
+		return head, differenceTo, nil
+	})
 }
 
 func (s *simSource) Shards(_ context.Context, digests []string) (map[string][]byte, error) {
@@ -294,3 +301,31 @@
 		t.Fatalf("active: %d, rejection: %v", f.Snapshot().Version(), f.Rejection())
 	}
 }
+
+// The platform comes back from an older copy. An instance that holds a lost version reads one that follows another version of the same
+// number. It kept what the lost version had put in force, a key for example.
+func TestLostVersionLeavesNothingBehind(t *testing.T) {
+	ctx, memory := context.Background(), lrplatform.NewMemory()
+	publisher, source := NewPublisher(memory), NewPlatformSource(memory)
+	newFollower := func() *Follower { return NewFollower(zerolog.Nop(), func(string) {}) }
+	byPlatform, byPeer, peer := newFollower(), newFollower(), newFollower()
+	requireNoError(t, addKey(ctx, publisher, "first"))
+	older := memory.Copy()
+	requireNoError(t, addKey(ctx, publisher, "lost"))
+	requireNoError(t, byPlatform.Update(ctx, source))
+	requireNoError(t, byPeer.Update(ctx, source))
+	memory.Restore(older)
+	for _, key := range []string{"second", "third"} {
+		requireNoError(t, addKey(ctx, publisher, key))
+		requireNoError(t, peer.Update(ctx, source))
+	}
+	requireNoError(t, byPlatform.Update(ctx, source))
+	head, err := headOf(peer, byPeer.Snapshot().Head())
+	requireNoError(t, err)
+	requireNoError(t, byPeer.Accept(ctx, head, source.Shards))
+	for name, f := range map[string]*Follower{"from the platform": byPlatform, "from a peer": byPeer} {
+		if !slices.Equal(f.Snapshot().Keys(), peer.Snapshot().Keys()) {
+			t.Errorf("%s: got keys %v, want %v", name, f.Snapshot().Keys(), peer.Snapshot().Keys())
+		}
+	}
+}
