Say in which era of the store an object was read or written

Callers of objectStore could not tell whether two equal versions of an object belong to the same content: a store that comes back from an older copy gives its revisions out again. The store names its era in each answer, and the client read it, but dropped it for single objects.

lrplatform.Object gets the field Era, which is not serialised.

--- a/internal/lrplatform/store.go
+++ b/internal/lrplatform/store.go
@@ -39,6 +39,9 @@
 	// Version changes with every write of the object. A deleted object has version zero.
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"`
+	// Era is the era of the store in which the object was read or written. Where it differs, equal versions may belong to different
+	// contents. It is zero where the store names none.
+	Era uint64 `json:"-"`
 }
 
 // WithValue returns the object with another value, ready for a conditional update.
@@ -49,7 +52,7 @@
 
 // Objects reads and writes single objects. Its errors belong to the classes of this package.
 type Objects interface {
-	// Get returns the object, or an ErrNotFound.
+	// Get returns the object, or an ErrNotFound with an object that has nothing but the era.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// Create writes a new object. It returns an ErrConflict when the object exists.
 	Create(ctx context.Context, kind, name string, value []byte) (Object, error)
