Don't acquire a lease that only a restored copy shows as unchanged

After the platform's store came back from an older copy, an instance could acquire a lease that its holder still held: two instances gave orders to engines at the same time.

Cause: a Keeper took a lease for unchanged while its version stayed the same. A restored store gives versions out again, to another content, or shows once more the object that the Keeper had seen long ago, without the renewals that were lost. A lease that was missing in the copy was created at once.

Change: unchanged means the same version, era and nonce. Once a Keeper has seen another era, it creates a missing lease only after the validity.

Evidence: TestVersionsGivenOutAgain (with and without an era) and TestLeaseOfACopyIsNotLapsed (older and missing lease) failed before in 4 of 4 cases ("the second instance holds" and "both hold": got true, want false) and pass now. The store of the tests replays its first writes, so that versions are given out again.

--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -38,8 +38,9 @@
 	mutex  sync.Mutex
 	object lrplatform.Object
 	lease  Lease
-	// firstSeenAt is when the object was first seen at its present version.
+	// firstSeenAt is when the object was first seen as it is, and wasRestored is set once the store has named another era than before.
 	firstSeenAt time.Time
+	wasRestored bool
 	heldSince   time.Time
 	validUntil  time.Time
 	wasReleased bool
@@ -85,20 +86,34 @@
 	if err != nil {
 		return err
 	}
-	object, lease := k.current()
-	now := k.clock()
-	lapsed := now.Sub(k.unchangedSince()) > lease.Validity()
-	if object.Version != 0 && lease.Holder != "" && !lapsed {
+	if !k.isFree(k.clock()) {
 		return nil
 	}
+	object, lease := k.current()
 	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity), true)
 }
 
+// isFree reports whether no other instance can hold the lease: its holder has released it, or has not renewed it for the validity. A store
+// that came back from an older copy may have lost a lease that is still valid.
+func (k *Keeper) isFree(now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	validity := k.lease.Validity()
+	switch {
+	case k.object.Version != 0 && k.lease.Holder != "":
+	case k.object.Version == 0 && k.wasRestored:
+		validity = k.validity
+	default:
+		return true
+	}
+	return now.Sub(k.firstSeenAt) > validity
+}
+
 // read reads the object and records since when it is unchanged.
 func (k *Keeper) read(ctx context.Context) error {
 	object, err := k.store.Get(ctx, lrplatform.KindLease, k.name)
 	if lrplatform.ErrNotFound.Has(err) {
-		object, err = lrplatform.Object{Kind: lrplatform.KindLease, Name: k.name}, nil
+		object, err = lrplatform.Object{Kind: lrplatform.KindLease, Name: k.name, Era: object.Era}, nil
 	}
 	if err != nil {
 		return fmt.Errorf("read lease %s: %w", k.name, err)
@@ -110,13 +125,20 @@
 			return fmt.Errorf("decode lease %s: %w", k.name, err)
 		}
 	}
+	k.observe(k.clock(), object, lease)
+	return nil
+}
+
+// observe records what is stored, and since when it is unchanged. The version alone doesn't tell: a restored store gives versions out again.
+func (k *Keeper) observe(now time.Time, object lrplatform.Object, lease Lease) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if object.Version != k.object.Version || k.firstSeenAt.IsZero() {
-		k.firstSeenAt = k.clock()
+	isFirst, isOtherEra := k.firstSeenAt.IsZero(), object.Era != k.object.Era
+	if isFirst || isOtherEra || object.Version != k.object.Version || lease.Nonce != k.lease.Nonce {
+		k.firstSeenAt = now
 	}
+	k.wasRestored = k.wasRestored || !isFirst && isOtherEra
 	k.object, k.lease = object, lease
-	return nil
 }
 
 // write makes one conditional write. The validity of the lease counts from before the write, since the reply may be
@@ -192,9 +214,3 @@
 	defer k.mutex.Unlock()
 	return k.object, k.lease
 }
-
-func (k *Keeper) unchangedSince() time.Time {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.firstSeenAt
-}
--- /dev/null
+++ b/internal/lrlease/restore_test.go
@@ -0,0 +1,153 @@
+package lrlease
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
+)
+
+// restorableStore is a store that can be set back to an earlier state. It then gives out the later versions again.
+type restorableStore struct {
+	*lrplatform.Memory
+	mutex sync.Mutex
+	// writes are the writes that took effect, in their order.
+	writes []func(m *lrplatform.Memory)
+	// times are when they did.
+	times []time.Time
+	era   uint64
+	// namesNoEra is set for a store whose objects don't say in which era they are.
+	namesNoEra bool
+}
+
+func newRestorableStore() *restorableStore { return &restorableStore{Memory: lrplatform.NewMemory()} }
+
+// restore sets the store back to its first writes.
+func (s *restorableStore) restore(writes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Memory, s.writes, s.times = lrplatform.NewMemory(), s.writes[:writes], s.times[:writes]
+	for _, write := range s.writes {
+		write(s.Memory)
+	}
+	if !s.namesNoEra {
+		s.era++
+	}
+}
+
+// writesUntil returns how many writes took effect until the time.
+func (s *restorableStore) writesUntil(end time.Time) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for count < len(s.times) && !s.times[count].After(end) {
+		count++
+	}
+	return count
+}
+
+func (s *restorableStore) Get(ctx context.Context, kind, name string) (lrplatform.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, err := s.Memory.Get(ctx, kind, name)
+	object.Era = s.era
+	return object, err
+}
+
+func (s *restorableStore) Create(ctx context.Context, kind, name string, value []byte) (lrplatform.Object, error) {
+	return s.write(func(m *lrplatform.Memory) (lrplatform.Object, error) { return m.Create(ctx, kind, name, value) })
+}
+
+func (s *restorableStore) Update(ctx context.Context, object lrplatform.Object) (lrplatform.Object, error) {
+	return s.write(func(m *lrplatform.Memory) (lrplatform.Object, error) { return m.Update(ctx, object) })
+}
+
+func (s *restorableStore) write(write func(m *lrplatform.Memory) (lrplatform.Object, error)) (lrplatform.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, err := write(s.Memory)
+	if err == nil {
+		s.writes = append(s.writes, func(m *lrplatform.Memory) { _, _ = write(m) })
+		s.times = append(s.times, time.Now())
+	}
+	object.Era = s.era
+	return object, err
+}
+
+// restoredLease is a lease in a store that is set back, and two instances that contend for it.
+type restoredLease struct {
+	t             *testing.T
+	store         *restorableStore
+	first, second *Keeper
+}
+
+// testRestore runs the test with the time of a bubble.
+func testRestore(t *testing.T, test func(r *restoredLease)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := newRestorableStore()
+		test(&restoredLease{
+			t: t, store: store, first: NewKeeper(store, leaseName, "router-1", validity, time.Now),
+			second: NewKeeper(store, leaseName, "router-2", validity, time.Now),
+		})
+	})
+}
+
+// step lets both instances step for the time, and checks that never both hold.
+func (r *restoredLease) step(duration time.Duration, keepers ...*Keeper) {
+	r.t.Helper()
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, k := range keepers {
+			_ = k.Step(r.t.Context())
+			requireEqual(r.t, r.holds(r.first) && r.holds(r.second), false, "both hold")
+		}
+	}
+}
+
+func (r *restoredLease) holds(k *Keeper) bool {
+	_, held := k.Held(time.Now())
+	return held
+}
+
+// TestVersionsGivenOutAgain guards against an instance that takes another lease for the one that it has seen before, because a restored
+// store has given out its version again, and acquires it while its holder is active.
+func TestVersionsGivenOutAgain(t *testing.T) {
+	for name, hasNoEra := range map[string]bool{"era named": false, "no era": true} {
+		t.Run(name, func(t *testing.T) {
+			testRestore(t, func(r *restoredLease) {
+				r.store.namesNoEra = hasNoEra
+				r.step(100*time.Millisecond, r.first, r.second)
+				seen := r.store.writesUntil(time.Now())
+				time.Sleep(validity)
+				r.store.restore(seen - 1)
+				third := NewKeeper(r.store, leaseName, "router-3", validity, time.Now)
+				requireEqual(t, third.Step(t.Context()), nil, "error")
+				requireEqual(t, r.holds(third), true, "the third instance holds")
+				time.Sleep(validity / 2)
+				requireEqual(t, r.second.Step(t.Context()), nil, "error")
+				requireEqual(t, r.holds(r.second), false, "the second instance holds")
+			})
+		})
+	}
+}
+
+// TestLeaseOfACopyIsNotLapsed guards against an instance that acquires a lease at once after a restore, because it has seen the restored
+// object before, or because there is none: its holder has written it since, which the store has lost.
+func TestLeaseOfACopyIsNotLapsed(t *testing.T) {
+	for name, copied := range map[string]int{"older": 1, "missing": 0} {
+		t.Run(name, func(t *testing.T) {
+			testRestore(t, func(r *restoredLease) {
+				r.step(100*time.Millisecond, r.first, r.second)
+				r.step(validity+time.Second, r.first)
+				r.store.restore(copied)
+				r.step(validity-time.Second, r.second)
+				requireEqual(t, r.holds(r.second), false, "the second instance holds")
+				r.step(2*time.Second, r.second)
+				requireEqual(t, r.holds(r.second), true, "the second instance holds")
+			})
+		})
+	}
+}
