End a lease at once when the store has lost it

After the platform's store came back from an older copy, the holder of a lease went on giving orders until its validity ended, although its lease was gone. Worse, a renewal whose condition held by accident, because its version had been given out again, overwrote the lease of another instance and counted as held: two holders at once.

Cause: a failed renewal only led to the next try, and the era in which a write took effect was not compared with that of the read before it.

Change: after a refused renewal (conflict or not found) that reads back another lease, the Keeper holds nothing at once (ErrLost), and the same after any write or read-back in another era than that of the object written; it contends again from what is stored, after the validity. So that this does not end a lease whose own renewals are merely in doubt, the Keeper keeps the nonces of writes whose outcome it could not read, and goes on from them. That also mends renewals that failed until the lease lapsed after a reply and the read after it had been lost.

Where the store names no era, a renewal that holds by accident can't be told from a real one: then two instances may hold until the next renewal of the other one, a third of the validity later.

--- /dev/null
+++ b/internal/lrlease/errors.go
@@ -0,0 +1,6 @@
+package lrlease
+
+import "github.com/zeebo/errs"
+
+// ErrLost means that the lease is not held any more, although its validity has not ended: the store has another lease in its place.
+var ErrLost = errs.Class("another instance may hold the lease, acquire it again")
--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	heldSince   time.Time
 	validUntil  time.Time
 	wasReleased bool
+	// inDoubt are the nonces of the writes since the last confirmed one that may have taken effect.
+	inDoubt []string
 }
 
 // NewKeeper returns a Keeper of the named lease. It does not hold the lease until Step has acquired it. The holder is the
@@ -109,24 +112,31 @@
 	return now.Sub(k.firstSeenAt) > validity
 }
 
-// read reads the object and records since when it is unchanged.
+// read reads the lease and records since when it is unchanged.
 func (k *Keeper) read(ctx context.Context) error {
+	object, lease, err := k.fetch(ctx)
+	if err != nil {
+		return err
+	}
+	k.observe(k.clock(), object, lease)
+	return nil
+}
+
+// fetch returns the lease as it is stored. A missing lease has version zero.
+func (k *Keeper) fetch(ctx context.Context) (lrplatform.Object, Lease, error) {
+	var lease Lease
 	object, err := k.store.Get(ctx, lrplatform.KindLease, k.name)
 	if lrplatform.ErrNotFound.Has(err) {
-		object, err = lrplatform.Object{Kind: lrplatform.KindLease, Name: k.name, Era: object.Era}, nil
+		return lrplatform.Object{Kind: lrplatform.KindLease, Name: k.name, Era: object.Era}, lease, nil
 	}
 	if err != nil {
-		return fmt.Errorf("read lease %s: %w", k.name, err)
+		return object, lease, fmt.Errorf("read lease %s: %w", k.name, err)
 	}
-	var lease Lease
-	if object.Version != 0 {
-		err = json.Unmarshal(object.Value, &lease)
-		if err != nil {
-			return fmt.Errorf("decode lease %s: %w", k.name, err)
-		}
+	err = json.Unmarshal(object.Value, &lease)
+	if err != nil {
+		return object, lease, fmt.Errorf("decode lease %s: %w", k.name, err)
 	}
-	k.observe(k.clock(), object, lease)
-	return nil
+	return object, lease, nil
 }
 
 // observe records what is stored, and since when it is unchanged. The version alone doesn't tell: a restored store gives versions out again.
@@ -150,18 +160,22 @@
 		return fmt.Errorf("encode lease %s: %w", k.name, err)
 	}
 	written, err := k.put(ctx, object, value)
-	if err != nil && !k.tookEffect(ctx, lease) {
+	if err != nil {
+		written, err = k.readBack(ctx, lease, err)
+	}
+	if err == nil && written.Era != object.Era {
+		err = k.lose(written, lease)
+	}
+	if err != nil {
 		return fmt.Errorf("write lease %s: %w", k.name, err)
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if err == nil {
-		k.object, k.firstSeenAt = written, startedAt
-	}
 	if acquired {
 		k.heldSince, k.wasReleased = k.clock(), k.lease.Holder == "" && object.Version != 0
 	}
-	k.lease, k.validUntil = lease, startedAt.Add(k.validity)
+	k.object, k.lease, k.firstSeenAt, k.inDoubt = written, lease, startedAt, nil
+	k.validUntil = startedAt.Add(k.validity)
 	return nil
 }
 
@@ -172,22 +186,57 @@
 	return k.store.Update(ctx, object.WithValue(value))
 }
 
-// tookEffect reads the object after a failed write and reports whether the write took effect, as it has when only the reply
-// was lost.
-func (k *Keeper) tookEffect(ctx context.Context, lease Lease) bool {
-	object, err := k.store.Get(ctx, lrplatform.KindLease, k.name)
+// readBack reads the lease after a failed write. It returns the object if the write took effect, as it has when only the reply was lost. The
+// lease is lost if the write was refused because something else is stored, or if the store came back from an older copy meanwhile.
+func (k *Keeper) readBack(ctx context.Context, lease Lease, failure error) (lrplatform.Object, error) {
+	object, stored, err := k.fetch(ctx)
 	if err != nil {
-		return false
+		k.recordDoubt(lease.Nonce)
+		return object, failure
+	}
+	if stored.Nonce == lease.Nonce {
+		return object, nil
+	}
+	isRefused := lrplatform.ErrConflict.Has(failure) || lrplatform.ErrNotFound.Has(failure)
+	if !k.recognize(object, stored) && isRefused || object.Era != k.era() {
+		return object, k.lose(object, stored)
 	}
-	var stored Lease
-	err = json.Unmarshal(object.Value, &stored)
-	if err != nil || stored.Nonce != lease.Nonce {
+	return object, failure
+}
+
+// recordDoubt records the nonce of a write that may have taken effect.
+func (k *Keeper) recordDoubt(nonce string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.inDoubt = append(k.inDoubt, nonce)
+}
+
+// recognize reports whether the object is what this Keeper has seen last, or what it has written in doubt, from which it goes on then.
+func (k *Keeper) recognize(object lrplatform.Object, stored Lease) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if object.Era != k.object.Era {
 		return false
 	}
+	if slices.Contains(k.inDoubt, stored.Nonce) {
+		k.object, k.lease, k.inDoubt = object, stored, nil
+	}
+	return stored.Nonce == k.lease.Nonce
+}
+
+// lose ends the validity of the lease at once, in favor of what is stored.
+func (k *Keeper) lose(object lrplatform.Object, stored Lease) error {
+	k.observe(k.clock(), object, stored)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.validUntil, k.inDoubt = time.Time{}, nil
+	return ErrLost.New("era %d, version %d, holder %q", object.Era, object.Version, stored.Holder)
+}
+
+func (k *Keeper) era() uint64 {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.object, k.firstSeenAt = object, k.clock()
-	return true
+	return k.object.Era
 }
 
 // Release gives up the lease, so that another instance can acquire it at once. No work that the lease protects may be in
--- a/internal/lrlease/restore_test.go
+++ b/internal/lrlease/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -151,3 +152,95 @@
 		})
 	}
 }
+
+// TestHolderLosesARestoredLease guards against a holder that goes on until its validity ends although the store has lost its lease, and
+// against one that counts a renewal whose condition holds by accident: the version belongs to the lease of another instance now.
+func TestHolderLosesARestoredLease(t *testing.T) {
+	t.Run("missing", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.step(validity, r.first)
+			r.store.restore(0)
+			r.requireLost(r.first)
+		})
+	})
+	t.Run("older", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.step(2*validity, r.first)
+			r.store.restore(1)
+			r.requireLost(r.first)
+		})
+	})
+	t.Run("of another instance, no era", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.store.namesNoEra = true
+			r.step(validity, r.first)
+			r.store.restore(0)
+			r.step(200*time.Millisecond, NewKeeper(r.store, leaseName, "router-3", validity, time.Now))
+			r.requireLost(r.first)
+		})
+	})
+	t.Run("version given out again", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.step(100*time.Millisecond, r.first)
+			time.Sleep(validity / 2)
+			r.store.restore(0)
+			third := NewKeeper(r.store, leaseName, "router-3", validity, time.Now)
+			requireEqual(t, third.Step(t.Context()), nil, "error")
+			r.requireLost(r.first)
+			r.requireLost(third)
+			r.step(validity-validity/renewDivisor-time.Second, r.first)
+			requireEqual(t, r.holds(r.first), false, "the first instance holds")
+		})
+	})
+	t.Run("late reply", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.step(100*time.Millisecond, r.first)
+			time.Sleep(validity / 2)
+			store := &replyLossStore{restorableStore: r.store, after: func() { r.store.restore(2) }}
+			r.first.store = store
+			r.requireLost(r.first)
+		})
+	})
+}
+
+// replyLossStore loses the reply to each write, and then does something else.
+type replyLossStore struct {
+	*restorableStore
+	after func()
+}
+
+func (s *replyLossStore) Update(ctx context.Context, object lrplatform.Object) (lrplatform.Object, error) {
+	_, err := s.restorableStore.Update(ctx, object)
+	s.after()
+	return lrplatform.Object{}, errors.Join(err, lrplatform.ErrUnknown.New("the reply was lost"))
+}
+
+// requireLost steps the keeper once, as a holder whose renewal is due, and checks that it holds no more.
+func (r *restoredLease) requireLost(k *Keeper) {
+	r.t.Helper()
+	requireEqual(r.t, r.holds(k), true, "it held")
+	time.Sleep(max(0, validity/renewDivisor-time.Since(k.validUntil.Add(-validity))+time.Millisecond))
+	_ = k.Step(r.t.Context())
+	requireEqual(r.t, r.holds(k), false, "it holds")
+}
+
+// TestRenewalInDoubtIsKept guards against a holder that gives up a lease which only the replies to its renewals were lost for.
+func TestRenewalInDoubtIsKept(t *testing.T) {
+	testRestore(t, func(r *restoredLease) {
+		r.step(100*time.Millisecond, r.first)
+		plan := []lrplatform.StoreFault{{LoseReply: true}, {Unavailable: true}, {LoseReply: true}, {Unavailable: true}}
+		r.first.store = lrplatform.NewFaultyPlatform(r.store, func(lrplatform.StoreCall) lrplatform.StoreFault {
+			if len(plan) == 0 {
+				return lrplatform.StoreFault{}
+			}
+			fault := plan[0]
+			plan = plan[1:]
+			return fault
+		})
+		r.step(3*validity, r.first)
+		requireEqual(t, r.holds(r.first), true, "it holds")
+		status, _ := r.first.Held(time.Now())
+		requireEqual(t, status.Fence, 1, "fencing number")
+		requireEqual(t, status.HeldFor > 2*validity, true, "it was held all the time")
+	})
+}
