Spread the highest fencing number among the instances

Where the platform's store names no era, or its era falls, nothing in the store tells that a fencing number was given out before the store came back from an older copy: only instances that have seen the number know.

Cause: each instance knew the numbers that it had read itself, and most read the lease rarely or never.

Change: RolloutState has a field fence, the highest fencing number that the sender knows of. It is also sent while no holder is known, then with an empty holder and the highest age, which instances that expect a holder take for the oldest state. The keeper gives out higher numbers only, and takes a missing or released lease with a lower number for one of an older copy. Numbers above 2^53, which no holder can have, are ignored. The updater of weights passes the numbers on, so that nothing new is wired.

--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -157,17 +157,24 @@
 	return total
 }
 
-// rolloutState returns the latest known state of the rollout, or nil if it is older than unreachableAfter. It must be called with the
-// mutex held.
+// rolloutState returns the latest known state of the rollout, without a holder if it is older than unreachableAfter, or nil if nothing is
+// known. It must be called with the mutex held.
 func (s *Sharer) rolloutState(now time.Time) *lrpeerpb.RolloutState {
 	if s.Rollout.IsHolder(now) {
 		s.rollout = rolloutUpdate{holder: s.Self.Name, closing: s.Rollout.Closing(), at: now}
 	}
-	if s.rollout.holder == "" || now.Sub(s.rollout.at) > unreachableAfter {
+	fence := s.Rollout.HighestFence()
+	isUnknown := s.rollout.holder == "" || now.Sub(s.rollout.at) > unreachableAfter
+	switch {
+	case isUnknown && fence == 0:
 		return nil
-	}
-	return &lrpeerpb.RolloutState{
-		Holder: s.rollout.holder, Closing: s.rollout.closing, AgeMillis: uint32(now.Sub(s.rollout.at).Milliseconds()),
+	case isUnknown:
+		// The age makes instances that expect a holder take this for the oldest state.
+		return &lrpeerpb.RolloutState{AgeMillis: math.MaxUint32, Fence: fence}
+	default:
+		return &lrpeerpb.RolloutState{
+			Holder: s.rollout.holder, Closing: s.rollout.closing, AgeMillis: uint32(now.Sub(s.rollout.at).Milliseconds()), Fence: fence,
+		}
 	}
 }
 
@@ -302,7 +309,11 @@
 
 // recordRollout keeps the newest state of the rollout. It must be called with the mutex held.
 func (s *Sharer) recordRollout(now time.Time, received *lrpeerpb.RolloutState) {
-	if received == nil || received.GetHolder() == s.Self.Name {
+	if received == nil {
+		return
+	}
+	s.Rollout.RecordFence(received.GetFence())
+	if received.GetHolder() == "" || received.GetHolder() == s.Self.Name {
 		return
 	}
 	at := now.Add(-time.Duration(received.GetAgeMillis()) * time.Millisecond)
--- a/internal/lrfleet/sharer.go
+++ b/internal/lrfleet/sharer.go
@@ -52,6 +52,9 @@
 	IsHolder(now time.Time) bool
 	// Closing returns the servers to which this instance is about to send an order.
 	Closing() []string
+	// HighestFence returns the highest fencing number that this instance knows of, and RecordFence records one that another knows of.
+	HighestFence() uint64
+	RecordFence(fence uint64)
 }
 
 // A WeightsUpdate is an update that says that a server has loaded new weights.
--- a/internal/lrfleet/sharer_test.go
+++ b/internal/lrfleet/sharer_test.go
@@ -21,6 +21,8 @@
 
 func (noRollout) IsHolder(time.Time) bool { return false }
 func (noRollout) Closing() []string       { return nil }
+func (noRollout) HighestFence() uint64    { return 0 }
+func (noRollout) RecordFence(uint64)      {}
 
 // testFleet is a set of sharers that call one another without a network.
 type testFleet struct {
--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -105,6 +105,17 @@
 	return k.highestFence
 }
 
+// RecordFence records a fencing number that another instance knows of, so that the numbers that this Keeper gives out are higher. One that
+// no holder can have is ignored.
+func (k *Keeper) RecordFence(fence uint64) {
+	if fence > maxFence {
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.highestFence = max(k.highestFence, fence)
+}
+
 // isFree reports whether no other instance can hold the lease: its holder has released it, or has not renewed it for the validity.
 func (k *Keeper) isFree(now time.Time) bool {
 	k.mutex.Lock()
--- a/internal/lrlease/restore_test.go
+++ b/internal/lrlease/restore_test.go
@@ -284,6 +284,20 @@
 			requireEqual(t, next > lost, true, "the next number is higher")
 		})
 	})
+	t.Run("heard number, no era", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.store.namesNoEra = true
+			lost, _ := acquire(r, "router-3")
+			r.store.restore(0)
+			r.second.RecordFence(lost.HighestFence())
+			r.second.RecordFence(math.MaxUint64)
+			requireEqual(t, r.second.Step(t.Context()), nil, "error")
+			requireEqual(t, r.holds(r.second), false, "it holds at once")
+			r.step(2*validity, r.second)
+			status, _ := r.second.Held(time.Now())
+			requireEqual(t, status.Fence, lost.HighestFence()+1, "fencing number")
+		})
+	})
 	t.Run("era falls", func(t *testing.T) {
 		testRestore(t, func(r *restoredLease) {
 			r.store.era = 9
--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -151,6 +151,12 @@
 	return held
 }
 
+// HighestFence returns the highest fencing number that this instance knows of.
+func (d *Updater) HighestFence() uint64 { return d.Keeper.HighestFence() }
+
+// RecordFence records a fencing number that another instance knows of.
+func (d *Updater) RecordFence(fence uint64) { d.Keeper.RecordFence(fence) }
+
 // Closing returns the IDs of the engines that must get no new requests, because they are about to get an order or are carrying one out.
 func (d *Updater) Closing() []string {
 	d.mutex.Lock()
