Raise a fencing number that engines refuse

Engines kept their old weights while the holder ordered them again and again under a fencing number that they refuse (412): after a restore of the store a lease may have a lower number than one that was lost, and nothing changed the number while its holder stayed the same.

Change: the updater sends no order to an engine under a number that this engine has refused, and tells the keeper. The keeper's next step renews the lease under a higher number, at most once in the validity, so that an engine which refuses everything costs little. The holder doesn't give the lease up: the renewal is conditional, so it either proves that this instance is the holder, or shows that another one is, and then the lease is lost at once. Giving up would leave the engines without a holder for the validity, and the next one with a number that may be too low as well. Where the store names its era, one raise is enough, since the number follows the version of the lease; else it grows by one each time, beside what other instances have told.

--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -46,6 +46,9 @@
 	validUntil   time.Time
 	wasReleased  bool
 	highestFence uint64
+	// refusedFence is the highest fencing number that a receiver has refused, and fencedAt when the number was last raised because of that.
+	refusedFence uint64
+	fencedAt     time.Time
 	// inDoubt are the nonces of the writes since the last confirmed one that may have taken effect.
 	inDoubt []string
 }
@@ -70,19 +73,40 @@
 // Step renews the lease when that is due, or tries to acquire it when this instance does not hold it. It must be called
 // repeatedly.
 func (k *Keeper) Step(ctx context.Context) error {
-	grant, held := k.Held(k.clock())
-	if held && grant.Remaining > k.validity-k.validity/renewDivisor {
+	now := k.clock()
+	grant, held := k.Held(now)
+	switch {
+	case !held:
+		return k.contend(ctx)
+	case k.mustRaise(now):
+		object, lease := k.current()
+		return k.write(ctx, object, lease.WithRenewal(uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), false)
+	case grant.Remaining > k.validity-k.validity/renewDivisor:
 		return nil
+	default:
+		object, lease := k.current()
+		return k.write(ctx, object, lease.WithRenewal(uuid.NewString()), false)
 	}
-	if held {
-		return k.renew(ctx)
-	}
-	return k.contend(ctx)
 }
 
-func (k *Keeper) renew(ctx context.Context) error {
-	object, lease := k.current()
-	return k.write(ctx, object, lease.WithRenewal(uuid.NewString()), false)
+// Refused records that a receiver has refused the fencing number because it has seen a higher one. The next Step then renews the lease under
+// a higher number, or loses it: that this instance holds the lease is certain only once the store has confirmed it. A receiver that refuses
+// every number costs no more than one such renewal in the validity.
+func (k *Keeper) Refused(fence uint64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.refusedFence = max(k.refusedFence, fence)
+}
+
+func (k *Keeper) mustRaise(now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.lease.Fence <= k.refusedFence && now.Sub(k.fencedAt) >= k.validity
+}
+
+// fenceFloor returns a number that is at least as high as every fencing number that was given out up to this version of the lease.
+func (k *Keeper) fenceFloor(object lrplatform.Object) uint64 {
+	return max(k.HighestFence(), fenceFloor(object))
 }
 
 func (k *Keeper) contend(ctx context.Context) error {
@@ -94,8 +118,7 @@
 		return nil
 	}
 	object, lease := k.current()
-	floor := max(k.HighestFence(), fenceFloor(object))
-	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity, floor), true)
+	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity).WithFenceAbove(k.fenceFloor(object)), true)
 }
 
 // HighestFence returns the highest fencing number that this Keeper knows of, its own or that of another holder.
@@ -202,6 +225,9 @@
 	if acquired {
 		k.heldSince, k.wasReleased = k.clock(), k.lease.Holder == "" && object.Version != 0 && !k.isOutdated()
 	}
+	if lease.Fence != k.lease.Fence && !acquired {
+		k.fencedAt = startedAt
+	}
 	k.highestFence = max(k.highestFence, lease.Fence)
 	k.object, k.lease, k.firstSeenAt, k.inDoubt = written, lease, startedAt, nil
 	k.validUntil = startedAt.Add(k.validity)
--- a/internal/lrlease/keeper_test.go
+++ b/internal/lrlease/keeper_test.go
@@ -223,7 +223,7 @@
 	if lease.Holder != k.holder && object.Version != 0 && time.Since(k.seenAt) < validity {
 		return nil
 	}
-	lease = lease.WithHolder(k.holder, "", validity, 0)
+	lease = lease.WithHolder(k.holder, "", validity)
 	value, err := json.Marshal(lease)
 	if err != nil {
 		return err
--- a/internal/lrlease/lease.go
+++ b/internal/lrlease/lease.go
@@ -18,9 +18,15 @@
 	ValidMillis int64 `json:"validMillis"`
 }
 
-// WithHolder returns the lease with the next holder and a fencing number above that of the lease and the floor.
-func (l Lease) WithHolder(holder, nonce string, validity time.Duration, floor uint64) Lease {
-	return Lease{Holder: holder, Nonce: nonce, Fence: max(l.Fence, floor) + 1, ValidMillis: validity.Milliseconds()}
+// WithHolder returns the lease with the next holder and an increased fencing number.
+func (l Lease) WithHolder(holder, nonce string, validity time.Duration) Lease {
+	return Lease{Holder: holder, Nonce: nonce, Fence: l.Fence + 1, ValidMillis: validity.Milliseconds()}
+}
+
+// WithFenceAbove returns the lease with a fencing number that is above the floor, and no lower than it is.
+func (l Lease) WithFenceAbove(floor uint64) Lease {
+	l.Fence = max(l.Fence, floor+1)
+	return l
 }
 
 // WithRenewal returns the lease as renewed by its holder.
--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -132,6 +133,8 @@
 	closing  map[string]bool
 	// failedAt is the time of the last failed update of an engine.
 	failedAt map[string]time.Time
+	// refusedFence is the highest fencing number that an engine has refused because it has seen a higher one.
+	refusedFence map[string]uint64
 	// loadTime is how long engines have taken to load weights.
 	loadTime lrrollout.LoadTime
 	// leaseWasHeld is set when the lease was held at the last step.
@@ -142,6 +145,7 @@
 func NewUpdater(parts Dependencies) *Updater {
 	return &Updater{
 		Dependencies: parts, updating: map[string]bool{}, closing: map[string]bool{}, failedAt: map[string]time.Time{},
+		refusedFence: map[string]uint64{},
 	}
 }
 
@@ -175,7 +179,7 @@
 	if !held {
 		return
 	}
-	for _, step := range d.due(now) {
+	for _, step := range d.due(now, grant.Fence) {
 		server, ok := d.Directory.Server(step.Engine)
 		if !ok {
 			continue
@@ -198,14 +202,14 @@
 	d.Log.Info().Bool("held", held).Uint64("fence", grant.Fence).Msg("weights: lease")
 }
 
-// due returns the updates that may start now.
-func (d *Updater) due(now time.Time) []lrrollout.Step {
+// due returns the updates that may start now, under the fencing number. No engine gets an order again with a number that it has refused.
+func (d *Updater) due(now time.Time, fence uint64) []lrrollout.Step {
 	servers := d.Directory.All()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	engines := make([]lrrollout.Engine, 0, len(servers))
 	for _, s := range servers {
-		if now.Sub(d.failedAt[s.ID]) < failureDelay {
+		if now.Sub(d.failedAt[s.ID]) < failureDelay || fence <= d.refusedFence[s.ID] {
 			continue
 		}
 		engines = append(engines, lrrollout.Engine{
@@ -316,7 +320,10 @@
 				ContinuesRuns: step.SkipsDrain, BeforeSend: d.leaseCheck(grant.Fence),
 			})
 			switch result {
-			case Fenced, Refused:
+			case Fenced:
+				d.recordRefused(server.ID, grant.Fence)
+				return false
+			case Refused:
 				return false
 			case Started:
 				startedAt = time.Now()
@@ -334,6 +341,15 @@
 	return false
 }
 
+// recordRefused records that the engine has refused the fencing number, and has the number raised.
+func (d *Updater) recordRefused(id string, fence uint64) {
+	d.Keeper.Refused(fence)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	maps.DeleteFunc(d.refusedFence, func(_ string, refused uint64) bool { return refused < fence })
+	d.refusedFence[id] = fence
+}
+
 // recordLoad records the load that an order has started, if there was one.
 func (d *Updater) recordLoad(startedAt time.Time) {
 	if startedAt.IsZero() {
--- a/internal/lrweights/updater_test.go
+++ b/internal/lrweights/updater_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,10 +45,12 @@
 	dead       map[string]bool
 	orders     int
 	downgrades []string
+	// refused counts the orders that each engine refused under each fencing number.
+	refused map[string]map[uint64]int
 }
 
 func newFakeEngines(count int) *fakeEngines {
-	f := &fakeEngines{engines: map[string]*fakeEngine{}, dead: map[string]bool{}}
+	f := &fakeEngines{engines: map[string]*fakeEngine{}, dead: map[string]bool{}, refused: map[string]map[uint64]int{}}
 	for n := range count {
 		f.engines[fmt.Sprint("e", n)] = &fakeEngine{version: 1}
 	}
@@ -103,6 +106,10 @@
 	e.settle(time.Now())
 	switch {
 	case order.Fence < e.fence:
+		if f.refused[id] == nil {
+			f.refused[id] = map[uint64]int{}
+		}
+		f.refused[id][order.Fence]++
 		return Fenced
 	case order.Accepted != e.accepted || !e.busyUntil.IsZero():
 		return Conflict
@@ -273,3 +280,24 @@
 		requireEqual(t, check(), errLeaseLost)
 	})
 }
+
+// TestRefusedFencingNumberIsRaised guards against a holder whose number is too low for good, because the store has lost a lease with a higher
+// one: it would order again and again under the same number, and the engines would keep their weights. An engine that refuses every number
+// must not keep the others from their update.
+func TestRefusedFencingNumberIsRaised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRollout(newFakeEngines(4), 2)
+		r.engines.engines["e0"].fence, r.engines.engines["e1"].fence = 3, math.MaxUint64
+		r.directory.SetDesired(time.Now(), testModel, 2)
+		r.run(8 * time.Second)
+		requireEqual(t, r.atVersion(2), 3)
+		for _, numbers := range r.engines.refused {
+			for _, count := range numbers {
+				requireEqual(t, count, 1)
+			}
+		}
+		requireEqual(t, len(r.engines.refused["e0"]), 2)
+		// The first number is raised at once, and then once in the validity.
+		requireEqual(t, len(r.engines.refused["e1"]) <= 2+int(8*time.Second/testValidity), true)
+	})
+}
