See a repeated order also when its status says running

An instance that learned of a repeated order (same service, version and duration) only after the holder had stored that it is running took it for the decided one: it stayed at the decided stage and told all others of it. An order repeated after a roll-back would be rolled back at once, one repeated after a completion completed at once.

Cause: isRepeated expected an entry without a status. The holder stores "running" within a tenth of a second, and a read shows the last status alone.

Change: a stored decision followed by any other status at a higher revision is a new order: nobody overwrites a decision.

Evidence: found by a test of restores, in which the holder steps first. TestRepeatedOrderIsSeenLate failed before in 2 of 2 cases ("the stage is moved, want waiting", "the stage is rejected, want waiting") and passes now.

--- a/pkg/lrcanary/board.go
+++ b/pkg/lrcanary/board.go
@@ -109,10 +109,11 @@
 	b.forget()
 }
 
-// isRepeated reports whether the entry is a new order with the values of this one: the entry was gone, or it was decided, and it has no
-// status now.
+// isRepeated reports whether the entry is a new order with the values of this one: the entry was gone and has no status now, or it was decided,
+// and no decision is stored now.
 func (r *rollout) isRepeated(e Entry) bool {
-	return (r.isWithdrawn || r.entry.Decision().IsFinal()) && e.Decision() == Undecided && e.Revision > r.entry.Revision
+	isNew := r.isWithdrawn && e.Decision() == Undecided || r.entry.Decision().IsFinal() && !e.Decision().IsFinal()
+	return isNew && e.Revision > r.entry.Revision
 }
 
 // begin replaces the roll-out of the service with that of the order.
--- a/pkg/lrcanary/fleet_cases_test.go
+++ b/pkg/lrcanary/fleet_cases_test.go
@@ -163,3 +163,25 @@
 		f.checkBad(t)
 	})
 }
+
+// TestRepeatedOrderIsSeenLate guards against an instance that learns of a repeated order only when it is running: it took that for the decided
+// one, and told all others of the earlier decision.
+func TestRepeatedOrderIsSeenLate(t *testing.T) {
+	for _, state := range []State{Completed, RolledBack} {
+		t.Run(string(state), func(t *testing.T) {
+			f := newTestFleet(1, 1, good)
+			b := f.boards[0]
+			show := func(revision uint64, state State) {
+				b.SetEntries(f.now, map[string]Entry{testService: {
+					Name: testService, To: "v2", Duration: duration, Revision: revision, StoredState: state, StoredTo: "v2",
+				}})
+			}
+			b.SetServers(map[string][]Server{testService: f.servers})
+			show(5, state)
+			show(9, Running)
+			if got := b.Statuses(f.now)[0].Stage; got != Waiting {
+				t.Errorf("the stage is %s, want %s", got, Waiting)
+			}
+		})
+	}
+}
