Keep what is known of roll-outs when the store comes back from a copy

After the platform's store came back from an older copy, a roll-out that was decided in the lost seconds showed as running again for good: requests were not sent there, but no holder stored the decision again, so that the servers of the other version never stopped. Where the copy lacked the order itself, or held the one before, the roll-out began anew when the operator wrote the order again: requests went to a release that had been rolled back, or back to servers that stop.

Cause: the board ordered entries, statuses and confirmed writes by revision alone, and the revisions go back. Entries were dropped until they had caught up, and an entry without its status then looked like a repeated order.

Change: Board.Restored, and Duty.Restored for it, is to be called when the store has come back, before the first entries from after that. The revisions held are forgotten and stages stay. An entry without the known decision isn't a repeated order until the decision is stored again, which the holder does at once, as it does with "running". Writes that were decided before the restore aren't due any more, and their late confirmations count neither as stored nor by their revision. An order that was withdrawn in the lost seconds counts as the operator's until it is removed, and its release stays rejected if it was. A repeated order that the store has lost with its predecessor's decision can't be told from the lost decision: that is stored again, and the order must be repeated after it.

--- a/internal/lrrelease/duty.go
+++ b/internal/lrrelease/duty.go
@@ -75,6 +75,10 @@
 	d.Board.SetEntries(now, entries)
 }
 
+// Restored tells that the platform's store has come back from an older copy. It must be called before the first entries from after that. The
+// holder then stores again what the copy lacks.
+func (d *Duty) Restored(now time.Time) { d.Board.Restored(now) }
+
 // servers returns the usable servers of each service with their releases.
 func (d *Duty) servers() map[string][]lrcanary.Server {
 	servers := map[string][]lrcanary.Server{}
--- a/internal/lrrelease/duty_test.go
+++ b/internal/lrrelease/duty_test.go
@@ -172,6 +172,18 @@
 	requireStates(t, w.statuses.writes, lrcanary.Running, lrcanary.Completed)
 }
 
+// TestDecisionIsStoredAgain guards against a decision that the store has lost and that no holder stores again.
+func TestDecisionIsStoredAgain(t *testing.T) {
+	w := newWorld(t, lrplatform.NewMemory())
+	w.run(t, time.Second)
+	started := w.statuses.entry
+	w.run(t, 3*time.Second)
+	w.statuses.entry = started
+	w.duty.Restored(w.now)
+	w.run(t, time.Second)
+	requireStates(t, w.statuses.writes, lrcanary.Running, lrcanary.Completed, lrcanary.Completed)
+}
+
 func requireStates(t *testing.T, got []lrcanary.State, want ...lrcanary.State) {
 	t.Helper()
 	requireEqual(t, len(got), len(want))
--- a/pkg/lrcanary/board.go
+++ b/pkg/lrcanary/board.go
@@ -45,11 +45,16 @@
 	// missing is the number of listed instances out of reach, and missingSince since when there are no more of them.
 	missing      int
 	missingSince time.Time
+	// restores counts how often the store came back from an older copy, the last time at restoredAt.
+	restores   int
+	restoredAt time.Time
 }
 
 // service is a service with requests or with a roll-out.
 type service struct {
 	rollout *rollout
+	// lost is the roll-out that was known when the store came back from an older copy.
+	lost    *rollout
 	servers []Server
 	// running is the number of attempts in flight, and runningNew of those that were assigned to the new release of the present order.
 	running    int
@@ -91,9 +96,13 @@
 func (b *Board) SetEntries(now time.Time, entries map[string]Entry) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.expireLost(now)
 	for _, e := range entries {
 		s := b.service(e.Name)
-		if s.rollout == nil || s.rollout.order != e.Order() || s.rollout.isRepeated(e) {
+		switch {
+		case s.isLost(e):
+			s.resume()
+		case s.rollout == nil || s.rollout.order != e.Order() || s.rollout.isRepeated(e):
 			s.begin(now, e, b.options)
 			b.forgetOrder(e.Order())
 		}
@@ -110,10 +119,10 @@
 }
 
 // isRepeated reports whether the entry is a new order with the values of this one: the entry was gone and has no status now, or it was decided,
-// and no decision is stored now.
+// and no decision is stored now. After a restore of the store it is the same order, whose decision was lost.
 func (r *rollout) isRepeated(e Entry) bool {
 	isNew := r.isWithdrawn && e.Decision() == Undecided || r.entry.Decision().IsFinal() && !e.Decision().IsFinal()
-	return isNew && e.Revision > r.entry.Revision
+	return isNew && !r.isRestored && e.Revision > r.entry.Revision
 }
 
 // begin replaces the roll-out of the service with that of the order.
@@ -142,6 +151,7 @@
 		return
 	}
 	r.entry, r.isWithdrawn = e, false
+	r.confirmRestored()
 	switch e.Decision() {
 	case Completed:
 		b.enter(now, r, Moved, "")
@@ -188,6 +198,9 @@
 func (s *service) withdraw() {
 	r := s.rollout
 	r.setServers(s.servers)
+	if r.isRestored {
+		return
+	}
 	hasBanned := false
 	for _, server := range s.servers {
 		hasBanned = hasBanned || server.Release == r.entry.To || r.banned[server.Release]
@@ -204,6 +217,9 @@
 		if s.rollout != nil {
 			orders[s.rollout.order] = true
 		}
+		if s.lost != nil {
+			orders[s.lost.order] = true
+		}
 	}
 	b.own.Keep(orders)
 	b.others.Keep(orders)
--- a/pkg/lrcanary/holder.go
+++ b/pkg/lrcanary/holder.go
@@ -18,6 +18,8 @@
 type Write struct {
 	Entry Entry
 	State State
+	// restores is the number of restores of the store that were known when the write was decided.
+	restores int
 }
 
 // Drive moves the roll-outs on, which only the holder may do, and returns the statuses to store. A holder first stores that a roll-out is
@@ -34,7 +36,7 @@
 		s.rollout.holderAt = now
 		state := b.drive(now, s, h)
 		if state != Undecided {
-			writes = append(writes, Write{Entry: s.rollout.entry, State: state})
+			writes = append(writes, Write{Entry: s.rollout.entry, State: state, restores: b.restores})
 		}
 	}
 	slices.SortFunc(writes, func(a, b Write) int { return strings.Compare(a.Entry.Name, b.Entry.Name) })
@@ -86,12 +88,13 @@
 	b.missing = missing
 }
 
-// IsDue reports whether the state may still be stored: a verdict since it was decided prevents the completion.
+// IsDue reports whether the state may still be stored: a verdict since it was decided prevents the completion, and a restore of the store
+// calls for a new decision.
 func (b *Board) IsDue(w Write) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	s := b.services[w.Entry.Name]
-	if s == nil || s.rollout == nil || s.rollout.order != w.Entry.Order() || s.rollout.isWithdrawn {
+	if s == nil || s.rollout == nil || s.rollout.order != w.Entry.Order() || s.rollout.isWithdrawn || w.restores != b.restores {
 		return false
 	}
 	switch w.State {
@@ -104,7 +107,8 @@
 	}
 }
 
-// Stored records that the status was stored by this instance under the fencing number, with the revision of the entry after it.
+// Stored records that the status was stored by this instance under the fencing number, with the revision of the entry after it. A store that
+// came back from an older copy since then may have lost it, and counts its revisions anew.
 func (b *Board) Stored(now time.Time, w Write, fence, revision uint64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -113,13 +117,15 @@
 		return
 	}
 	r := s.rollout
-	if revision >= r.entry.Revision {
+	isKept := w.restores == b.restores
+	if isKept && revision >= r.entry.Revision {
 		r.entry.Revision, r.entry.StoredState, r.entry.StoredTo = revision, w.State, r.entry.To
+		r.confirmRestored()
 	}
-	switch w.State {
-	case Running:
+	switch {
+	case w.State == Running && isKept:
 		r.confirmedFence = fence
-	case Completed:
+	case w.State == Completed:
 		b.enter(now, r, Moved, "")
 	}
 	r.setServers(s.servers)
--- a/pkg/lrcanary/rollout.go
+++ b/pkg/lrcanary/rollout.go
@@ -51,6 +51,8 @@
 	confirmedFence uint64
 	// isWithdrawn is set when the entry is gone.
 	isWithdrawn bool
+	// isRestored is set when the store comes back from an older copy, until it holds again what is known of the order.
+	isRestored bool
 	// banned are releases of earlier orders that were not completed.
 	banned map[string]bool
 	// hadOld is set once a server of another release was listed, hasOld and hasNew while there is one of each.
