Don't count a status as stored if the store was restored meanwhile

The status of a roll-out is written on condition of the revision that was read just before. If the store comes back from an older copy between the read and the write, that revision may be given out again to a status that another holder has stored since, and the write replaces it. It counted as stored, and nobody looked at the entry again.

Change: the entry that is read names the era of the store, and WriteState fails with ErrConflict if the answer to the write names another one. The operator's order can't be overwritten: only the status is written, and a status names the version to which it belongs. Where the store names no era, nothing shows this.

--- a/internal/lrrelease/duty.go
+++ b/internal/lrrelease/duty.go
@@ -30,8 +30,8 @@
 type Statuses interface {
 	// Read returns the entry as it is stored now.
 	Read(ctx context.Context, name string) (lrcanary.Entry, error)
-	// WriteState stores the state if the entry still has its revision, and fails with lrplatform.ErrConflict otherwise. It returns the
-	// revision after the write.
+	// WriteState stores the state if the entry still has its revision in the era in which it was read, and fails with lrplatform.ErrConflict
+	// otherwise. It returns the revision after the write.
 	WriteState(ctx context.Context, entry lrcanary.Entry, state lrcanary.State) (uint64, error)
 }
 
--- a/pkg/lrcanary/order.go
+++ b/pkg/lrcanary/order.go
@@ -44,6 +44,8 @@
 	StoredTo    string `json:"storedTo,omitempty"`
 	// Revision is the revision of the entry in the store.
 	Revision uint64 `json:"revision"`
+	// Era is the era of the store in which the entry was read to change its status. It is zero in a list.
+	Era uint64 `json:"-"`
 }
 
 // Order returns the identity of the order. It does not depend on the status.
