Raise a refused fencing number of the holder of a shard

The holder of a shard of engines sent the same order again with every step when an engine refused its fencing number as stale, and came to no other order. That happens after the platform has lost a lease with a higher number.

Change: the holder tells its keeper of the refusal, which renews the lease under a higher number. On this interface the platform names no era, so the number grows by one in each validity.

Evidence: TestRefusedFencingNumberIsRaised failed before (version of engine-0: got v1, want v2) and passes now.

--- a/internal/lrorders/holder_test.go
+++ b/internal/lrorders/holder_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// TestRefusedFencingNumberIsRaised guards against a holder whose number an engine refuses for good, because the platform has lost a lease with
+// a higher one: it would send no other order either, since the first one never ends.
+func TestRefusedFencingNumberIsRaised(t *testing.T) {
+	s := newShardSimulation(0)
+	synctest.Test(t, func(*testing.T) {
+		ctx, stop := context.WithTimeout(context.Background(), runDuration)
+		defer stop()
+		s.pause, s.engines[0].fence, s.desired = func() {}, 3, "v2"
+		go s.drive(ctx, s.newHolder(0, lrplatform.NewMemory()), stepOfHolder)
+		<-ctx.Done()
+		time.Sleep(maxPause)
+	})
+	for _, e := range s.engines {
+		requireEqual(t, e.version, "v2", "version of "+e.name)
+	}
+}
+
 func runHolders(t *testing.T, seed uint64, step func(context.Context, *Holder)) *shardSimulation {
 	t.Helper()
 	s := newShardSimulation(seed)
--- a/internal/lrorders/send.go
+++ b/internal/lrorders/send.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		event = h.Log.Warn().Err(err)
 	}
+	if lrengine.ErrStaleFence.Has(err) {
+		h.keeper.Refused(grant.Fence)
+	}
 	if lrengine.ErrBroken.Has(err) {
 		h.notBefore = h.Clock().Add(h.options.Times.CallTimeout + h.options.Times.ValidFor)
 	}
