Record the answer of a paid action whose record was lost

A paid action could run twice after the platform had come back from an older copy: its record was lost while the service was running it, the answer was dropped without a log line, and a repeated request with the same idempotency key found no record and ran the action again.

Cause: a missing record was taken for one that needs no change. That holds for attempts that have sent nothing.

Change: an attempt that the service has answered creates the record again, with the answer. If another attempt has made a record meanwhile, that one stays. An action whose outcome is unknown, or whose record is lost after the answer was recorded, is still not protected: nothing writes its record again.

Evidence: TestAnswerOfALostRecordIsRecorded failed before (it is a replay: got "", want true) and passes now; internal/lrledger passes whole.

--- a/internal/lrledger/action.go
+++ b/internal/lrledger/action.go
@@ -40,6 +40,8 @@
 	heldByAnother bool
 	// mayHaveWritten means that a write of this attempt may have taken effect or may still do so.
 	mayHaveWritten bool
+	// answered is the dispatched record, set once the service has answered.
+	answered stored
 
 	finishOnce sync.Once
 	done       chan struct{}
--- a/internal/lrledger/converge.go
+++ b/internal/lrledger/converge.go
@@ -34,7 +34,7 @@
 	if start.object.Version == 0 {
 		seen, err := read(ctx, a.Store, a.name)
 		if lrplatform.ErrNotFound.Has(err) {
-			return stored{}, nil
+			return a.createAgain(ctx, change)
 		}
 		if err != nil {
 			return stored{}, err
@@ -44,6 +44,21 @@
 	return update(ctx, a.Store, start, change)
 }
 
+// createAgain writes the changed record anew if the service has answered this attempt: the platform came back from an older copy, which lacks
+// the record. A missing record of an action that was not sent needs no change.
+func (a *action) createAgain(ctx context.Context, change lrpaid.Change) (stored, error) {
+	if a.answered.object.Version == 0 {
+		return stored{}, nil
+	}
+	record, _ := change(a.answered.record)
+	value, err := json.Marshal(record)
+	if err != nil {
+		return stored{}, fmt.Errorf("encode record: %w", err)
+	}
+	object, err := a.Store.Create(ctx, lrplatform.KindPaid, a.name, value)
+	return stored{object, record}, err
+}
+
 // update writes the changed record, once and conditionally. It writes nothing when the change is not needed. After a failed
 // write it reads the record, since only the reply may have been lost.
 func update(ctx context.Context, store lrplatform.Store, start stored, change lrpaid.Change) (stored, error) {
--- a/internal/lrledger/record_store_test.go
+++ b/internal/lrledger/record_store_test.go
@@ -28,6 +28,29 @@
 	})
 }
 
+// TestAnswerOfALostRecordIsRecorded guards against an action that runs twice because the platform came back from an older copy, which lacks its
+// record, while the service was running it: its answer was dropped without a word, and a repeated request found nothing.
+func TestAnswerOfALostRecordIsRecorded(t *testing.T) {
+	const recordAnswer = 4
+	synctest.Test(t, func(t *testing.T) {
+		var s *simulation
+		s = newSimulation(2, newLedger, func(_ string, _, call int) fault {
+			if call == recordAnswer {
+				object, err := s.memory.Get(t.Context(), lrplatform.KindPaid, lrpaid.RecordName(testAccount, testKey))
+				requireEqual(t, err, nil, "error")
+				requireEqual(t, s.memory.Delete(t.Context(), object), nil, "error")
+			}
+			return faultNone
+		})
+		requireEqual(t, s.send(0, testBody, longWait).err, nil, "error")
+		time.Sleep(longWait)
+		repeated := s.send(1, testBody, longWait)
+		requireEqual(t, repeated.err, nil, "error")
+		requireEqual(t, repeated.response.Header.Get(HeaderReplayed), "true", "it is a replay")
+		requireEqual(t, len(s.service.effectsOf(testKey)), 1, "effects")
+	})
+}
+
 // TestResolve resolves an action whose answer was lost and reads the audit entry.
 func TestResolve(t *testing.T) {
 	for _, outcome := range []lrpaid.ResolvedOutcome{lrpaid.ResolvedDone, lrpaid.ResolvedNotRun} {
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -23,6 +23,7 @@
 	response, err := a.call(ctx)
 	switch {
 	case err == nil:
+		a.answered = dispatched
 		answer := lrpaid.NewAnswer(response.Status, response.Header, response.Body)
 		a.converge(ctx, dispatched, lrpaid.RecordAnswer(a.Clock(), a.attempt, answer), func() { a.finish(response, nil) })
 	case lrservice.ErrNotSent.Has(err) && !a.Clock().Before(a.policy.SendDeadline(a.dispatchStartedAt)):
