--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,11 +39,18 @@
 	mutex  sync.Mutex
 	object lrplatform.Object
 	lease  Lease
-	// firstSeenAt is when the object was first seen at its present version.
-	firstSeenAt time.Time
-	heldSince   time.Time
-	validUntil  time.Time
-	wasReleased bool
+	// firstSeenAt is when the object was first seen as it is, and wasRestored is set once the store has named another era than before.
+	firstSeenAt  time.Time
+	wasRestored  bool
+	heldSince    time.Time
+	validUntil   time.Time
+	wasReleased  bool
+	highestFence uint64
+	// refusedFence is the highest fencing number that a receiver has refused, and fencedAt when the number was last raised because of that.
+	refusedFence uint64
+	fencedAt     time.Time
+	// inDoubt are the nonces of the writes since the last confirmed one that may have taken effect.
+	inDoubt []string
 }
 
 // NewKeeper returns a Keeper of the named lease. It does not hold the lease until Step has acquired it. The holder is the
@@ -65,19 +73,40 @@
 // Step renews the lease when that is due, or tries to acquire it when this instance does not hold it. It must be called
 // repeatedly.
 func (k *Keeper) Step(ctx context.Context) error {
-	grant, held := k.Held(k.clock())
-	if held && grant.Remaining > k.validity-k.validity/renewDivisor {
+	now := k.clock()
+	grant, held := k.Held(now)
+	switch {
+	case !held:
+		return k.contend(ctx)
+	case k.mustRaise(now):
+		object, lease := k.current()
+		return k.write(ctx, object, lease.WithRenewal(uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), false)
+	case grant.Remaining > k.validity-k.validity/renewDivisor:
 		return nil
+	default:
+		object, lease := k.current()
+		return k.write(ctx, object, lease.WithRenewal(uuid.NewString()), false)
 	}
-	if held {
-		return k.renew(ctx)
-	}
-	return k.contend(ctx)
 }
 
-func (k *Keeper) renew(ctx context.Context) error {
-	object, lease := k.current()
-	return k.write(ctx, object, lease.WithRenewal(uuid.NewString()), false)
+// Refused records that a receiver has refused the fencing number because it has seen a higher one. The next Step then renews the lease under
+// a higher number, or loses it: that this instance holds the lease is certain only once the store has confirmed it. A receiver that refuses
+// every number costs no more than one such renewal in the validity.
+func (k *Keeper) Refused(fence uint64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.refusedFence = max(k.refusedFence, fence)
+}
+
+func (k *Keeper) mustRaise(now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.lease.Fence <= k.refusedFence && now.Sub(k.fencedAt) >= k.validity
+}
+
+// fenceFloor returns a number that is at least as high as every fencing number that was given out up to this version of the lease.
+func (k *Keeper) fenceFloor(object lrplatform.Object) uint64 {
+	return max(k.HighestFence(), fenceFloor(object))
 }
 
 func (k *Keeper) contend(ctx context.Context) error {
@@ -85,38 +114,92 @@
 	if err != nil {
 		return err
 	}
-	object, lease := k.current()
-	now := k.clock()
-	lapsed := now.Sub(k.unchangedSince()) > lease.Validity()
-	if object.Version != 0 && lease.Holder != "" && !lapsed {
+	if !k.isFree(k.clock()) {
 		return nil
 	}
-	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity), true)
+	object, lease := k.current()
+	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity).WithFenceAbove(k.fenceFloor(object)), true)
 }
 
-// read reads the object and records since when it is unchanged.
+// HighestFence returns the highest fencing number that this Keeper knows of, its own or that of another holder.
+func (k *Keeper) HighestFence() uint64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.highestFence
+}
+
+// RecordFence records a fencing number that another instance knows of, so that the numbers that this Keeper gives out are higher. One that
+// no holder can have is ignored.
+func (k *Keeper) RecordFence(fence uint64) {
+	if fence > maxFence {
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.highestFence = max(k.highestFence, fence)
+}
+
+// isFree reports whether no other instance can hold the lease: its holder has released it, or has not renewed it for the validity.
+func (k *Keeper) isFree(now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.lease.Holder == "" && !k.isOutdated() {
+		return true
+	}
+	validity := k.lease.Validity()
+	if k.object.Version == 0 {
+		validity = k.validity
+	}
+	return now.Sub(k.firstSeenAt) > validity
+}
+
+// isOutdated reports whether a later lease than the stored one, which may still be valid, was lost when the store came back from an older
+// copy. It must be called with the mutex held.
+func (k *Keeper) isOutdated() bool {
+	if k.object.Version == 0 {
+		return k.wasRestored || k.highestFence > 0
+	}
+	return k.lease.Fence < max(k.highestFence, firstFence(k.object.Era))
+}
+
+// read reads the lease and records since when it is unchanged.
 func (k *Keeper) read(ctx context.Context) error {
+	object, lease, err := k.fetch(ctx)
+	if err != nil {
+		return err
+	}
+	k.observe(k.clock(), object, lease)
+	return nil
+}
+
+// fetch returns the lease as it is stored. A missing lease has version zero.
+func (k *Keeper) fetch(ctx context.Context) (lrplatform.Object, Lease, error) {
+	var lease Lease
 	object, err := k.store.Get(ctx, lrplatform.KindLease, k.name)
 	if lrplatform.ErrNotFound.Has(err) {
-		object, err = lrplatform.Object{Kind: lrplatform.KindLease, Name: k.name}, nil
+		return lrplatform.Object{Kind: lrplatform.KindLease, Name: k.name, Era: object.Era}, lease, nil
 	}
 	if err != nil {
-		return fmt.Errorf("read lease %s: %w", k.name, err)
+		return object, lease, fmt.Errorf("read lease %s: %w", k.name, err)
 	}
-	var lease Lease
-	if object.Version != 0 {
-		err = json.Unmarshal(object.Value, &lease)
-		if err != nil {
-			return fmt.Errorf("decode lease %s: %w", k.name, err)
-		}
+	err = json.Unmarshal(object.Value, &lease)
+	if err != nil {
+		return object, lease, fmt.Errorf("decode lease %s: %w", k.name, err)
 	}
+	return object, lease, nil
+}
+
+// observe records what is stored, and since when it is unchanged. The version alone doesn't tell: a restored store gives versions out again.
+func (k *Keeper) observe(now time.Time, object lrplatform.Object, lease Lease) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if object.Version != k.object.Version || k.firstSeenAt.IsZero() {
-		k.firstSeenAt = k.clock()
+	isFirst, isOtherEra := k.firstSeenAt.IsZero(), object.Era != k.object.Era
+	if isFirst || isOtherEra || object.Version != k.object.Version || lease.Nonce != k.lease.Nonce {
+		k.firstSeenAt = now
 	}
+	k.wasRestored = k.wasRestored || !isFirst && isOtherEra
 	k.object, k.lease = object, lease
-	return nil
+	k.highestFence = max(k.highestFence, lease.Fence)
 }
 
 // write makes one conditional write. The validity of the lease counts from before the write, since the reply may be
@@ -128,18 +211,26 @@
 		return fmt.Errorf("encode lease %s: %w", k.name, err)
 	}
 	written, err := k.put(ctx, object, value)
-	if err != nil && !k.tookEffect(ctx, lease) {
+	if err != nil {
+		written, err = k.readBack(ctx, lease, err)
+	}
+	if err == nil && written.Era != object.Era {
+		err = k.lose(written, lease)
+	}
+	if err != nil {
 		return fmt.Errorf("write lease %s: %w", k.name, err)
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if err == nil {
-		k.object, k.firstSeenAt = written, startedAt
-	}
 	if acquired {
-		k.heldSince, k.wasReleased = k.clock(), k.lease.Holder == "" && object.Version != 0
+		k.heldSince, k.wasReleased = k.clock(), k.lease.Holder == "" && object.Version != 0 && !k.isOutdated()
 	}
-	k.lease, k.validUntil = lease, startedAt.Add(k.validity)
+	if lease.Fence != k.lease.Fence && !acquired {
+		k.fencedAt = startedAt
+	}
+	k.highestFence = max(k.highestFence, lease.Fence)
+	k.object, k.lease, k.firstSeenAt, k.inDoubt = written, lease, startedAt, nil
+	k.validUntil = startedAt.Add(k.validity)
 	return nil
 }
 
@@ -150,22 +241,57 @@
 	return k.store.Update(ctx, object.WithValue(value))
 }
 
-// tookEffect reads the object after a failed write and reports whether the write took effect, as it has when only the reply
-// was lost.
-func (k *Keeper) tookEffect(ctx context.Context, lease Lease) bool {
-	object, err := k.store.Get(ctx, lrplatform.KindLease, k.name)
+// readBack reads the lease after a failed write. It returns the object if the write took effect, as it has when only the reply was lost. The
+// lease is lost if the write was refused because something else is stored, or if the store came back from an older copy meanwhile.
+func (k *Keeper) readBack(ctx context.Context, lease Lease, failure error) (lrplatform.Object, error) {
+	object, stored, err := k.fetch(ctx)
 	if err != nil {
-		return false
+		k.recordDoubt(lease.Nonce)
+		return object, failure
+	}
+	if stored.Nonce == lease.Nonce {
+		return object, nil
 	}
-	var stored Lease
-	err = json.Unmarshal(object.Value, &stored)
-	if err != nil || stored.Nonce != lease.Nonce {
+	isRefused := lrplatform.ErrConflict.Has(failure) || lrplatform.ErrNotFound.Has(failure)
+	if !k.recognize(object, stored) && isRefused || object.Era != k.era() {
+		return object, k.lose(object, stored)
+	}
+	return object, failure
+}
+
+// recordDoubt records the nonce of a write that may have taken effect.
+func (k *Keeper) recordDoubt(nonce string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.inDoubt = append(k.inDoubt, nonce)
+}
+
+// recognize reports whether the object is what this Keeper has seen last, or what it has written in doubt, from which it goes on then.
+func (k *Keeper) recognize(object lrplatform.Object, stored Lease) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if object.Era != k.object.Era {
 		return false
 	}
+	if slices.Contains(k.inDoubt, stored.Nonce) {
+		k.object, k.lease, k.inDoubt = object, stored, nil
+	}
+	return stored.Nonce == k.lease.Nonce
+}
+
+// lose ends the validity of the lease at once, in favor of what is stored.
+func (k *Keeper) lose(object lrplatform.Object, stored Lease) error {
+	k.mutex.Lock()
+	k.validUntil, k.inDoubt = time.Time{}, nil
+	k.mutex.Unlock()
+	k.observe(k.clock(), object, stored)
+	return ErrLost.New("era %d, version %d, holder %q", object.Era, object.Version, stored.Holder)
+}
+
+func (k *Keeper) era() uint64 {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.object, k.firstSeenAt = object, k.clock()
-	return true
+	return k.object.Era
 }
 
 // Release gives up the lease, so that another instance can acquire it at once. No work that the lease protects may be in
@@ -192,9 +318,3 @@
 	defer k.mutex.Unlock()
 	return k.object, k.lease
 }
-
-func (k *Keeper) unchangedSince() time.Time {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.firstSeenAt
-}
--- a/internal/lrlease/lease.go
+++ b/internal/lrlease/lease.go
@@ -23,6 +23,12 @@
 	return Lease{Holder: holder, Nonce: nonce, Fence: l.Fence + 1, ValidMillis: validity.Milliseconds()}
 }
 
+// WithFenceAbove returns the lease with a fencing number that is above the floor, and no lower than it is.
+func (l Lease) WithFenceAbove(floor uint64) Lease {
+	l.Fence = max(l.Fence, floor+1)
+	return l
+}
+
 // WithRenewal returns the lease as renewed by its holder.
 func (l Lease) WithRenewal(nonce string) Lease {
 	l.Nonce = nonce
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -23,6 +23,7 @@
 	response, err := a.call(ctx)
 	switch {
 	case err == nil:
+		a.answered = dispatched
 		answer := lrpaid.NewAnswer(response.Status, response.Header, response.Body)
 		now := a.Clock()
 		a.converge(ctx, dispatched, lrpaid.RecordAnswer(now, a.attempt, answer), func() { a.finish(response, nil) })
--- a/internal/lrrelease/duty.go
+++ b/internal/lrrelease/duty.go
@@ -30,8 +30,8 @@
 type Statuses interface {
 	// Read returns the entry as it is stored now.
 	Read(ctx context.Context, name string) (lrcanary.Entry, error)
-	// WriteState stores the state if the entry still has its revision, and fails with lrplatform.ErrConflict otherwise. It returns the
-	// revision after the write.
+	// WriteState stores the state if the entry still has its revision in the era in which it was read, and fails with lrplatform.ErrConflict
+	// otherwise. It returns the revision after the write.
 	WriteState(ctx context.Context, entry lrcanary.Entry, state lrcanary.State) (uint64, error)
 }
 
@@ -75,6 +75,10 @@
 	d.Board.SetEntries(now, entries)
 }
 
+// Restored tells that the platform's store has come back from an older copy. It must be called before the first entries from after that. The
+// holder then stores again what the copy lacks.
+func (d *Duty) Restored(now time.Time) { d.Board.Restored(now) }
+
 // servers returns the usable servers of each service with their releases.
 func (d *Duty) servers() map[string][]lrcanary.Server {
 	servers := map[string][]lrcanary.Server{}
