Remember removed backend servers when the store comes back twice

Seen: a server that was removed before the store came back from an older copy gets requests again when the store comes back once more within four heartbeats.

Cause: the second time it is listed, though unused, and was taken for a server that has come back.

Evidence: TestOlderCopyRevivesNoServer/removed_and_copied_twice fails (a,c in use, want a) once a rewind always passes on what is in use; before, the list that had not changed hid it.

Change: what was kept out of use at the first time is kept out at the second.

Measured: the tests of restores pass.

--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -58,6 +58,9 @@
 		return
 	}
 	removed := map[string]T{}
+	if f.restored != nil {
+		maps.Copy(removed, f.restored.removed)
+	}
 	for name, r := range f.removed {
 		if _, isListed := f.entries[name]; !isListed && now.Sub(r.at) <= removedRetention {
 			removed[name] = r.entry
