Tell roll-outs that the store has come back from an older copy

Change: a follower calls OnRewind when the platform has gone back, and then onChange, also where the entries are as before: what the copy lacks is stored again only after a look at it.

Measured: TestRewindIsToldBeforeItsEntries passes.

--- a/internal/lredge/releases.go
+++ b/internal/lredge/releases.go
@@ -35,7 +35,9 @@
 	if d.settings.Rollouts.ExposureShare <= 0 {
 		return
 	}
-	d.rollouts = lrfleet.NewFollower(d.ports.Rollouts, followerOptions[lrcanary.Entry](d, feedRollouts, rolloutsInterval), d.log, d.releaseDuty.SetEntries)
+	options := followerOptions[lrcanary.Entry](d, feedRollouts, rolloutsInterval)
+	options.OnRewind = d.releaseDuty.Restored
+	d.rollouts = lrfleet.NewFollower(d.ports.Rollouts, options, d.log, d.releaseDuty.SetEntries)
 	d.supervisor.Add("followRollouts", d.rollouts.Run)
 	d.supervisor.Add("refreshRollouts", d.rollouts.RunRefresh)
 	d.supervisor.Add("moveReleases", lrsupervise.Every(releaseInterval, d.releaseDuty.Step))
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -39,6 +39,8 @@
 	Latest func(known, listed T) T
 	// Restore says how entries are used after the platform has gone back. Nil means that they are used as they are listed.
 	Restore *RestorePolicy[T]
+	// OnRewind is called when the platform has gone back. A call of onChange with what it lists since follows, also if that is as before.
+	OnRewind func(now time.Time)
 }
 
 const (
@@ -288,7 +290,8 @@
 func (f *Follower[T]) update(now time.Time, version FeedVersion, changes Changes[T]) {
 	f.mutex.Lock()
 	f.appliedAt = now
-	if f.version.Revision > 0 && !version.continues(f.version) {
+	isRewound := f.version.Revision > 0 && !version.continues(f.version)
+	if isRewound {
 		f.recordRewind(version)
 		f.beginRestore(now)
 	}
@@ -302,7 +305,10 @@
 	isRestored := f.endRestore(now)
 	used := f.used(now)
 	f.mutex.Unlock()
-	if isSet || isRemoved || isExpired || isRestored {
+	if isRewound && f.options.OnRewind != nil {
+		f.options.OnRewind(now)
+	}
+	if isSet || isRemoved || isExpired || isRestored || isRewound {
 		f.onChange(now, used)
 	}
 }
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -152,3 +152,16 @@
 	list(started, 60, later, "v21")
 	requireEqual(t, "value after the next version", started.Snapshot().Set["main"], "v21")
 }
+
+// TestRewindIsToldBeforeItsEntries checks that those who use the entries learn that the store has come back from an older copy before they get
+// what it lists, and that they get it although nothing has changed: a roll-out would otherwise take what the copy lacks for the operator's word.
+func TestRewindIsToldBeforeItsEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var calls []string
+	options := FollowerOptions[string]{OnRewind: func(time.Time) { calls = append(calls, "rewind") }}
+	f := NewFollower(Feed[string](nil), options, zerolog.Nop(), func(time.Time, map[string]string) { calls = append(calls, "change") })
+	for n, era := range []uint64{earlier, earlier, later} {
+		f.Replace(now, Changes[string]{Set: map[string]string{"a": "1"}, Revision: uint64(100 - 10*(n/2)), Era: era})
+	}
+	requireEqual(t, "calls", strings.Join(calls, ","), "change,rewind,change")
+}
