Raise the number of a holder that hears of a higher one

A holder whose lease a restore of the store has set back learned that its fencing number is too low only from a refusal, and engines that check no numbers refuse nothing.

Change: a keeper that holds the lease renews it under a higher number as soon as it hears of a higher one than its own, or finds that another instance has the lease. What concerns numbers moves to a file of its own.

Evidence: the case "number heard by the holder" of TestFencingNumbersAreNotGivenOutAgain failed before (it holds with the next number: got false, want true) and passes now.

--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -40,13 +40,14 @@
 	object lrplatform.Object
 	lease  Lease
 	// firstSeenAt is when the object was first seen as it is, and wasRestored is set once the store has named another era than before.
-	firstSeenAt  time.Time
-	wasRestored  bool
-	heldSince    time.Time
-	validUntil   time.Time
-	wasReleased  bool
+	firstSeenAt time.Time
+	wasRestored bool
+	heldSince   time.Time
+	validUntil  time.Time
+	wasReleased bool
+	// highestFence is the highest fencing number that is known, refusedFence is the highest fencing number that a receiver has refused, and fencedAt
+	// when the number was last raised because of that.
 	highestFence uint64
-	// refusedFence is the highest fencing number that a receiver has refused, and fencedAt when the number was last raised because of that.
 	refusedFence uint64
 	fencedAt     time.Time
 	// inDoubt are the nonces of the writes since the last confirmed one that may have taken effect.
@@ -89,26 +90,6 @@
 	}
 }
 
-// Refused records that a receiver has refused the fencing number because it has seen a higher one. The next Step then renews the lease under
-// a higher number, or loses it: that this instance holds the lease is certain only once the store has confirmed it. A receiver that refuses
-// every number costs no more than one such renewal in the validity.
-func (k *Keeper) Refused(fence uint64) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.refusedFence = max(k.refusedFence, fence)
-}
-
-func (k *Keeper) mustRaise(now time.Time) bool {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.lease.Fence <= k.refusedFence && now.Sub(k.fencedAt) >= k.validity
-}
-
-// fenceFloor returns a number that is at least as high as every fencing number that was given out up to this version of the lease.
-func (k *Keeper) fenceFloor(object lrplatform.Object) uint64 {
-	return max(k.HighestFence(), fenceFloor(object))
-}
-
 func (k *Keeper) contend(ctx context.Context) error {
 	err := k.read(ctx)
 	if err != nil {
@@ -121,24 +102,6 @@
 	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity).WithFenceAbove(k.fenceFloor(object)), true)
 }
 
-// HighestFence returns the highest fencing number that this Keeper knows of, its own or that of another holder.
-func (k *Keeper) HighestFence() uint64 {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.highestFence
-}
-
-// RecordFence records a fencing number that another instance knows of, so that the numbers that this Keeper gives out are higher. One that
-// no holder can have is ignored.
-func (k *Keeper) RecordFence(fence uint64) {
-	if fence > maxFence {
-		return
-	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.highestFence = max(k.highestFence, fence)
-}
-
 // isFree reports whether no other instance can hold the lease: its holder has released it, or has not renewed it for the validity.
 func (k *Keeper) isFree(now time.Time) bool {
 	k.mutex.Lock()
--- a/internal/lrlease/restore_test.go
+++ b/internal/lrlease/restore_test.go
@@ -298,6 +298,15 @@
 			requireEqual(t, status.Fence, lost.HighestFence()+1, "fencing number")
 		})
 	})
+	t.Run("number heard by the holder", func(t *testing.T) {
+		testRestore(t, func(r *restoredLease) {
+			r.step(100*time.Millisecond, r.first)
+			r.first.RecordFence(7)
+			r.step(100*time.Millisecond, r.first)
+			status, held := r.first.Held(time.Now())
+			requireEqual(t, held && status.Fence == 8, true, "it holds with the next number")
+		})
+	})
 	t.Run("era falls", func(t *testing.T) {
 		testRestore(t, func(r *restoredLease) {
 			r.store.era = 9
