Fetch equal entries of a later era, so that the restore is noticed

Roll-outs were not told: a decision that the copy lacks was not stored again, and with the next status the order went from moved back to waiting.

Cause: the version changes in two places, and only one of them looks for a rewind.

Change: a report raises the revision only within one era and count of rewinds. Otherwise the instance is behind, also with equal entries, and fetches them.

Evidence: TestEqualEntriesOfALaterEraAreFetched failed before (behind: got false, want true; no rewind told).

--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -56,7 +56,7 @@
 }
 
 // RecordReport applies the report of another instance, and reports whether its entries supersede the own ones. Equal entries include
-// every change up to the later of the two versions. A read counts only once its result is known to have arrived here: an instance that
+// every change up to the later of the two revisions. A read counts only once its result is known to have arrived here: an instance that
 // lags behind, or that cannot tell, goes on reading for itself. A read from before the platform went back does not count.
 func (f *Follower[T]) RecordReport(now time.Time, version FeedVersion, age time.Duration) (isBehind bool) {
 	f.mutex.Lock()
@@ -65,7 +65,7 @@
 		return false
 	}
 	isEqual := version.Digest == f.version.Digest
-	if isEqual && version.compare(f.version) > 0 {
+	if isEqual && version.continues(f.version) && version.Revision > f.version.Revision {
 		f.version = version
 	}
 	if isEqual || version.continues(f.version) && version.Revision < f.version.Revision {
@@ -81,11 +81,14 @@
 	return f.isBehind(version)
 }
 
-// isBehind must be called with the mutex held. Entries that never go back may differ at the same version: an instance that has started after
-// the platform went back knows only what the older copy holds.
+// isBehind must be called with the mutex held. That the platform has gone back is learned with the entries, also if they are equal. Entries that
+// never go back may differ at the same version: an instance that has started after the platform went back knows only what the older copy holds.
 func (f *Follower[T]) isBehind(version FeedVersion) bool {
-	isAsLate := version.compare(f.version) == 0 && version.Digest != f.version.Digest
-	return version.supersedes(f.version) || f.options.Latest != nil && isAsLate
+	order := version.compare(f.version)
+	if version.Digest == f.version.Digest {
+		return order > 0 && !version.continues(f.version)
+	}
+	return order > 0 || order == 0 && f.options.Latest != nil
 }
 
 // recordRead records that an instance has read the feed at the given time. It must be called with the mutex held.
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -165,3 +165,24 @@
 	}
 	requireEqual(t, "calls", strings.Join(calls, ","), "change,rewind,change")
 }
+
+// TestEqualEntriesOfALaterEraAreFetched reports a later era with equal entries. The own version was raised to it, so that nobody learned that
+// the store had come back from an older copy: a decision on a roll-out that the copy lacks was not stored again, and the order began anew.
+func TestEqualEntriesOfALaterEraAreFetched(t *testing.T) {
+	now, rewinds := time.Unix(1000, 0), 0
+	newFollower := func() *Follower[string] {
+		options := FollowerOptions[string]{OnRewind: func(time.Time) { rewinds++ }}
+		return NewFollower(Feed[string](nil), options, zerolog.Nop(), func(time.Time, map[string]string) {})
+	}
+	f, other := newFollower(), newFollower()
+	entries := map[string]string{"a": "1"}
+	f.Replace(now, Changes[string]{Set: entries, Revision: 97, Era: earlier})
+	other.Replace(now, Changes[string]{Set: entries, Revision: 90, Era: later})
+	requireEqual(t, "behind", f.RecordReport(now, other.Version(), 0), true)
+	encoded, version, err := other.Encode()
+	requireEqual(t, "error", err, nil)
+	requireEqual(t, "error", f.Decode(now, encoded, version), nil)
+	requireEqual(t, "version", f.Version(), other.Version())
+	requireEqual(t, "rewinds that are told", rewinds, 1)
+	requireEqual(t, "behind later", f.RecordReport(now, other.Version(), 0), false)
+}
