Use a server that writes its entry again after a restore

Seen by the reviewer: a server whose entry had lapsed before the copy was taken, or between two copies, was kept out of use for four heartbeats after it had written its entry again.

Cause: it counted as one that the copy shows though it was removed, while the copy does not list it at all.

Change: of the removed servers, only those are kept out of use that the first list of the copy shows.

Evidence: TestServerWrittenAgainIsUsed failed in 2 of 2 cases before (a in use, want a and b).

--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -293,7 +293,7 @@
 	isRewound := f.version.Revision > 0 && !version.continues(f.version)
 	if isRewound {
 		f.recordRewind(version)
-		f.beginRestore(now)
+		f.beginRestore(now, changes.Set)
 	}
 	entries := maps.Clone(f.entries)
 	isSet := f.set(entries, changes.Set)
--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -50,8 +50,9 @@
 	}
 }
 
-// beginRestore keeps what is known of the entries now that the platform has gone back. It must be called with the mutex held.
-func (f *Follower[T]) beginRestore(now time.Time) {
+// beginRestore keeps what is known of the entries now that the platform has gone back and lists the given ones. A removed entry that it does not
+// list is not part of the copy: if it is listed later, its writer has written it again. It must be called with the mutex held.
+func (f *Follower[T]) beginRestore(now time.Time, listed map[string]T) {
 	// Entries that were written since the copy are written again as those are that have lapsed in an outage.
 	f.recoveredAt = now
 	if f.options.Restore == nil {
@@ -66,6 +67,10 @@
 			removed[name] = r.entry
 		}
 	}
+	maps.DeleteFunc(removed, func(name string, _ T) bool {
+		_, isListed := listed[name]
+		return !isListed
+	})
 	f.restored = &restored[T]{until: now.Add(f.options.Restore.Grace), known: f.used(now), removed: removed}
 }
 
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -186,3 +186,26 @@
 	requireEqual(t, "rewinds that are told", rewinds, 1)
 	requireEqual(t, "behind later", f.RecordReport(now, other.Version(), 0), false)
 }
+
+// TestServerWrittenAgainIsUsed removes a server that the older copy does not list, since its entry had lapsed. It was kept out of use when it
+// wrote its entry again, as if the copy had shown it.
+func TestServerWrittenAgainIsUsed(t *testing.T) {
+	t.Run("lapsed before", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), server("b", 1))
+		r.list(101, earlier, server("a", 1))
+		r.wait(10 * time.Second)
+		r.list(90, later, server("a", 1))
+		r.list(92, later, server("a", 1), server("b", 1))
+		requireEqual(t, "in use", r.inUse(), "a,b")
+	})
+	t.Run("lapsed between two copies", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), server("b", 1))
+		r.list(50, later, server("a", 1))
+		for range 25 {
+			r.wait(100 * time.Millisecond)
+		}
+		r.list(50, later+1, server("a", 1))
+		r.list(52, later+1, server("a", 1), server("b", 1))
+		requireEqual(t, "in use", r.inUse(), "a,b")
+	})
+}
