Don't take the first era that is named for a restore

Seen by the reviewer: in a rolling upgrade, an instance that starts takes entries over from one that reports no era, and then reads the store.

Change: an era after none is no rewind if the revision has not gone back.

Evidence: TestFirstEraIsNoRewind failed before (a and b in use, want a).

--- a/internal/lrfleet/feed_version.go
+++ b/internal/lrfleet/feed_version.go
@@ -33,11 +33,18 @@
 	return v.compare(other) > 0 && v.Digest != other.Digest
 }
 
-// continues reports whether changes since a version of the other's kind can be applied to entries of version v: revisions were counted on.
+// continues reports whether the revisions of both versions were counted by a store that has not gone back between them.
 func (v FeedVersion) continues(other FeedVersion) bool {
 	return v.Rewinds == other.Rewinds && v.Era == other.Era
 }
 
+// isRewoundFrom reports whether entries of version v are of a platform that has gone back since those of the other one. A store that names its
+// era for the first time, as seen by an instance that has the other entries from one of an earlier version, has not gone back.
+func (v FeedVersion) isRewoundFrom(other FeedVersion) bool {
+	isFirstNamed := other.Era == 0 && v.Rewinds == other.Rewinds && v.Revision >= other.Revision
+	return other.Revision > 0 && !v.continues(other) && !isFirstNamed
+}
+
 // listedAt returns the version of a list that the platform has answered to a call that began while v was held. Answers to calls that begin
 // later are at the same or a later revision, unless the store has come back from an older copy. A store that names no higher era then is found
 // out by its revision.
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -290,7 +290,7 @@
 func (f *Follower[T]) update(now time.Time, version FeedVersion, changes Changes[T]) {
 	f.mutex.Lock()
 	f.appliedAt = now
-	isRewound := f.version.Revision > 0 && !version.continues(f.version)
+	isRewound := version.isRewoundFrom(f.version)
 	if isRewound {
 		f.recordRewind(version)
 		f.beginRestore(now, changes.Set)
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -209,3 +209,14 @@
 		requireEqual(t, "in use", r.inUse(), "a,b")
 	})
 }
+
+// TestFirstEraIsNoRewind takes entries over from an instance of an earlier version, which reports no era, and then reads the store. Each start in
+// a rolling upgrade looked like a store that has gone back, and kept servers that had been removed.
+func TestFirstEraIsNoRewind(t *testing.T) {
+	r := newRestoringFollower()
+	r.Follower = NewFollower(r.feed, r.options, zerolog.Nop(), func(_ time.Time, servers map[string]Server) { r.used = servers })
+	set := map[string]Server{"a": server("a", 1), "b": server("b", 1)}
+	r.ReplaceFromPeer(r.now, FeedVersion{Revision: 100}, Changes[Server]{Set: set})
+	r.list(101, later, server("a", 1))
+	requireEqual(t, "in use", r.inUse(), "a")
+}
