Keep the fuller of two equal entries that never go back

Seen by the reviewer: two instances of different versions hold the same routing table, of which one lacks a field.

Change: among copies that are as late, only a later entry replaces the own one, and a copy that was merged is not fetched again. The unused method Apply is gone.

Evidence: TestEqualEntryOfAnotherSoftwareStays failed before ('20' where '20 with a field' is known).

--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -46,18 +46,19 @@
 func (s *Sharer) catchUp(ctx context.Context, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	p, feed := s.nextFetch(now)
+	p, feed, wanted := s.nextFetch(now)
 	if p == nil {
 		return
 	}
 	s.fetching = true
-	s.Go("fetch", func() { s.fetch(ctx, p.Name, p.PeerAddress, feed) })
+	s.Go("fetch", func() { s.fetch(ctx, p.Name, p.PeerAddress, feed, wanted) })
 }
 
-// nextFetch returns a feed to fetch now and the instance that has it, or nil. It must be called with the mutex held.
-func (s *Sharer) nextFetch(now time.Time) (*peer, string) {
+// nextFetch returns a feed to fetch now, the instance that has it and the version that it has reported, or nil. It must be called with the
+// mutex held.
+func (s *Sharer) nextFetch(now time.Time) (*peer, string, FeedVersion) {
 	if s.fetching {
-		return nil, ""
+		return nil, "", FeedVersion{}
 	}
 	for feed, l := range s.lags {
 		if !s.Feeds[feed].IsBehind(l.version) {
@@ -70,13 +71,13 @@
 		delete(s.lags, feed)
 		p, ok := s.peers[l.source]
 		if ok {
-			return p, feed
+			return p, feed, l.version
 		}
 	}
-	return nil, ""
+	return nil, "", FeedVersion{}
 }
 
-func (s *Sharer) fetch(ctx context.Context, name, address, feed string) {
+func (s *Sharer) fetch(ctx context.Context, name, address, feed string, wanted FeedVersion) {
 	defer func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -94,14 +95,18 @@
 		s.Log.Warn().Err(err).Str("peer", name).Str("feed", feed).Msg("fleet: feed could not be read from the instance")
 		return
 	}
-	s.applyFeed(s.Clock(), name, feed, reply)
+	s.applyFeed(s.Clock(), name, feed, wanted, reply)
 }
 
-// applyFeed applies the entries of a feed that another instance has sent.
-func (s *Sharer) applyFeed(now time.Time, name, feed string, reply *lrpeerpb.FetchFeedReply) {
+// applyFeed applies the entries of a feed that another instance has sent, which has reported the wanted version before.
+func (s *Sharer) applyFeed(now time.Time, name, feed string, wanted FeedVersion, reply *lrpeerpb.FetchFeedReply) {
 	f := s.Feeds[feed]
 	before := f.Version().Revision
-	err := f.Decode(now, reply.GetEntries(), FeedVersion{Rewinds: reply.GetRewinds(), Era: reply.GetEra(), Revision: reply.GetRevision()})
+	version := FeedVersion{Rewinds: reply.GetRewinds(), Era: reply.GetEra(), Revision: reply.GetRevision()}
+	if version.compare(wanted) == 0 {
+		version.Digest = wanted.Digest
+	}
+	err := f.Decode(now, reply.GetEntries(), version)
 	if err != nil {
 		s.Log.Warn().Err(err).Str("peer", name).Str("feed", feed).Msg("fleet: feed of the instance is unreadable")
 		return
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -34,8 +34,8 @@
 	// LapseGrace is how long after an outage of the platform missing entries are still kept. They may have lapsed because of
 	// the outage.
 	LapseGrace time.Duration
-	// Latest returns the later one of two states of an entry by a version of its own, for entries that never go back. Nil means that the
-	// platform decides.
+	// Latest returns the later one of two states of an entry by a version of its own, or the second one if they are equal, for entries that
+	// never go back. Nil means that the platform decides.
 	Latest func(known, listed T) T
 	// Restore says how entries are used after the platform has gone back. Nil means that they are used as they are listed.
 	Restore *RestorePolicy[T]
@@ -76,6 +76,8 @@
 	// digests holds the digest of each entry.
 	digests map[string]uint64
 	version FeedVersion
+	// merged is the version of another instance as late as the own one whose entries were last merged.
+	merged FeedVersion
 	// lastReadAt is when any instance is known to have last read the feed from the platform.
 	lastReadAt time.Time
 	// failingSince is when the platform first failed to answer. It is zero while the platform answers.
@@ -233,9 +235,6 @@
 	f.update(now, listed, changes)
 }
 
-// Apply applies changes that the platform has just answered to a watch from the version of the present entries.
-func (f *Follower[T]) Apply(now time.Time, changes Changes[T]) { f.apply(now, f.Version(), changes) }
-
 // apply applies changes since base that the platform has just answered, unless the entries include later ones or the platform has gone back
 // meanwhile, so that the changes belong to other entries.
 func (f *Follower[T]) apply(now time.Time, base FeedVersion, changes Changes[T]) {
@@ -266,7 +265,10 @@
 		f.mutex.Unlock()
 		return false
 	}
-	if order > 0 {
+	if order == 0 {
+		f.merged = version
+		changes.Set = f.laterThanOwn(changes.Set)
+	} else {
 		f.detectOutage(now, now)
 		changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
 	}
@@ -275,6 +277,20 @@
 	return true
 }
 
+// laterThanOwn returns the listed entries that are missing here or later than the own ones. An equal one of another instance may lack fields
+// that its software does not know. It must be called with the mutex held.
+func (f *Follower[T]) laterThanOwn(listed map[string]T) map[string]T {
+	merged := make(map[string]T, len(listed))
+	for name, entry := range listed {
+		own, ok := f.entries[name]
+		if ok {
+			entry = f.options.Latest(entry, own)
+		}
+		merged[name] = entry
+	}
+	return merged
+}
+
 // missingFrom returns the names of the entries that the list of all entries lacks.
 func missingFrom[T any](list, entries map[string]T) []string {
 	var missing []string
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -88,7 +88,7 @@
 	if version.Digest == f.version.Digest {
 		return order > 0 && !version.continues(f.version)
 	}
-	return order > 0 || order == 0 && f.options.Latest != nil
+	return order > 0 || order == 0 && f.options.Latest != nil && version != f.merged
 }
 
 // recordRead records that an instance has read the feed at the given time. It must be called with the mutex held.
--- a/internal/lrfleet/removal_test.go
+++ b/internal/lrfleet/removal_test.go
@@ -182,12 +182,12 @@
 
 // fetch makes the fetch of a feed that is due.
 func (f *followingFleet) fetch(s *Sharer) {
-	p, feed := s.nextFetch(f.now)
+	p, feed, wanted := s.nextFetch(f.now)
 	if p == nil || f.dead[p.Name] || f.isPartitioned(s.Self.Zone, p.Zone) {
 		return
 	}
 	reply, _ := f.find(p.Name).FetchFeed(context.Background(), &lrpeerpb.FetchFeedRequest{Feed: feed})
-	s.applyFeed(f.now, p.Name, feed, reply)
+	s.applyFeed(f.now, p.Name, feed, wanted, reply)
 }
 
 // holders returns the number of running instances that use the entry.
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -220,3 +220,26 @@
 	r.list(101, later, server("a", 1))
 	requireEqual(t, "in use", r.inUse(), "a")
 }
+
+// TestEqualEntryOfAnotherSoftwareStays merges entries of two instances that are as late, of which one does not know a field. They exchanged the
+// fuller entry for the other one, again and again.
+func TestEqualEntryOfAnotherSoftwareStays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newFollower := func(value string) *Follower[string] {
+		options := FollowerOptions[string]{Latest: func(known, listed string) string {
+			if known[:2] > listed[:2] {
+				return known
+			}
+			return listed
+		}}
+		f := NewFollower(Feed[string](nil), options, zerolog.Nop(), func(time.Time, map[string]string) {})
+		f.Replace(now, Changes[string]{Set: map[string]string{"main": value}, Revision: 50, Era: later})
+		return f
+	}
+	fuller, other := newFollower("20 with a field"), newFollower("20")
+	version := other.Version()
+	requireEqual(t, "behind", fuller.IsBehind(version), true)
+	fuller.ReplaceFromPeer(now, version, Changes[string]{Set: map[string]string{"main": "20"}})
+	requireEqual(t, "entry", fuller.Snapshot().Set["main"], "20 with a field")
+	requireEqual(t, "behind after the merge", fuller.IsBehind(version), false)
+}
