--- a/internal/lrfleet/catch_up.go
+++ b/internal/lrfleet/catch_up.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		version := FeedVersion{
-			Rewinds: state.GetFeedRewinds()[feed], Era: state.GetFeedEras()[feed], Revision: state.GetRevisions()[feed],
+			Rewinds: state.GetFeedRewinds()[feed], Era: eraOf(state, feed), Revision: state.GetRevisions()[feed],
 			Digest: state.GetFeedDigests()[feed],
 		}
 		isBehind := f.RecordReport(now, version, millis(age))
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -87,7 +87,7 @@
 	state := &lrpeerpb.FleetState{
 		UptimeMillis: uint64(max(now.Sub(s.startedAt).Milliseconds(), 0)),
 		Name:         s.Self.Name, Process: s.Self.Process, Zone: s.Self.Zone, PeerAddress: s.Self.PeerAddress, Strength: s.Self.Strength,
-		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{}, FeedRewinds: map[string]uint32{}, FeedEras: map[string]uint64{},
+		Revisions: map[string]uint64{}, FeedDigests: map[string]uint64{}, FeedRewinds: map[string]uint32{},
 		ReadAges: map[string]uint32{}, WantsLevels: s.wantsLevels && now.Sub(s.startedAt) < levelsTimeout,
 		HeardNear: p.received.SameZone, HeardFar: p.received.OtherZones, HeardProcess: p.receivedProcess, SilentZones: s.unreachableZones(now), Rollout: s.rolloutState(now),
 		SilentInstances: s.silentFor(now, p),
@@ -109,17 +109,17 @@
 			HeldTokens: uint32(min(max(l.Held, 0), math.MaxUint32)), SlownessSum: int32(l.SlownessSum), SlownessWeight: uint32(max(l.SlownessWeight, 0)),
 		})
 	}
+	eras := make(map[string]uint64, len(s.Feeds))
 	for name, f := range s.Feeds {
 		version, age := f.Report(now)
 		state.Revisions[name], state.FeedDigests[name] = version.Revision, version.Digest
 		if version.Rewinds > 0 {
 			state.FeedRewinds[name] = version.Rewinds
 		}
-		if version.Era > 0 {
-			state.FeedEras[name] = version.Era
-		}
+		eras[name] = version.Era
 		state.ReadAges[name] = uint32(min(age, maxReadAge).Milliseconds())
 	}
+	state.Era, state.FeedEras = encodeEras(eras)
 	for _, w := range s.Directory.DesiredAges(now) {
 		if w.Age < maxDesiredAge {
 			state.Wanted = append(state.Wanted, &lrpeerpb.WantedNote{
@@ -184,6 +184,29 @@
 	}
 }
 
+// encodeEras returns the highest era, and the feeds that are of another one. In calm there are none, which keeps messages small.
+func encodeEras(eras map[string]uint64) (highest uint64, others map[string]uint64) {
+	for _, era := range eras {
+		highest = max(highest, era)
+	}
+	others = map[string]uint64{}
+	for feed, era := range eras {
+		if era != highest {
+			others[feed] = era
+		}
+	}
+	return highest, others
+}
+
+// eraOf returns the era of the feed in the state.
+func eraOf(state *lrpeerpb.FleetState, feed string) uint64 {
+	era, ok := state.GetFeedEras()[feed]
+	if ok {
+		return era
+	}
+	return state.GetEra()
+}
+
 func encodeDemand(demand map[string]lrlimit.Demand) map[string]*lrpeerpb.AccountDemand {
 	encoded := make(map[string]*lrpeerpb.AccountDemand, len(demand))
 	for account, d := range demand {
