--- a/internal/lredge/registration_test.go
+++ b/internal/lredge/registration_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// requireStored checks the whole registration.
+func requireStored(t *testing.T, store lrplatform.Objects, want lrfleet.Instance) {
+	t.Helper()
+	value, err := json.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, err := store.Get(context.Background(), "instances", want.Name)
+	if err != nil || string(stored.Value) != string(value) {
+		t.Errorf("stored %s, %v, want %s", stored.Value, err, value)
+	}
+}
+
 // A restarted instance must replace its registration, whether or not its settings mark a first start.
 func TestRegistrationReplacesPreviousOne(t *testing.T) {
 	for _, first := range []bool{true, false} {
@@ -41,6 +54,7 @@
 				t.Fatal("not registered")
 			}
 			requireRegistered(t, d.ports.Store, process)
+			requireStored(t, d.ports.Store, d.self())
 		}
 	}
 }
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -96,7 +96,7 @@
 	// removed holds entries that were removed of late, and restored what was known when the platform last went back. Both are unused without
 	// a RestorePolicy.
 	removed  map[string]removedEntry[T]
-	restored *restored[T]
+	restored *restoreState[T]
 }
 
 // NewFollower returns a Follower without entries. It calls onChange with all entries after each change.
--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -24,8 +24,8 @@
 	IsSameStart func(removed, listed T) bool
 }
 
-// restored holds what was known of the entries when the platform went back, until the grace period of the policy is over.
-type restored[T any] struct {
+// restoreState holds what was known of the entries when the platform went back, until the grace period of the policy is over.
+type restoreState[T any] struct {
 	until   time.Time
 	known   map[string]T
 	removed map[string]T
@@ -71,7 +71,7 @@
 		_, isListed := listed[name]
 		return !isListed
 	})
-	f.restored = &restored[T]{until: now.Add(f.options.Restore.Grace), known: f.used(now), removed: removed}
+	f.restored = &restoreState[T]{until: now.Add(f.options.Restore.Grace), known: f.used(now), removed: removed}
 }
 
 // used returns the entries to use. They differ from those that the platform lists while these may be from an older copy of its store. It must
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -63,9 +63,9 @@
 
 func leaving(id string, born int64) Server { return Server{ID: id, Incarnation: born, IsLeaving: true} }
 
-// TestOlderCopyRevivesNoServer restores the store from a copy from before servers said that they leave or were removed. They got requests
+// TestServersOfAnOlderCopyAreNotUsed restores the store from a copy from before servers said that they leave or were removed. They got requests
 // again until their entries were written again or had expired.
-func TestOlderCopyRevivesNoServer(t *testing.T) {
+func TestServersOfAnOlderCopyAreNotUsed(t *testing.T) {
 	t.Run("leaving", func(t *testing.T) {
 		r := newRestoringFollower(server("a", 1), leaving("b", 1))
 		r.list(50, later, server("a", 1), server("b", 1))
@@ -127,9 +127,9 @@
 	requireEqual(t, "in use later", r.inUse(), "a,b")
 }
 
-// TestLatestEntryOutlivesOlderCopy restores the store from a copy that holds an earlier version of an entry that never goes back. An instance
+// TestLatestEntryIsKeptOverAnOlderCopy restores the store from a copy that holds an earlier version of an entry that never goes back. An instance
 // that has started since knew only the earlier one, also with nothing written to the store meanwhile.
-func TestLatestEntryOutlivesOlderCopy(t *testing.T) {
+func TestLatestEntryIsKeptOverAnOlderCopy(t *testing.T) {
 	now := time.Unix(1000, 0)
 	newFollower := func() *Follower[string] {
 		options := FollowerOptions[string]{Latest: func(known, listed string) string { return max(known, listed) }}
--- a/internal/lrlease/fence.go
+++ b/internal/lrlease/fence.go
@@ -18,10 +18,10 @@
 // firstFence returns the number above which the fencing numbers of the era are. Those of a store that names no era begin with one.
 func firstFence(era uint64) uint64 { return min(era, maxFenceEra) * fenceStride }
 
-// fenceFloor returns a number that is at least as high as every fencing number given out up to this version of the lease, in this era and
+// eraFloor returns a number that is at least as high as every fencing number given out up to this version of the lease, in this era and
 // earlier ones. The version is part of it, because a write from before a restore may set the number in the lease back: versions only grow
 // within an era.
-func fenceFloor(object lrplatform.Object) uint64 {
+func eraFloor(object lrplatform.Object) uint64 {
 	if object.Era == 0 {
 		return 0
 	}
@@ -65,5 +65,5 @@
 
 // fenceFloor returns a number that is at least as high as every fencing number that was given out up to this version of the lease.
 func (k *Keeper) fenceFloor(object lrplatform.Object) uint64 {
-	return max(k.HighestFence(), fenceFloor(object))
+	return max(k.HighestFence(), eraFloor(object))
 }
