Keep servers out of use that were removed before this instance started

Cause: removals are known only to those that have seen them. But what an instance holds is complete up to its revision, so that whatever the copy shows beyond it was removed since, unless its writer has started later than all that are known.

Change: such entries of the first list of a copy are not used in the grace period.

Evidence: TestServersOfAnOlderCopyAreNotUsed/removed_before_this_instance_started failed before (a, b, c and d in use, want a, c and d).

Left: an instance that starts after the store is back has nothing to compare with.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -183,7 +183,8 @@
 	servers.IsChanging, servers.LapseGrace, servers.Wait = true, lapseGrace, serverWatchWait
 	servers.Restore = &lrfleet.RestorePolicy[lrfleet.Server]{
 		Grace: restoreHeartbeats * p.HeartbeatInterval, Merge: lrfleet.LaterServer,
-		IsSameStart: func(removed, listed lrfleet.Server) bool { return listed.Incarnation <= removed.Incarnation },
+		IsSameStart:  func(removed, listed lrfleet.Server) bool { return listed.Incarnation <= removed.Incarnation },
+		IsLaterStart: func(known, listed lrfleet.Server) bool { return listed.Incarnation > known.Incarnation },
 	}
 	d.servers = lrfleet.NewFollower(d.ports.Servers, servers, d.log,
 		func(_ time.Time, entries map[string]lrfleet.Server) { d.directory.SetServers(entries) })
--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -22,12 +22,15 @@
 	Merge func(known, listed T) T
 	// IsSameStart reports whether the listed entry is of the same start of its writer as one that was removed, or of an earlier one.
 	IsSameStart func(removed, listed T) bool
+	// IsLaterStart reports whether the writer of the listed entry has started later than that of the known one.
+	IsLaterStart func(known, listed T) bool
 }
 
 // restoreState holds what was known of the entries when the platform went back, until the grace period of the policy is over.
 type restoreState[T any] struct {
-	until   time.Time
-	known   map[string]T
+	until time.Time
+	known map[string]T
+	// removed holds the entries that the copy shows though they were removed since.
 	removed map[string]T
 }
 
@@ -50,28 +53,39 @@
 	}
 }
 
-// beginRestore keeps what is known of the entries now that the platform has gone back and lists the given ones. A removed entry that it does not
-// list is not part of the copy: if it is listed later, its writer has written it again. It must be called with the mutex held.
+// beginRestore keeps what is known of the entries now that the platform has gone back and lists the given ones. It must be called with the mutex
+// held.
 func (f *Follower[T]) beginRestore(now time.Time, listed map[string]T) {
 	// Entries that were written since the copy are written again as those are that have lapsed in an outage.
 	f.recoveredAt = now
 	if f.options.Restore == nil {
 		return
 	}
-	removed := map[string]T{}
-	if f.restored != nil {
-		maps.Copy(removed, f.restored.removed)
+	known, removed := f.used(now), map[string]T{}
+	for name, entry := range listed {
+		if f.wasRemoved(now, known, name, entry) {
+			removed[name] = entry
+		}
+	}
+	f.restored = &restoreState[T]{until: now.Add(f.options.Restore.Grace), known: known, removed: removed}
+}
+
+// wasRemoved reports whether an entry that the copy shows was removed since. All that is not known was, since the copy is of the same history, unless
+// its writer is new. It must be called with the mutex held.
+func (f *Follower[T]) wasRemoved(now time.Time, known map[string]T, name string, listed T) bool {
+	if _, isKnown := known[name]; isKnown {
+		return false
+	}
+	r, isRemembered := f.removed[name]
+	if isRemembered && now.Sub(r.at) <= removedRetention {
+		return f.options.Restore.IsSameStart(r.entry, listed)
 	}
-	for name, r := range f.removed {
-		if _, isListed := f.entries[name]; !isListed && now.Sub(r.at) <= removedRetention {
-			removed[name] = r.entry
+	for _, k := range known {
+		if !f.options.Restore.IsLaterStart(k, listed) {
+			return true
 		}
 	}
-	maps.DeleteFunc(removed, func(name string, _ T) bool {
-		_, isListed := listed[name]
-		return !isListed
-	})
-	f.restored = &restoreState[T]{until: now.Add(f.options.Restore.Grace), known: f.used(now), removed: removed}
+	return false
 }
 
 // used returns the entries to use. They differ from those that the platform lists while these may be from an older copy of its store. It must
@@ -85,7 +99,8 @@
 		if known, ok := f.restored.known[name]; ok {
 			used[name] = f.options.Restore.Merge(known, listed)
 		}
-		if removed, ok := f.restored.removed[name]; ok && f.options.Restore.IsSameStart(removed, listed) {
+		removed, ok := f.restored.removed[name]
+		if ok && f.options.Restore.IsSameStart(removed, listed) {
 			delete(used, name)
 		}
 	}
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -27,6 +27,7 @@
 	r := &restoringFollower{now: time.Unix(1000, 0)}
 	options := FollowerOptions[Server]{IsChanging: true, LapseGrace: 2 * time.Second, Restore: &RestorePolicy[Server]{
 		Grace: restoreGrace, Merge: LaterServer, IsSameStart: func(removed, listed Server) bool { return listed.Incarnation <= removed.Incarnation },
+		IsLaterStart: func(known, listed Server) bool { return listed.Incarnation > known.Incarnation },
 	}}
 	r.Follower = NewFollower(Feed[Server](nil), options, zerolog.Nop(), func(_ time.Time, servers map[string]Server) { r.used = servers })
 	r.list(100, earlier, known...)
@@ -82,6 +83,13 @@
 		r.list(51, later, server("a", 1), server("b", 1), server("c", 1))
 		requireEqual(t, "in use after another list", r.inUse(), "a,c")
 	})
+	t.Run("removed before this instance started", func(t *testing.T) {
+		r := newRestoringFollower(server("a", 1), server("c", 3))
+		r.list(50, later, server("a", 1), server("b", 2), server("d", 4))
+		requireEqual(t, "in use", r.inUse(), "a,c,d")
+		r.wait(restoreGrace)
+		requireEqual(t, "in use after the grace", r.inUse(), "a,b,d")
+	})
 	t.Run("removed and copied twice", func(t *testing.T) {
 		r := newRestoringFollower(server("a", 1), leaving("b", 1), server("c", 1))
 		r.list(101, earlier, server("a", 1), leaving("b", 1))
