--- a/internal/lrledger/confirm.go
+++ b/internal/lrledger/confirm.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
@@ -88,11 +86,7 @@
 }
 
 func (l *Ledger) createAgain(ctx context.Context, sent sentRecord) error {
-	value, err := json.Marshal(sent.record)
-	if err != nil {
-		return fmt.Errorf("encode record: %w", err)
-	}
-	_, err = l.Store.Create(ctx, lrplatform.KindPaid, sent.name, value)
+	_, err := create(ctx, l.Store, sent.name, sent.record)
 	if err == nil {
 		l.Log.Warn().Str("requestId", sent.record.RequestID).Str("state", string(sent.record.State)).Msg("paid: lost record written again")
 	}
--- a/internal/lrledger/converge.go
+++ b/internal/lrledger/converge.go
@@ -51,11 +51,16 @@
 		return stored{}, nil
 	}
 	record, _ := change(a.answered.record)
+	return create(ctx, a.Store, a.name, record)
+}
+
+// create writes a record of which the platform has none.
+func create(ctx context.Context, store lrplatform.Store, name string, record lrpaid.Record) (stored, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return stored{}, fmt.Errorf("encode record: %w", err)
 	}
-	object, err := a.Store.Create(ctx, lrplatform.KindPaid, a.name, value)
+	object, err := store.Create(ctx, lrplatform.KindPaid, name, value)
 	return stored{object, record}, err
 }
 
