Compare copies of a feed by supersedes again

The comparison of versions was written out in isBehind, and supersedes was left to a test. isBehind calls it now and adds its two further cases, a later era with equal entries and one that is as late; the result is the same for all versions.

Measured: lint, and the tests of lrfleet pass.

--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -85,10 +85,9 @@
 // never go back may differ at the same version: an instance that has started after the platform went back knows only what the older copy holds.
 func (f *Follower[T]) isBehind(version FeedVersion) bool {
 	order := version.compare(f.version)
-	if version.Digest == f.version.Digest {
-		return order > 0 && !version.continues(f.version)
-	}
-	return order > 0 || order == 0 && f.options.Latest != nil && version != f.merged
+	isRewound := order > 0 && !version.continues(f.version)
+	isOther := order == 0 && version.Digest != f.version.Digest && version != f.merged
+	return version.supersedes(f.version) || isRewound || isOther && f.options.Latest != nil
 }
 
 // recordRead records that an instance has read the feed at the given time. It must be called with the mutex held.
