Count the grace for missing servers from the return of the store

What callers saw: requests reached a server that was removed while the store came back from a copy, later than three seconds after its return.

Cause, from the logs of a failed run of TestRevisionsGivenOutAgain (x86-64): the store is back at 44.517 s. The instances read other feeds in its new era at 44.558, and the servers at 45.029 to 45.222 s, since each feed retries with its own backoff. The 2.2 s in which missing entries are kept counted from that read, and each instance removed the server at 47.25 to 47.53 s. Where a copy was taken over from another instance, the next report of a read began the 2.2 s anew.

Change: the feeds of an instance share the time at which it first learned of the latest era, from a read of any of them or from another instance, and the grace counts from then. It never counts from before the return, so that servers which are alive keep their two seconds. A store that names no era, or a lower one, is judged by each feed as before. Ruled out: load (the failing run had idle cores), and the interval of 0.2 s between checks for expired entries alone.

The test TestGraceCountsFromReturnOfStore failed before in three of four cases (the fourth guards stores whose eras fall).

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -103,6 +103,7 @@
 	// peers is the gRPC server that other instances call.
 	peers *grpc.Server
 
+	eras      *lrfleet.EraTimes
 	tables    *lrfleet.Follower[lrtable.Spec]
 	servers   *lrfleet.Follower[lrfleet.Server]
 	desired   *lrfleet.Follower[lrfleet.DesiredVersion]
@@ -131,8 +132,8 @@
 func New(settings lrsettings.Settings, ports Ports, clock func() time.Time, log zerolog.Logger) *Daemon {
 	d := &Daemon{
 		settings: settings, ports: ports, log: log, clock: clock, done: make(chan struct{}), startedAt: clock(), idleCloser: lrframe.NewIdleCloser(),
-		process:   processName(os.Getpid(), clock()),
-		directory: lrfleet.NewDirectory(log), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
+		process: processName(os.Getpid(), clock()),
+		eras:    &lrfleet.EraTimes{}, directory: lrfleet.NewDirectory(log), limiter: lrlimit.NewSharedLimiter(settings.Instance.FirstStart),
 		notices: lrnotice.NewBoard(settings.Instance.Name), metrics: newMetrics(), supervisor: lrsupervise.New("edge", log),
 		pool: lrpeer.NewPool(insecure.NewCredentials()), clients: lrclients.New(settings, ports.EncodeRefusal, log),
 	}
@@ -164,6 +165,7 @@
 	return lrfleet.FollowerOptions[T]{
 		Name: name, Wait: p.WatchWait, Interval: interval, Delay: d.rankDelay,
 		Watches: func() bool { return d.sharer.Rank(d.clock()) < p.Watchers },
+		Eras:    d.eras,
 	}
 }
 
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -38,6 +38,8 @@
 	Latest func(known, listed T) T
 	// Restore says how entries are used after the platform has gone back. Nil means that they are used as they are listed.
 	Restore *RestorePolicy[T]
+	// Eras are shared by the feeds of an instance. Nil means that each feed learns by itself that the store has come back from a copy.
+	Eras *EraTimes
 	// OnRewind is called when the platform has gone back. A call of onChange with what it lists since follows, also if that is as before.
 	OnRewind func(now time.Time)
 }
@@ -87,6 +89,8 @@
 	answeredAt time.Time
 	// recoveredAt is when an outage of the platform was last found to have ended.
 	recoveredAt time.Time
+	// restoredAt is when the platform was last known to be back from an older copy.
+	restoredAt time.Time
 	// missing maps entries that lapsed around an outage to the time at which they are removed.
 	missing map[string]time.Time
 	// appliedAt is when entries or changes were last applied, and stats what has become of the platform's answers.
@@ -177,6 +181,7 @@
 	if err != nil {
 		return err
 	}
+	f.options.Eras.Record(time.Now(), changes.Era)
 	if changes.Era != base.Era || changes.Revision < base.Revision {
 		return ErrHistoryGone.New("the store is at revision %d of era %d", changes.Revision, changes.Era)
 	}
@@ -192,7 +197,9 @@
 	if err != nil {
 		return err
 	}
-	f.replace(time.Now(), base, changes)
+	now := time.Now()
+	f.options.Eras.Record(now, changes.Era)
+	f.replace(now, base, changes)
 	return nil
 }
 
@@ -283,7 +290,7 @@
 	isRewound := version.isRewoundFrom(f.version)
 	if isRewound {
 		f.recordRewind(version)
-		f.beginRestore(now, changes.Set)
+		f.beginRestore(now, version.Era, changes.Set)
 	}
 	entries := maps.Clone(f.entries)
 	isSet := f.set(entries, changes.Set)
--- a/internal/lrfleet/freshness.go
+++ b/internal/lrfleet/freshness.go
@@ -64,6 +64,7 @@
 	if version.Revision == 0 {
 		return false
 	}
+	f.options.Eras.Record(now, version.Era)
 	isEqual := version.Digest == f.version.Digest
 	if isEqual && version.continues(f.version) && version.Revision > f.version.Revision {
 		f.version = version
@@ -100,9 +101,11 @@
 }
 
 // detectOutage starts the grace period for lapsed entries if no instance is known to have read the feed for longer than outageAfter until
-// the given time: the platform was then unreachable for more than this instance. It must be called with the mutex held.
+// the given time: the platform was then unreachable for more than this instance. An outage from which the platform has come back
+// from a copy ended by then, whenever the next read is reported. It must be called with the mutex held.
 func (f *Follower[T]) detectOutage(now, until time.Time) {
-	if !f.lastReadAt.IsZero() && until.Sub(f.lastReadAt) > outageAfter {
+	isKnown := f.restoredAt.After(f.lastReadAt)
+	if !f.lastReadAt.IsZero() && until.Sub(f.lastReadAt) > outageAfter && !isKnown {
 		f.recoveredAt = now
 	}
 }
--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -53,11 +53,13 @@
 	}
 }
 
-// beginRestore keeps what is known of the entries now that the platform has gone back and lists the given ones. It must be called with the mutex
-// held.
-func (f *Follower[T]) beginRestore(now time.Time, listed map[string]T) {
-	// Entries that were written since the copy are written again as those are that have lapsed in an outage.
-	f.recoveredAt = now
+// beginRestore keeps what is known of the entries now that the platform has gone back to the given era and lists the given ones. It must be
+// called with the mutex held.
+func (f *Follower[T]) beginRestore(now time.Time, era uint64, listed map[string]T) {
+	// Entries that were written since the copy are written again as those are that have lapsed in an outage, within a time that counts from
+	// the return of the store.
+	f.restoredAt = f.options.Eras.Since(now, era)
+	f.recoveredAt = f.restoredAt
 	if f.options.Restore == nil {
 		return
 	}
--- a/internal/lrfleet/restored_test.go
+++ b/internal/lrfleet/restored_test.go
@@ -251,3 +251,57 @@
 	requireEqual(t, "entry", fuller.Snapshot().Set["main"], "20 with a field")
 	requireEqual(t, "behind after the merge", fuller.IsBehind(version), false)
 }
+
+// TestGraceCountsFromReturnOfStore guards against servers that stay in use though they are gone: the list of servers was read up to 0.9 s after
+// the store had come back, and the time in which missing entries are kept counted from then, and anew with each report of a later read.
+func TestGraceCountsFromReturnOfStore(t *testing.T) {
+	const learned, grace = 900 * time.Millisecond, 2 * time.Second
+	newOutdated := func() *restoringFollower {
+		r := newRestoringFollower(server("a", 1), server("b", 1))
+		r.options.Eras = &EraTimes{}
+		r.now = r.now.Add(outageAfter + time.Second)
+		r.options.Eras.Record(r.now, later)
+		return r
+	}
+	requireGone := func(t *testing.T, r *restoringFollower) {
+		t.Helper()
+		r.wait(grace - learned - time.Millisecond)
+		requireEqual(t, "in use until the grace is over", r.inUse(), "a,b")
+		r.wait(time.Millisecond)
+		requireEqual(t, "in use after it", r.inUse(), "a")
+	}
+	t.Run("listed late", func(t *testing.T) {
+		r := newOutdated()
+		r.wait(learned)
+		r.list(50, later, server("a", 1))
+		requireGone(t, r)
+	})
+	t.Run("taken over late", func(t *testing.T) {
+		r := newOutdated()
+		r.wait(learned)
+		version := FeedVersion{Era: later, Revision: 50}
+		r.ReplaceFromPeer(r.now, version, Changes[Server]{Set: map[string]Server{"a": server("a", 1)}})
+		r.RecordReport(r.now.Add(100*time.Millisecond), r.Version(), 0)
+		version.Revision++
+		r.ReplaceFromPeer(r.now.Add(200*time.Millisecond), version, Changes[Server]{Set: map[string]Server{"a": server("a", 1)}})
+		requireGone(t, r)
+	})
+	t.Run("learned from another instance", func(t *testing.T) {
+		r := newOutdated()
+		r.options.Eras = &EraTimes{}
+		r.RecordReport(r.now, FeedVersion{Era: later, Revision: 50, Digest: 1}, time.Hour)
+		r.wait(learned)
+		r.list(50, later, server("a", 1))
+		requireGone(t, r)
+	})
+	t.Run("era falls", func(t *testing.T) {
+		r := newOutdated()
+		r.list(50, later, server("a", 1), server("b", 1))
+		r.wait(time.Minute)
+		r.list(50, earlier, server("a", 1))
+		r.wait(grace - time.Millisecond)
+		requireEqual(t, "in use until the grace is over", r.inUse(), "a,b")
+		r.wait(time.Millisecond)
+		requireEqual(t, "in use after it", r.inUse(), "a")
+	})
+}
