Read the era of the platform's store on our own interface

Cause: an instance that meets the platform through our own interface cannot tell that its store has come back from an older copy: versions of objects are given out again, and nothing in an answer says so.

Change: answers may name the era in the header Platform-Era. The client puts it into the objects that it returns, from which leases take it already, and reports it to an observer. The stand-in names it. A platform without the header is served as before.

Measured: tests of lrplatform, lrstub, lrlease and lrdaemon pass.

--- a/internal/lrplatform/client.go
+++ b/internal/lrplatform/client.go
@@ -30,6 +30,9 @@
 	MaxHeadBytes = 64 << 10
 	// WatchSecondsParameter is the query parameter that bounds the duration of a watch, in seconds.
 	WatchSecondsParameter = "waitSeconds"
+	// EraHeader is the header of answers that names the era of the platform's store, a number that rises each time the store comes back from
+	// an older copy. Platforms that never do may leave it out.
+	EraHeader = "Platform-Era"
 )
 
 type client struct {
@@ -38,6 +41,7 @@
 	callTimeout  time.Duration
 	watchTimeout time.Duration
 	log          zerolog.Logger
+	onEra        func(era uint64)
 }
 
 // A ClientOption configures the client returned by NewClient.
@@ -58,12 +62,18 @@
 	return func(c *client) { c.log = log }
 }
 
+// WithEraObserver has each answer that names an era reported to the observer, which must not block.
+func WithEraObserver(observer func(era uint64)) ClientOption {
+	return func(c *client) { c.onEra = observer }
+}
+
 // NewClient returns a Platform that calls the API at the base URL, such as "http://127.0.0.1:9000".
 func NewClient(base string, options ...ClientOption) Platform {
 	c := &client{
 		base:         strings.TrimSuffix(base, "/"),
 		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: MaxHeadBytes}},
 		log:          zerolog.Nop(),
+		onEra:        func(uint64) {},
 		callTimeout:  defaultCallTimeout,
 		watchTimeout: defaultWatchTimeout,
 	}
@@ -74,32 +84,27 @@
 }
 
 func (c *client) Get(ctx context.Context, kind, name string) (Object, error) {
-	var object Object
-	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &object)
-	return object, err
+	return c.callForObject(ctx, http.MethodGet, objectPath(kind, name), nil)
 }
 
 func (c *client) List(ctx context.Context, kind, prefix string) ([]Object, error) {
 	var objects []Object
 	path := "/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
-	err := c.call(ctx, http.MethodGet, path, nil, &objects)
+	_, err := c.call(ctx, http.MethodGet, path, nil, &objects)
 	return objects, err
 }
 
 func (c *client) Create(ctx context.Context, kind, name string, value []byte) (Object, error) {
-	var object Object
-	err := c.call(ctx, http.MethodPost, objectPath(kind, name), value, &object)
-	return object, err
+	return c.callForObject(ctx, http.MethodPost, objectPath(kind, name), value)
 }
 
 func (c *client) Update(ctx context.Context, object Object) (Object, error) {
-	var updated Object
-	err := c.call(ctx, http.MethodPut, versionedPath(object), object.Value, &updated)
-	return updated, err
+	return c.callForObject(ctx, http.MethodPut, versionedPath(object), object.Value)
 }
 
 func (c *client) Delete(ctx context.Context, object Object) error {
-	return c.call(ctx, http.MethodDelete, versionedPath(object), nil, nil)
+	_, err := c.call(ctx, http.MethodDelete, versionedPath(object), nil, nil)
+	return err
 }
 
 func (c *client) Watch(ctx context.Context, kind string, after uint64) (Changes, error) {
@@ -108,14 +113,14 @@
 	defer cancel()
 	path := fmt.Sprintf("/watch/%s?after=%d&%s=%d", url.PathEscape(kind), after,
 		WatchSecondsParameter, int(c.watchTimeout.Seconds()))
-	err := c.do(ctx, http.MethodGet, path, nil, &changes)
+	_, err := c.do(ctx, http.MethodGet, path, nil, &changes)
 	return changes, err
 }
 
 // Instances returns the instances that the platform lists. Malformed entries, which other writers may have left, are omitted.
 func (c *client) Instances(ctx context.Context) ([]Instance, error) {
 	var list instanceList
-	err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
+	_, err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
 	if err != nil {
 		return nil, err
 	}
@@ -162,27 +167,40 @@
 	return i, nil
 }
 
-func (c *client) call(ctx context.Context, method, path string, body []byte, result any) error {
+// callForObject makes a call that is answered with an object. A failed one returns the era alone.
+func (c *client) callForObject(ctx context.Context, method, path string, body []byte) (Object, error) {
+	var object Object
+	era, err := c.call(ctx, method, path, body, &object)
+	if err != nil {
+		return Object{Era: era}, err
+	}
+	object.Era = era
+	return object, nil
+}
+
+func (c *client) call(ctx context.Context, method, path string, body []byte, result any) (era uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
 	return c.do(ctx, method, path, body, result)
 }
 
-func (c *client) do(ctx context.Context, method, path string, body []byte, result any) error {
+// do makes a call and returns the era that the answer names.
+func (c *client) do(ctx context.Context, method, path string, body []byte, result any) (era uint64, err error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return ErrInvalid.Wrap(err)
+		return 0, ErrInvalid.Wrap(err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return classifyTransport(method, err)
+		return 0, classifyTransport(method, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	era = c.readEra(response)
 	if response.StatusCode >= http.StatusBadRequest {
-		return classifyStatus(method, response)
+		return era, classifyStatus(method, response)
 	}
 	if result == nil || response.StatusCode == http.StatusNoContent {
-		return nil
+		return era, nil
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err == nil {
@@ -190,9 +208,19 @@
 		err = lrjson.Decode(data, result)
 	}
 	if err != nil {
-		return classifyTransport(method, err)
+		return era, classifyTransport(method, err)
+	}
+	return era, nil
+}
+
+// readEra returns the era that the response names, or zero if it names none that is a number.
+func (c *client) readEra(response *http.Response) uint64 {
+	era, err := strconv.ParseUint(response.Header.Get(EraHeader), 10, 64)
+	if err != nil {
+		return 0
 	}
-	return nil
+	c.onEra(era)
+	return era
 }
 
 // classifyTransport returns ErrUnknown for a write that may have reached the platform, and ErrUnavailable otherwise.
--- a/internal/lrplatform/memory.go
+++ b/internal/lrplatform/memory.go
@@ -14,7 +14,9 @@
 
 // A Memory is a Platform in the memory of the process. It backs the stub platform server and serves as a fake in tests.
 type Memory struct {
-	mutex     sync.Mutex
+	mutex sync.Mutex
+	// era is that of the objects it returns, or zero while it names none.
+	era       uint64
 	revision  uint64
 	objects   map[objectKey]Object
 	history   []historyEntry
@@ -34,6 +36,20 @@
 	return &Memory{objects: map[objectKey]Object{}, changed: make(chan struct{})}
 }
 
+// NameEras makes the Memory name its era from now on, which begins at one and rises with each Restore.
+func (m *Memory) NameEras() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.era = 1
+}
+
+// Era returns the era, or zero if the Memory names none.
+func (m *Memory) Era() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.era
+}
+
 // A MemoryCopy is the content of a Memory at one moment.
 type MemoryCopy struct {
 	revision uint64
@@ -52,6 +68,9 @@
 func (m *Memory) Restore(content MemoryCopy) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.era > 0 {
+		m.era++
+	}
 	m.revision, m.objects, m.history = content.revision, maps.Clone(content.objects), slices.Clone(content.history)
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -71,14 +90,15 @@
 	return slices.Clone(m.instances), nil
 }
 
-// Get returns the object, or an ErrNotFound.
+// Get returns the object, or an ErrNotFound with an object that has nothing but the era.
 func (m *Memory) Get(_ context.Context, kind, name string) (Object, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	object, ok := m.objects[objectKey{kind, name}]
 	if !ok {
-		return Object{}, ErrNotFound.New("%s/%s", kind, name)
+		return Object{Era: m.era}, ErrNotFound.New("%s/%s", kind, name)
 	}
+	object.Era = m.era
 	return cloneObject(object), nil
 }
 
@@ -161,6 +181,7 @@
 	m.record(key)
 	object := Object{Kind: key.kind, Name: key.name, Version: m.revision, Value: slices.Clone(value)}
 	m.objects[key] = object
+	object.Era = m.era
 	return cloneObject(object), nil
 }
 
--- a/internal/lrstub/platform.go
+++ b/internal/lrstub/platform.go
@@ -33,6 +33,7 @@
 // NewPlatform returns a stand-in for the platform's object API.
 func NewPlatform() http.Handler {
 	p := &platform{memory: lrplatform.NewMemory()}
+	p.memory.NameEras()
 	router := mux.NewRouter()
 	router.UseEncodedPath()
 	router.Handle("/control/faults", &p.faults).Methods(http.MethodPut)
@@ -41,7 +42,7 @@
 		writeJSON(w, Counts{Reads: p.reads.Load(), Writes: p.writes.Load()})
 	})
 	api := router.PathPrefix("/").Subrouter()
-	api.Use(p.faults.wrap)
+	api.Use(p.faults.wrap, p.nameEra)
 	api.HandleFunc("/instances", p.listInstances).Methods(http.MethodGet)
 	api.HandleFunc("/watch/{kind}", p.watch).Methods(http.MethodGet)
 	api.HandleFunc("/objects/{kind}", p.list).Methods(http.MethodGet)
@@ -50,6 +51,14 @@
 	return router
 }
 
+// nameEra names the era of the store in each answer.
+func (p *platform) nameEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(lrplatform.EraHeader, strconv.FormatUint(p.memory.Era(), 10))
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (p *platform) setInstances(w http.ResponseWriter, r *http.Request) {
 	var instances []lrplatform.Instance
 	err := json.NewDecoder(r.Body).Decode(&instances)
