Send no paid action while records of earlier ones may be lost

What callers saw (in a model; our own interface only): a paid action ran twice. The platform came back from a copy without the record of an action that had been sent; its caller repeated the request at another instance within the 15 s until the sender read its record again, or while the action was still being sent.

Cause: the record is the only thing that tells instances of each other's actions, and the store had lost what it had acknowledged. The sender kept the record only after the action had ended.

Change: an instance that learns of a later era writes the records of all actions again that it is sending or has sent of late, and none dispatches an action until all have had the time for that (4 s by default): attempts wait and then find the record. An instance that has just started waits as well. Ruled out: refusing meanwhile, since the wait is shorter than the time to commit.

Open: the records of an instance that has ended meanwhile, and platforms that name no era.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrexplain"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgateway"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrgrant"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrledger"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrmetric"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrorders"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer"
@@ -66,7 +67,7 @@
 	ejector      *lrretry.Ejector
 	limiter      lrlimit.Limiter
 	limitViews   *lrgrant.ViewKeeper
-	paid         lrgateway.PaidRunner
+	paid         *lrledger.Ledger
 	orders       *lrorders.Controller
 	services     lrservice.Client
 	gateway      *lrgateway.Gateway
@@ -93,7 +94,8 @@
 	d.metrics.Registry.MustRegister(d.clients.Collectors()...)
 	d.wireTransports()
 	d.platform = lrplatform.NewClient(settings.Platform.URL,
-		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout), lrplatform.WithLog(log))...)
+		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout), lrplatform.WithLog(log),
+			lrplatform.WithEraObserver(func(era uint64) { d.paid.RecordEra(d.clock(), era) }))...)
 	d.services = lrservice.NewClient(settings.Server.MaxBodyBytes)
 	d.wirePeers()
 	d.wireConfiguration()
--- a/internal/lrledger/advance.go
+++ b/internal/lrledger/advance.go
@@ -19,9 +19,11 @@
 	unchangedSince time.Time
 }
 
-func (s observation) view(now time.Time, startedAt time.Time) lrpaid.View {
+// view returns what the attempt knows of the record now.
+func (a *action) view(seen observation) lrpaid.View {
+	now := a.Clock()
 	return lrpaid.View{
-		Exists: s.exists, Record: s.record, UnchangedFor: now.Sub(s.unchangedSince), WaitedFor: now.Sub(startedAt),
+		Exists: seen.exists, Record: seen.record, UnchangedFor: now.Sub(seen.unchangedSince), WaitedFor: now.Sub(a.startedAt), IsHeld: a.isHeld(now),
 	}
 }
 
@@ -39,7 +41,7 @@
 			}
 			continue
 		}
-		step := lrpaid.Decide(a.Clock(), a.attempt, seen.view(a.Clock(), a.startedAt), a.policy)
+		step := lrpaid.Decide(a.Clock(), a.attempt, a.view(seen), a.policy)
 		switch step {
 		case lrpaid.StepCreate, lrpaid.StepTakeOver, lrpaid.StepDispatch:
 			seen = a.write(ctx, seen, step)
@@ -70,6 +72,7 @@
 // readRecord reads the record. The result is not known when the read fails.
 func (a *action) readRecord(ctx context.Context, before observation) observation {
 	object, err := a.Store.Get(ctx, lrplatform.KindPaid, a.name)
+	a.RecordEra(a.Clock(), object.Era)
 	if lrplatform.ErrNotFound.Has(err) {
 		return observation{known: true, unchangedSince: a.Clock()}
 	}
@@ -106,6 +109,7 @@
 	}
 	a.mayHaveWritten = true
 	object, err := a.put(ctx, seen, record)
+	a.RecordEra(a.Clock(), object.Era)
 	if err != nil {
 		a.Log.Debug().Err(err).Str("requestId", a.request.RequestID).Str("step", string(step)).Msg("paid: write not confirmed")
 		return observation{}
--- a/internal/lrledger/confirm.go
+++ b/internal/lrledger/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
@@ -12,56 +13,86 @@
 	// confirmDelay is the time after the end of an action at which its record is read again. It exceeds the age of a copy from which the
 	// platform may come back.
 	confirmDelay = 15 * time.Second
+	// retryDelay is the time after which a record that could not be read is read again.
+	retryDelay = time.Second
 	// maxUnconfirmed bounds the records that wait to be read again, and maxKeptAnswer the bytes of the answer that each keeps.
 	maxUnconfirmed = 4096
 	maxKeptAnswer  = 4 << 10
 )
 
-// sentRecord is the record of an action that this instance has sent.
+// sentRecord is the record of an action that this instance has sent or is sending.
 type sentRecord struct {
 	name   string
 	record lrpaid.Record
 	dueAt  time.Time
+	// isLost says that the platform has come back from an older copy since the record was written, which may lack it.
+	isLost bool
 }
 
-// confirmLater has ConfirmRecords read the record again. Beyond maxUnconfirmed, the oldest one is left out.
-func (l *Ledger) confirmLater(name string, record lrpaid.Record) {
+// recordSending keeps the record of an action that is about to be sent, until recordEnd.
+func (l *Ledger) recordSending(name string, record lrpaid.Record) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sending[record.Nonce] = sentRecord{name: name, record: record}
+}
+
+// recordEnd forgets the record of an action whose sending has ended.
+func (l *Ledger) recordEnd(nonce string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.sending, nonce)
+}
+
+// confirmLater has ConfirmRecords read the record again after the delay. Beyond maxUnconfirmed, the oldest one is left out.
+func (l *Ledger) confirmLater(name string, record lrpaid.Record, delay time.Duration) {
 	if record.Answer != nil && len(record.Answer.Body) > maxKeptAnswer {
 		answer := record.Answer.WithoutContent()
 		record.Answer = &answer
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.unconfirmed = append(l.unconfirmed, sentRecord{name: name, record: record, dueAt: l.Clock().Add(confirmDelay)})
+	l.unconfirmed = append(l.unconfirmed, sentRecord{name: name, record: record, dueAt: l.Clock().Add(delay)})
 	l.unconfirmed = l.unconfirmed[max(0, len(l.unconfirmed)-maxUnconfirmed):]
 }
 
 // ConfirmRecords reads the records of the actions that this instance has sent a while ago, and writes those again that the platform has
-// lost since. Without its record a repeated action would be sent again. It must be called periodically.
+// lost since. Without its record a repeated action would be sent again. Once the platform has come back from an older copy, it does so for
+// all actions, also those that are being sent. It must be called periodically.
 func (l *Ledger) ConfirmRecords(ctx context.Context, now time.Time) {
-	for {
-		sent, ok := l.takeDue(now)
-		if !ok {
-			return
-		}
+	for _, sent := range l.takeDue(now) {
 		err := l.confirmRecord(ctx, sent)
 		if err != nil {
 			l.Log.Warn().Err(err).Str("requestId", sent.record.RequestID).Msg("paid: record not confirmed yet")
-			l.confirmLater(sent.name, sent.record)
-			return
+			l.confirmLater(sent.name, sent.record, retryDelay)
+			continue
+		}
+		if sent.isLost {
+			// The platform may come back from a copy a second time.
+			l.confirmLater(sent.name, sent.record, confirmDelay)
 		}
 	}
 }
 
-func (l *Ledger) takeDue(now time.Time) (sentRecord, bool) {
+// takeDue returns the records to be read again now. The others stay, and so do those of actions that are being sent.
+func (l *Ledger) takeDue(now time.Time) []sentRecord {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if len(l.unconfirmed) == 0 || now.Before(l.unconfirmed[0].dueAt) {
-		return sentRecord{}, false
+	var due []sentRecord
+	for nonce, sent := range l.sending {
+		if sent.isLost {
+			due = append(due, sentRecord{name: sent.name, record: sent.record})
+			sent.isLost = false
+			l.sending[nonce] = sent
+		}
 	}
-	sent := l.unconfirmed[0]
-	l.unconfirmed = l.unconfirmed[1:]
-	return sent, true
+	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(sent sentRecord) bool {
+		isDue := sent.isLost || !now.Before(sent.dueAt)
+		if isDue {
+			due = append(due, sent)
+		}
+		return isDue
+	})
+	return due
 }
 
 func (l *Ledger) confirmRecord(ctx context.Context, sent sentRecord) error {
--- a/internal/lrledger/confirm_test.go
+++ b/internal/lrledger/confirm_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,11 +69,97 @@
 	})
 }
 
-// confirmRecords lets each instance that runs confirm the records of the actions that it has sent.
+// TestActionIsSentOnceThoughItsRecordIsLost guards against paid actions that run twice: the platform comes back from a copy that lacks the
+// record of an action, or has an earlier one, and its caller repeats the request at another instance, before the one that has sent the action
+// has written the record again.
+func TestActionIsSentOnceThoughItsRecordIsLost(t *testing.T) {
+	const claiming, dispatching, sending, answering = 1, 2, 3, 4
+	for _, c := range []struct {
+		name string
+		// copyAt and restoreAt are the calls of the first instance before which the copy is taken and the platform comes back from it.
+		copyAt, restoreAt int
+		// sendFault is the fault of the call to the service.
+		sendFault fault
+		// restarts says that the instance at which the request is repeated has just started.
+		restarts bool
+	}{
+		{name: "no record", copyAt: claiming, restoreAt: answering + 1},
+		{name: "claimed", copyAt: dispatching, restoreAt: answering + 1},
+		{name: "dispatched", copyAt: sending, restoreAt: answering + 1},
+		{name: "before the answer is recorded", copyAt: claiming, restoreAt: answering},
+		{name: "before the action is sent", copyAt: claiming, restoreAt: sending},
+		{name: "while the action is sent", copyAt: claiming, restoreAt: sending, sendFault: faultLate},
+		{name: "instance restarts", copyAt: claiming, restoreAt: answering + 1, restarts: true},
+	} {
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond, time.Second, 4 * time.Second, confirmDelay - time.Second} {
+			t.Run(fmt.Sprint(c.name, ", repeated after ", delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var older lrplatform.MemoryCopy
+					var s *simulation
+					s = newSimulation(2, newLedger, func(node string, call, _ int) fault {
+						if node != "router-0" {
+							return faultNone
+						}
+						switch call {
+						case c.copyAt:
+							older = s.memory.Copy()
+						case c.restoreAt:
+							s.memory.Restore(older)
+						}
+						if call == sending {
+							return c.sendFault
+						}
+						return faultNone
+					})
+					s.memory.NameEras()
+					s.confirmRecords()
+					stop := s.confirmEachSecond()
+					s.runLater(0, func() { s.send(0, testBody, longWait) })
+					synctest.Wait()
+					if c.restoreAt > answering {
+						s.memory.Restore(older)
+					}
+					if c.restarts {
+						s.nodes[1].kill()
+					}
+					time.Sleep(delay)
+					s.send(1, testBody, longWait)
+					s.waitForPending()
+					stop()
+					requireEqual(t, len(s.service.effectsOf(testKey)), 1, "effects")
+					requireEqual(t, fmt.Sprint(s.check()), "[]", "violations")
+				})
+			})
+		}
+	}
+}
+
+// confirmEachSecond lets the instances confirm their records each second, until the returned function is called.
+func (s *simulation) confirmEachSecond() (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-time.After(time.Second):
+				s.confirmRecords()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// confirmRecords lets each instance that runs read the era of the platform, as it does with the list of instances, and confirm the records of
+// the actions that it has sent.
 func (s *simulation) confirmRecords() {
-	for _, n := range s.nodes {
+	s.mutex.Lock()
+	nodes := slices.Clone(s.nodes)
+	s.mutex.Unlock()
+	for _, n := range nodes {
 		ledger, ok := n.runner.(*Ledger)
 		if ok && n.ctx.Err() == nil {
+			ledger.RecordEra(time.Now(), s.memory.Era())
 			ledger.ConfirmRecords(context.Background(), time.Now())
 		}
 	}
--- a/internal/lrledger/ledger.go
+++ b/internal/lrledger/ledger.go
@@ -53,6 +53,9 @@
 	// Backoff is the first delay after a failed call to the platform. It doubles with each failure, up to MaxBackoff.
 	Backoff    time.Duration
 	MaxBackoff time.Duration
+	// RestoreHold is how long an instance dispatches no action after it has learned that the platform has come back from an older copy. By
+	// then each instance must have learned of it and written again the records that are lost.
+	RestoreHold time.Duration
 }
 
 // DefaultOptions returns the options of the instance with the given name. The timeout applies to each call to a service.
@@ -63,7 +66,7 @@
 			CommitTimeout: 5 * time.Second, SendWindow: 5 * time.Second, CallTimeout: callTimeout,
 			TakeOverAfter: time.Second, WaitLimit: 3 * time.Second,
 		},
-		PollInterval: 100 * time.Millisecond, Backoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second,
+		PollInterval: 100 * time.Millisecond, Backoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second, RestoreHold: 4 * time.Second,
 	}
 }
 
@@ -75,13 +78,18 @@
 	// slots limits the number of running actions. An action holds a slot until its outcome has been recorded.
 	slots *semaphore.Weighted
 	mutex sync.Mutex
-	// unconfirmed holds the records that are to be read again, the next one first.
+	// unconfirmed holds the records that are to be read again, and sending those of actions that are being sent, by nonce.
 	unconfirmed []sentRecord
+	sending     map[string]sentRecord
+	// era is the latest era that the platform has named, and holdUntil is when actions may be dispatched again after it has come back from a
+	// copy.
+	era       uint64
+	holdUntil time.Time
 }
 
 // New returns a Ledger.
 func New(dependencies Dependencies, options Options) *Ledger {
-	return &Ledger{Dependencies: dependencies, options: options, slots: semaphore.NewWeighted(maxRunning)}
+	return &Ledger{Dependencies: dependencies, options: options, slots: semaphore.NewWeighted(maxRunning), sending: map[string]sentRecord{}}
 }
 
 // Run runs the action of the idempotency key, or returns its recorded answer. An action that is being sent continues when
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -20,6 +20,8 @@
 		a.release(ctx, dispatched, a.refusal())
 		return
 	}
+	a.recordSending(a.name, dispatched.record)
+	defer a.recordEnd(a.attempt.Nonce)
 	response, err := a.call(ctx)
 	switch {
 	case err == nil:
@@ -27,7 +29,7 @@
 		answer := lrpaid.NewAnswer(response.Status, response.Header, response.Body)
 		now := a.Clock()
 		a.converge(ctx, dispatched, lrpaid.RecordAnswer(now, a.attempt, answer), func() { a.finish(response, nil) })
-		a.confirmLater(a.name, dispatched.record.WithAnswer(now, answer))
+		a.confirmLater(a.name, dispatched.record.WithAnswer(now, answer), confirmDelay)
 	case lrservice.ErrNotSent.Has(err) && !a.Clock().Before(a.policy.SendDeadline(a.dispatchStartedAt)):
 		a.release(ctx, dispatched, lrerror.New(lrerror.KindUnavailable, lrerror.NotRun,
 			"the time to send the action was over, so this request was not run; send it again with the same idempotency key, "+
@@ -41,7 +43,7 @@
 		a.fail(lrerror.New(lrerror.KindBackendFailed, lrerror.Unknown,
 			"the service failed after it had received the action, which is never sent twice; send it again with the same "+
 				"idempotency key to learn the outcome, or ask the operator").WithCause(err))
-		a.confirmLater(a.name, dispatched.record)
+		a.confirmLater(a.name, dispatched.record, confirmDelay)
 	}
 }
 
--- a/pkg/lrpaid/decide.go
+++ b/pkg/lrpaid/decide.go
@@ -54,10 +54,22 @@
 	UnchangedFor time.Duration
 	// WaitedFor is how long ago the attempt started.
 	WaitedFor time.Duration
+	// IsHeld means that the record of an earlier attempt may be lost and is not written again yet.
+	IsHeld bool
 }
 
-// Decide returns the next step of an attempt that has not sent the action.
+// Decide returns the next step of an attempt that has not sent the action. While the view is held, the attempt waits in place of coming closer
+// to sending.
 func Decide(now time.Time, attempt Attempt, view View, policy Policy) Step {
+	step := decide(now, attempt, view, policy)
+	leadsToSending := step == StepCreate || step == StepTakeOver || step == StepDispatch
+	if view.IsHeld && leadsToSending {
+		return StepWait
+	}
+	return step
+}
+
+func decide(now time.Time, attempt Attempt, view View, policy Policy) Step {
 	if !view.Exists {
 		return StepCreate
 	}
