Write a configuration again that the platform has lost

Cause: instances order heads by a version that the platform gives out again, and nobody wrote the lost one again.

Change: the instances that watch the platform write the lost versions again when the era of its answers rises or they read a lower head, conditionally, and only over a head from which theirs follows. A change that was made since stays, and an error says so. Ruled out: an answer that was overtaken, since the head is read again before it is compared and the update is conditional.

TestLostConfigurationIsWrittenAgain failed in 6 of 6 cases before (one to three lost versions, with and without an era), and passes. TestChangeAfterRestoreIsNotOverwritten guards the change since; it passes without the change too.

--- a/internal/lrdaemon/daemon.go
+++ b/internal/lrdaemon/daemon.go
@@ -95,7 +95,7 @@
 	d.wireTransports()
 	d.platform = lrplatform.NewClient(settings.Platform.URL,
 		append(d.transports.platform, lrplatform.WithCallTimeout(settings.Platform.CallTimeout), lrplatform.WithLog(log),
-			lrplatform.WithEraObserver(func(era uint64) { d.paid.RecordEra(d.clock(), era) }))...)
+			lrplatform.WithEraObserver(d.recordEra))...)
 	d.services = lrservice.NewClient(settings.Server.MaxBodyBytes)
 	d.wirePeers()
 	d.wireConfiguration()
@@ -107,6 +107,12 @@
 	return d
 }
 
+// recordEra applies the era that an answer of the platform names.
+func (d *Daemon) recordEra(era uint64) {
+	d.paid.RecordEra(d.clock(), era)
+	d.relay.RecordEra(era)
+}
+
 func (d *Daemon) wireGateway() {
 	s := d.settings.Server
 	dependencies := lrgateway.Dependencies{
--- a/internal/lrdaemon/wire_configuration.go
+++ b/internal/lrdaemon/wire_configuration.go
@@ -46,6 +46,7 @@
 	d.supervisor.Add("pullConfiguration", d.relay.Pull)
 	d.supervisor.Add("announceConfiguration", d.relay.Announce)
 	d.supervisor.Add("checkConfiguration", d.relay.Check)
+	d.supervisor.Add("restoreConfiguration", d.relay.Restore)
 	d.supervisor.Add("confirmAfterPause", lrsupervise.Every(pauseCheckInterval, d.confirmAfterPause))
 }
 
--- a/internal/lrstate/relay.go
+++ b/internal/lrstate/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -63,7 +64,10 @@
 	offers  *lrfifo.Queue[string]
 	changed chan struct{}
 	ready   chan struct{}
-	mutex   sync.Mutex
+	// era is the latest era that the platform has named, and restored receives a value when it rises.
+	era      atomic.Uint64
+	restored chan struct{}
+	mutex    sync.Mutex
 }
 
 // NewRelay returns a Relay that brings new versions to the follower.
@@ -71,6 +75,7 @@
 	r := &Relay{
 		follower: follower, store: store, platform: NewPlatformSource(store), peers: peers, membership: membership, options: options,
 		offers: lrfifo.New[string](offerCapacity), changed: make(chan struct{}, 1), ready: make(chan struct{}),
+		restored: make(chan struct{}, 1),
 	}
 	follower.OnChange(func(*lrconfig.Snapshot) { r.notifyChange() })
 	return r
@@ -206,6 +211,9 @@
 		if err != nil {
 			return err
 		}
+		if head.Version < r.follower.Snapshot().Version() {
+			r.restoreHead(ctx)
+		}
 	}
 	return nil
 }
