Tell instances that start after a restore which servers have left

What callers may see: an instance that starts after the store has come back from a copy sends requests to servers that have left, were removed or have started anew since the copy, until their entries are written again or lapse (three heartbeats). The postmortem of the restored store lists it as open.

Cause: what is known beside the copy's entries stays with the instances that ran before; others take over the copy's entries as they are.

Change: messages between instances name, while it counts (four heartbeats) and only then, the later state of entries that the copy shows as they were, and those that are remembered as removed. An instance that has read nothing before the return goes by it, once for each era, so that instances do not keep it alive among themselves. What an instance only takes for removed since it did not know it is not told: an instance that was cut off would put servers out of use everywhere.

--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -118,6 +118,7 @@
 		}
 		eras[name] = version.Era
 		state.ReadAges[name] = uint32(min(age, maxReadAge).Milliseconds())
+		state.RestoredEntries = append(state.RestoredEntries, encodeRestored(name, f.RestoredEntries(now))...)
 	}
 	state.Era, state.FeedEras = encodeEras(eras)
 	for _, w := range s.Directory.DesiredAges(now) {
@@ -265,6 +266,7 @@
 	news, gauges := decodeRollouts(state.GetServiceRollouts())
 	sum.rollouts = gauges
 	hasLevels := s.recordState(now, state, sum, isAnswer)
+	s.recordRestored(now, state.GetRestoredEntries())
 	s.Releases.Merge(now, news)
 	if hasLevels {
 		s.Limiter.SetStartupShare(now, 1, false)
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -100,6 +100,8 @@
 	// a RestorePolicy.
 	removed  map[string]removedEntry[T]
 	restored *restoreState[T]
+	// restoredEra is the era of the platform in which restored was last set.
+	restoredEra uint64
 }
 
 // NewFollower returns a Follower without entries. It calls onChange with all entries after each change.
--- a/internal/lrfleet/restored.go
+++ b/internal/lrfleet/restored.go
@@ -32,6 +32,8 @@
 	known map[string]T
 	// removed holds the entries that the copy shows though they were removed since.
 	removed map[string]T
+	// isTold says that this instance has started since, and that others have told it all of this.
+	isTold bool
 }
 
 // removedEntry is an entry that was removed, with the time of that.
@@ -63,6 +65,7 @@
 	if f.options.Restore == nil {
 		return
 	}
+	f.restoredEra = era
 	known, removed := f.used(now), map[string]T{}
 	for name, entry := range listed {
 		if f.wasRemoved(now, known, name, entry) {
@@ -101,8 +104,7 @@
 		if known, ok := f.restored.known[name]; ok {
 			used[name] = f.options.Restore.Merge(known, listed)
 		}
-		removed, ok := f.restored.removed[name]
-		if ok && f.options.Restore.IsSameStart(removed, listed) {
+		if f.isWithheld(name, listed) {
 			delete(used, name)
 		}
 	}
--- a/internal/lrfleet/shared_feed.go
+++ b/internal/lrfleet/shared_feed.go
@@ -23,6 +23,10 @@
 	Encode() (map[string][]byte, FeedVersion, error)
 	// Decode applies entries of the version that another instance has encoded, if they supersede the own ones.
 	Decode(now time.Time, entries map[string][]byte, version FeedVersion) error
+	// RestoredEntries returns what is known of entries that the platform shows in an earlier state since it has come back from a copy.
+	RestoredEntries(now time.Time) []RestoredEntry
+	// RecordRestored applies what another instance knows of such entries, if this one has started after the platform came back.
+	RecordRestored(now time.Time, entries []RestoredEntry)
 }
 
 // Encode returns the JSON form of all entries by name, and their version.
