Keep the record of an action through the end of its sending

Found when reading the change to records of paid actions again, in a model: an action ended between the moment at which its instance learned of the platform's return and the next check of records. Its mark as lost was gone, the record came back only after 15 s, and a repeat ran the action a second time (TestActionIsSentOnceThoughItsRecordIsLost, 'while the action is sent', repeated after 1 s, in a form in which a failed check was tried again with the sending alone). The other way round, the record of an action that was released, since nothing had been sent, could be written again as dispatched, which leaves it in doubt.

Change: the mark passes on to the record that is kept after the end. A released record is neither kept nor replaced.

--- a/internal/lrledger/confirm.go
+++ b/internal/lrledger/confirm.go
@@ -27,13 +27,15 @@
 	dueAt  time.Time
 	// isLost says that the platform has come back from an older copy since the record was written, which may lack it.
 	isLost bool
+	// isSending says that the action has not ended yet.
+	isSending bool
 }
 
 // recordSending keeps the record of an action that is about to be sent, until recordEnd.
 func (l *Ledger) recordSending(name string, record lrpaid.Record) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.sending[record.Nonce] = sentRecord{name: name, record: record}
+	l.sending[record.Nonce] = sentRecord{name: name, record: record, isSending: true}
 }
 
 // recordEnd forgets the record of an action whose sending has ended.
@@ -51,7 +53,8 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.unconfirmed = append(l.unconfirmed, sentRecord{name: name, record: record, dueAt: l.Clock().Add(delay)})
+	isLost := l.sending[record.Nonce].isLost
+	l.unconfirmed = append(l.unconfirmed, sentRecord{name: name, record: record, dueAt: l.Clock().Add(delay), isLost: isLost})
 	l.unconfirmed = l.unconfirmed[max(0, len(l.unconfirmed)-maxUnconfirmed):]
 }
 
@@ -63,16 +66,50 @@
 		err := l.confirmRecord(ctx, sent)
 		if err != nil {
 			l.Log.Warn().Err(err).Str("requestId", sent.record.RequestID).Msg("paid: record not confirmed yet")
-			l.confirmLater(sent.name, sent.record, retryDelay)
-			continue
 		}
-		if sent.isLost {
-			// The platform may come back from a copy a second time.
-			l.confirmLater(sent.name, sent.record, confirmDelay)
+		l.confirmAgain(sent, err)
+	}
+}
+
+// confirmAgain has the record read again if that has failed, or if the platform may come back from a copy a second time. That of an action which
+// is being sent is kept until it ends.
+func (l *Ledger) confirmAgain(sent sentRecord, err error) {
+	switch {
+	case sent.isSending && err != nil:
+		l.markLost(sent.record.Nonce)
+	case sent.isSending:
+	case err != nil:
+		l.confirmLater(sent.name, sent.record, retryDelay)
+	case sent.isLost:
+		l.confirmLater(sent.name, sent.record, confirmDelay)
+	}
+}
+
+// markLost has the record of the action read again, also if its sending has ended meanwhile. One that was released is kept no longer.
+func (l *Ledger) markLost(nonce string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	sent, isSending := l.sending[nonce]
+	if isSending {
+		sent.isLost = true
+		l.sending[nonce] = sent
+		return
+	}
+	for n := range l.unconfirmed {
+		if l.unconfirmed[n].record.Nonce == nonce {
+			l.unconfirmed[n].isLost = true
 		}
 	}
 }
 
+// hasEnded reports whether the sending of the action has ended, so that its record is no longer as it was kept.
+func (l *Ledger) hasEnded(sent sentRecord) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, ok := l.sending[sent.record.Nonce]
+	return sent.isSending && !ok
+}
+
 // takeDue returns the records to be read again now. The others stay, and so do those of actions that are being sent.
 func (l *Ledger) takeDue(now time.Time) []sentRecord {
 	l.mutex.Lock()
@@ -80,7 +117,7 @@
 	var due []sentRecord
 	for nonce, sent := range l.sending {
 		if sent.isLost {
-			due = append(due, sentRecord{name: sent.name, record: sent.record})
+			due = append(due, sent)
 			sent.isLost = false
 			l.sending[nonce] = sent
 		}
@@ -97,6 +134,10 @@
 
 func (l *Ledger) confirmRecord(ctx context.Context, sent sentRecord) error {
 	seen, err := read(ctx, l.Store, sent.name)
+	if l.hasEnded(sent) {
+		l.markLost(sent.record.Nonce)
+		return nil
+	}
 	if lrplatform.ErrNotFound.Has(err) {
 		return l.createAgain(ctx, sent)
 	}
--- a/internal/lrledger/confirm_test.go
+++ b/internal/lrledger/confirm_test.go
@@ -89,6 +89,7 @@
 		{name: "before the answer is recorded", copyAt: claiming, restoreAt: answering},
 		{name: "before the action is sent", copyAt: claiming, restoreAt: sending},
 		{name: "while the action is sent", copyAt: claiming, restoreAt: sending, sendFault: faultLate},
+		{name: "not sent after all", copyAt: claiming, restoreAt: sending, sendFault: faultRefused},
 		{name: "instance restarts", copyAt: claiming, restoreAt: answering + 1, restarts: true},
 	} {
 		for _, delay := range []time.Duration{0, 300 * time.Millisecond, time.Second, 4 * time.Second, confirmDelay - time.Second} {
--- a/internal/lrledger/restored.go
+++ b/internal/lrledger/restored.go
@@ -14,9 +14,8 @@
 	if era <= l.era {
 		return
 	}
-	isRestored := era > firstEra
 	l.era = era
-	if !isRestored {
+	if era == firstEra {
 		return
 	}
 	l.holdUntil = now.Add(l.options.RestoreHold)
--- a/internal/lrledger/send.go
+++ b/internal/lrledger/send.go
@@ -84,6 +84,7 @@
 // first because until the release no other attempt can have run the action.
 func (a *action) release(ctx context.Context, dispatched stored, refusal error) {
 	a.fail(refusal)
+	a.recordEnd(a.attempt.Nonce)
 	a.converge(ctx, dispatched, lrpaid.Release(a.attempt), func() {})
 }
 
--- a/pkg/lrpaid/change.go
+++ b/pkg/lrpaid/change.go
@@ -48,10 +48,12 @@
 }
 
 // Restore returns the change that puts the record of an action that was sent in place of an earlier one, to which the platform has gone
-// back, or of the claim of an attempt that has not sent the action.
+// back, or of the claim of an attempt that has not sent the action. One that the same attempt has released since stays: its sending has failed
+// before anything was sent.
 func Restore(sent Record) Change {
 	return func(r Record) (Record, bool) {
-		if r.State.Settled() || sent.IsSentAgain(r) || r.Nonce == sent.Nonce && r.State == sent.State {
+		isLater := r.Nonce == sent.Nonce && (r.State == sent.State || r.State == StateReleased)
+		if r.State.Settled() || sent.IsSentAgain(r) || isLater {
 			return r, false
 		}
 		return sent, true
