Read the era of the platform where paid actions were sent

Cause, from the logs: the instance that had sent the action learned of the platform's return 3 s later than the other one, whose wait was over by then. The wait assumed that each instance reads the list of instances; one whose peers read it for them does not.

The stand-in can come back from a copy.

The model no longer learns of the era by itself.

--- a/internal/lrdaemon/wire_paid.go
+++ b/internal/lrdaemon/wire_paid.go
@@ -17,11 +17,10 @@
 
 // wirePaid creates the runner of paid actions. A graceful shutdown waits for the actions that are in progress.
 func (d *Daemon) wirePaid() {
-	platform := d.settings.Platform
 	options := lrledger.DefaultOptions(d.settings.Instance.Name, d.settings.Paid.CallTimeout)
-	// Each instance learns of the platform's return with its next read of the list of instances, and writes lost records again with the next
-	// check.
-	options.RestoreHold = platform.ListInterval + confirmInterval + platform.CallTimeout
+	// Each instance that has sent actions of late learns of the platform's return within one check, and writes lost records again with the next
+	// one at the latest.
+	options.RestoreHold = 2*confirmInterval + d.settings.Platform.CallTimeout
 	ledger := lrledger.New(lrledger.Dependencies{
 		Store: d.platform, Services: d.services, Servers: d.registry, Log: d.log, Clock: d.clock,
 		RecordViolation: func(invariant string) { d.metrics.Violations.WithLabelValues(invariant).Inc() },
--- a/internal/lrledger/confirm.go
+++ b/internal/lrledger/confirm.go
@@ -62,6 +62,7 @@
 // lost since. Without its record a repeated action would be sent again. Once the platform has come back from an older copy, it does so for
 // all actions, also those that are being sent. It must be called periodically.
 func (l *Ledger) ConfirmRecords(ctx context.Context, now time.Time) {
+	l.readEra(ctx, now)
 	for _, sent := range l.takeDue(now) {
 		err := l.confirmRecord(ctx, sent)
 		if err != nil {
--- a/internal/lrledger/confirm_test.go
+++ b/internal/lrledger/confirm_test.go
@@ -151,8 +151,7 @@
 	return func() { close(done) }
 }
 
-// confirmRecords lets each instance that runs read the era of the platform, as it does with the list of instances, and confirm the records of
-// the actions that it has sent.
+// confirmRecords lets each instance that runs confirm the records of the actions that it has sent.
 func (s *simulation) confirmRecords() {
 	s.mutex.Lock()
 	nodes := slices.Clone(s.nodes)
@@ -160,7 +159,6 @@
 	for _, n := range nodes {
 		ledger, ok := n.runner.(*Ledger)
 		if ok && n.ctx.Err() == nil {
-			ledger.RecordEra(time.Now(), s.memory.Era())
 			ledger.ConfirmRecords(context.Background(), time.Now())
 		}
 	}
--- a/internal/lrledger/ledger.go
+++ b/internal/lrledger/ledger.go
@@ -81,9 +81,10 @@
 	// unconfirmed holds the records that are to be read again, and sending those of actions that are being sent, by nonce.
 	unconfirmed []sentRecord
 	sending     map[string]sentRecord
-	// era is the latest era that the platform has named, and holdUntil is when actions may be dispatched again after it has come back from a
+	// era is the latest era that the platform has named, eraReadAt when it last named one, and holdUntil is when actions may be dispatched again after it has come back from a
 	// copy.
 	era       uint64
+	eraReadAt time.Time
 	holdUntil time.Time
 }
 
--- a/internal/lrstub/platform.go
+++ b/internal/lrstub/platform.go
@@ -22,6 +22,8 @@
 	faults faultState
 	reads  atomic.Uint64
 	writes atomic.Uint64
+	// copied is the copy from which the store comes back.
+	copied atomic.Pointer[lrplatform.MemoryCopy]
 }
 
 // Counts are the numbers of calls that a platform stand-in has received.
@@ -38,6 +40,8 @@
 	router.UseEncodedPath()
 	router.Handle("/control/faults", &p.faults).Methods(http.MethodPut)
 	router.HandleFunc("/control/instances", p.setInstances).Methods(http.MethodPut)
+	router.HandleFunc("/control/copy", p.copyStore).Methods(http.MethodPut)
+	router.HandleFunc("/control/restore", p.restoreStore).Methods(http.MethodPut)
 	router.HandleFunc("/control/counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, Counts{Reads: p.reads.Load(), Writes: p.writes.Load()})
 	})
@@ -51,6 +55,22 @@
 	return router
 }
 
+// copyStore takes the copy from which restoreStore brings the store back.
+func (p *platform) copyStore(http.ResponseWriter, *http.Request) {
+	content := p.memory.Copy()
+	p.copied.Store(&content)
+}
+
+// restoreStore brings the store back from the copy, in the next era.
+func (p *platform) restoreStore(w http.ResponseWriter, _ *http.Request) {
+	content := p.copied.Load()
+	if content == nil {
+		http.Error(w, "there is no copy; take one first", http.StatusConflict)
+		return
+	}
+	p.memory.Restore(*content)
+}
+
 // nameEra names the era of the store in each answer.
 func (p *platform) nameEra(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
