Make the change after a restore certain in its test

TestChangeAfterRestoreIsNotOverwritten failed once under the race detector: its platform came back from the copy, and the instance wrote the lost versions again before the operator's change of the test, which then conflicted, as it must. The order is no longer left to the scheduler: the platform comes back with the change. The check is as it was; it fails if the instance writes over such a change (tried), and passes 60 times in a row under the race detector.

--- a/internal/lrstate/relay_test.go
+++ b/internal/lrstate/relay_test.go
@@ -114,8 +114,11 @@
 		requireNoError(t, addKey(r.ctx, r.publisher, "lost0"))
 		requireNoError(t, addKey(r.ctx, r.publisher, "lost1"))
 		time.Sleep(time.Second)
-		r.memory.Restore(older)
-		requireNoError(t, addKey(r.ctx, r.publisher, "written since"))
+		// The change is in the platform before the instance reads it again.
+		changed := lrplatform.NewMemory()
+		changed.Restore(older)
+		requireNoError(t, addKey(r.ctx, NewPublisher(changed), "written since"))
+		r.memory.Restore(changed.Copy())
 		r.relay.RecordEra(r.memory.Era())
 		time.Sleep(2 * watchLimit)
 		stored, err := r.publisher.Read(r.ctx)
