Take the lost heads and their shards at one moment

Found when reading the change again: a new version that came into force while the lost one was written again would have been written with the shards of the earlier one, and a shard without a value would have been stored under its digest for good. Heads and values are read under one lock now, after the platform's head.

--- a/internal/lrstate/restore.go
+++ b/internal/lrstate/restore.go
@@ -46,27 +46,27 @@
 func (r *Relay) restoreHead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shardFetchTimeout)
 	defer cancel()
-	lost, values := r.follower.activeValues()
 	stored, object, err := readHead(ctx, r.store)
 	if err != nil {
 		r.options.Log.Warn().Err(err).Msg("state: head of the platform not compared with the one in force")
 		return
 	}
-	if stored.Version >= lost.Version {
+	inForce := r.follower.Snapshot().Version()
+	if stored.Version >= inForce {
 		return
 	}
-	versions, isEarlier := r.follower.versionsAfter(stored)
-	if !isEarlier {
-		r.options.Log.Error().Uint64("version", stored.Version).Uint64("inForce", lost.Version).
+	versions, values := r.follower.versionsAfter(stored)
+	if len(versions) == 0 {
+		r.options.Log.Error().Uint64("version", stored.Version).Uint64("inForce", inForce).
 			Msg("state: the platform has lost versions that are in force, and holds another change; apply the right list again")
 		return
 	}
 	err = r.writeLost(ctx, object, stored, versions, values)
 	if err != nil {
-		r.options.Log.Warn().Err(err).Uint64("version", lost.Version).Msg("state: lost configuration not written again")
+		r.options.Log.Warn().Err(err).Uint64("version", inForce).Msg("state: lost configuration not written again")
 		return
 	}
-	r.options.Log.Warn().Uint64("before", stored.Version).Uint64("version", lost.Version).Msg("state: lost configuration written again")
+	r.options.Log.Warn().Uint64("before", stored.Version).Uint64("version", inForce).Msg("state: lost configuration written again")
 }
 
 // writeLost writes the versions after the stored head, of which the last one is in force, with the given values of its shards. The head comes
@@ -92,20 +92,14 @@
 	return err
 }
 
-// activeValues returns the active head and the stored values of its shards by digest.
-func (f *Follower) activeValues() (lrconfig.Head, map[string][]byte) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.Snapshot().Head(), maps.Clone(f.values)
-}
-
-// versionsAfter returns the heads that were active since the given one, the active one last. It reports false if the given one never was.
-func (f *Follower) versionsAfter(head lrconfig.Head) ([]lrconfig.Head, bool) {
+// versionsAfter returns the heads that were active since the given one, the active one last, and the stored values of its shards by digest. It
+// returns none if the given head never was active.
+func (f *Follower) versionsAfter(head lrconfig.Head) ([]lrconfig.Head, map[string][]byte) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	n := slices.IndexFunc(f.heads, func(h lrconfig.Head) bool { return h.Version == head.Version && h.WriteID == head.WriteID })
 	if n < 0 {
-		return nil, false
+		return nil, nil
 	}
-	return append(slices.Clone(f.heads[n+1:]), f.Snapshot().Head()), true
+	return append(slices.Clone(f.heads[n+1:]), f.Snapshot().Head()), maps.Clone(f.values)
 }
