Keep the last configuration in use while the newest cannot be read

An instance that started while the newest configuration could not be read answered 503 to all callers and was never ready, although others served on the last one; operators saw one log line.

Cause: an entry that cannot be decoded counts as deleted, which is right for servers of other writers. The configuration is one entry, whose loss the routing table in force ignores, so that instances went on with a table that their feed no longer held, and told others that it was gone.

An instance that holds nothing does not apply the list, so that it takes the entries of another instance, and does not tell others that the entry was deleted.

--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -201,10 +202,25 @@
 	}
 	now := time.Now()
 	f.options.Eras.Record(now, changes.Era)
+	unknown := f.unknownOf(changes.Unreadable)
+	if len(unknown) > 0 {
+		// Without the entry the list would tell other instances that it was deleted. As long as nothing is held, theirs is taken.
+		return ErrUnreadable.New("%q", unknown)
+	}
 	f.replace(now, base, changes)
 	return nil
 }
 
+// unknownOf returns those of the names under which no entry is held.
+func (f *Follower[T]) unknownOf(names []string) []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		_, ok := f.entries[name]
+		return ok
+	})
+}
+
 // RunRefresh lists all entries in rotation with other instances until the context ends.
 func (f *Follower[T]) RunRefresh(ctx context.Context) error {
 	// Run begins with a list of all entries, so the first refresh is due after an interval.
@@ -238,7 +254,9 @@
 		return
 	}
 	f.recordRead(now, now)
-	changes.Deleted = append(changes.Deleted, missingFrom(changes.Set, f.entries)...)
+	missing := missingFrom(changes.Set, f.entries)
+	missing = slices.DeleteFunc(missing, func(name string) bool { return slices.Contains(changes.Unreadable, name) })
+	changes.Deleted = append(changes.Deleted, missing...)
 	f.mutex.Unlock()
 	f.update(now, listed, changes)
 }
