Count the age of weights that were named before the start

Cause: an instance counts the time for which a version has been wanted from its first read, and learns better from others alone. After a restart of all of them nobody knows. Traces on: all instances take the version for new at 41.6 s, 3.1 s after it was named, and would use engines with older weights until 46.6 s. Ruled out: waiting at the engines (late requests begin 46 to 111 ms after they were sent), an instance that does not know the version. The lease, which expires 1.9 s after the restart, adds to the number of late requests and is not their cause.

Change: versions of the first read count as wanted since the deadline less a grace before the start of the process, until another instance tells. Guesses are not told. Instances tell of each model also the latest version older than 20 s, which an instance that starts alone took for new. The grace is a setting with a default of 3 s. Desired versions get a file of their own.

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -193,11 +193,7 @@
 	desired := followerOptions[lrfleet.DesiredVersion](d, feedDesired, p.RefreshInterval)
 	desired.Latest = later(func(v lrfleet.DesiredVersion) int64 { return v.Version })
 	d.desired = lrfleet.NewFollower(d.ports.DesiredVersions, desired, d.log,
-		func(now time.Time, entries map[string]lrfleet.DesiredVersion) {
-			for _, w := range entries {
-				d.directory.SetDesired(now, w.Model, w.Version)
-			}
-		})
+		d.applyDesired)
 	instances := followerOptions[lrfleet.Instance](d, feedInstances, p.InstanceInterval)
 	instances.Watches = func() bool { return false }
 	d.instances = lrfleet.NewFollower(d.ports.Instances, instances, d.log,
--- a/internal/lredge/weights.go
+++ b/internal/lredge/weights.go
@@ -10,6 +10,7 @@
 	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 	"github.com/lavenderrouter/lavenderrouter/internal/lrweights"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrrollout"
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrsettings"
 )
 
 // deadlineMargin is the part of the deadline of newer weights that is left for the way of a request to its engine, and for the time after
@@ -19,6 +20,25 @@
 // outdatedLimit returns how long after an update requests are still sent to engines with outdated weights, or zero for the default.
 func outdatedLimit(deadline time.Duration) time.Duration { return max(deadline-deadlineMargin, 0) }
 
+// assumedAge returns for how long a version is taken to be desired at the start of an instance if no other one tells: until the deadline, the
+// instance then has the grace. Zero means that the age counts from the first read.
+func assumedAge(o lrsettings.Orders) time.Duration {
+	return max(o.VersionDeadline-o.UnknownAgeGrace, 0)
+}
+
+// applyDesired applies the desired versions. Those of the first read may have been named at any time before.
+func (d *Daemon) applyDesired(now time.Time, entries map[string]lrfleet.DesiredVersion) {
+	assumed := assumedAge(d.settings.Orders)
+	isFirst := now.Equal(d.desired.FirstAppliedAt())
+	for _, w := range entries {
+		if isFirst && assumed > 0 {
+			d.directory.AssumeDesired(d.startedAt.Add(-assumed), w.Model, w.Version)
+			continue
+		}
+		d.directory.SetDesired(now, w.Model, w.Version)
+	}
+}
+
 // wireWeights creates the part that orders engines to load new weights, and the lease under which it does so.
 func (d *Daemon) wireWeights() {
 	o := d.settings.Orders
--- a/internal/lrfleet/directory.go
+++ b/internal/lrfleet/directory.go
@@ -1,7 +1,6 @@
 package lrfleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -34,11 +33,6 @@
 	onRestart []func(server string)
 }
 
-type desiredVersion struct {
-	version int64
-	since   time.Time
-}
-
 // NewDirectory returns an empty Directory.
 func NewDirectory(log zerolog.Logger) *Directory {
 	return &Directory{log: log, servers: map[string]Server{}, closing: map[string]bool{}, desired: map[string][]desiredVersion{}, displaced: map[string]bool{}}
@@ -182,98 +176,6 @@
 	d.restarted(server)
 }
 
-// SetDesired records that a version of a model's weights is desired since the given time. Versions up to the latest one are ignored.
-func (d *Directory) SetDesired(now time.Time, model string, version int64) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	history := d.desired[model]
-	if len(history) > 0 && history[len(history)-1].version >= version {
-		return
-	}
-	d.desired[model] = append(history[max(0, len(history)-maxPastDesired):], desiredVersion{version: version, since: now})
-	d.log.Info().Str("model", model).Int64("version", version).Msg("fleet: weights are wanted")
-}
-
-// DesiredAges returns for how long each recorded version has been desired.
-func (d *Directory) DesiredAges(now time.Time) []DesiredAge {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	var ages []DesiredAge
-	for model, history := range d.desired {
-		for _, w := range history {
-			ages = append(ages, DesiredAge{DesiredVersion: DesiredVersion{Model: model, Version: w.version}, Age: now.Sub(w.since)})
-		}
-	}
-	return ages
-}
-
-// RecordDesiredAge merges how long another instance has known a version to be desired. An instance that has just started would otherwise
-// count from its own start.
-func (d *Directory) RecordDesiredAge(now time.Time, age DesiredAge) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	since := now.Add(-age.Age)
-	history := d.desired[age.Model]
-	at, known := slices.BinarySearchFunc(history, age.Version, func(w desiredVersion, version int64) int {
-		return cmp.Compare(w.version, version)
-	})
-	if known {
-		if since.Before(history[at].since) {
-			history[at].since = since
-		}
-		return
-	}
-	d.desired[age.Model] = slices.Insert(history, at, desiredVersion{version: age.Version, since: since})
-}
-
-// A DesiredAge is a version with the time for which it has been desired.
-type DesiredAge struct {
-	DesiredVersion
-	Age time.Duration
-}
-
-// maxPastDesired is the number of versions that are kept for each model beside the latest one.
-const maxPastDesired = 8
-
-// OutdatedFor returns for how long a version of the model's weights above the given one has been desired.
-func (d *Directory) OutdatedFor(now time.Time, model string, version int64) time.Duration {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.outdatedFor(now, model, version)
-}
-
-// outdatedFor must be called with the mutex held.
-func (d *Directory) outdatedFor(now time.Time, model string, version int64) time.Duration {
-	for _, w := range d.desired[model] {
-		if w.version > version {
-			return now.Sub(w.since)
-		}
-	}
-	return 0
-}
-
-// LongestOutdated returns for how long newer weights have been desired for the server that is furthest behind.
-func (d *Directory) LongestOutdated(now time.Time) time.Duration {
-	longest := time.Duration(0)
-	for _, s := range d.All() {
-		for model, version := range s.Versions {
-			longest = max(longest, d.OutdatedFor(now, model, version))
-		}
-	}
-	return longest
-}
-
-// DesiredVersions returns the latest desired version of each model.
-func (d *Directory) DesiredVersions() map[string]int64 {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	versions := make(map[string]int64, len(d.desired))
-	for model, history := range d.desired {
-		versions[model] = history[len(history)-1].version
-	}
-	return versions
-}
-
 // MarkDisplaced records that another server has taken over the address of this one, which must therefore be gone.
 func (d *Directory) MarkDisplaced(server string) {
 	d.mutex.Lock()
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -11,12 +11,9 @@
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrlimit"
 )
 
-// maxReadAge bounds the read ages that are sent.
+// maxReadAge bounds the read ages and the ages of desired versions that are sent.
 const maxReadAge = time.Hour
 
-// maxDesiredAge is the age up to which desired versions are sent to other instances.
-const maxDesiredAge = 20 * time.Second
-
 // exchange sends the state of this instance to a peer and applies the state in its answer.
 func (s *Sharer) exchange(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -122,11 +119,9 @@
 	}
 	state.Era, state.FeedEras = encodeEras(eras)
 	for _, w := range s.Directory.DesiredAges(now) {
-		if w.Age < maxDesiredAge {
-			state.Wanted = append(state.Wanted, &lrpeerpb.WantedNote{
-				Model: w.Model, Version: w.Version, AgeMillis: uint32(w.Age.Milliseconds()),
-			})
-		}
+		state.Wanted = append(state.Wanted, &lrpeerpb.WantedNote{
+			Model: w.Model, Version: w.Version, AgeMillis: uint32(min(w.Age, maxReadAge).Milliseconds()),
+		})
 	}
 	for _, w := range s.weightsUpdates.updates(now) {
 		state.Weights = append(state.Weights, &lrpeerpb.WeightsNote{Server: w.Server, Model: w.Model, Version: w.Version})
--- a/internal/lrfleet/follower.go
+++ b/internal/lrfleet/follower.go
@@ -94,9 +94,10 @@
 	restoredAt time.Time
 	// missing maps entries that lapsed around an outage to the time at which they are removed.
 	missing map[string]time.Time
-	// appliedAt is when entries or changes were last applied, and stats what has become of the platform's answers.
-	appliedAt time.Time
-	stats     FeedStats
+	// firstAppliedAt and appliedAt are when entries or changes were first and last applied, and stats what has become of the platform's answers.
+	firstAppliedAt time.Time
+	appliedAt      time.Time
+	stats          FeedStats
 	// removed holds entries that were removed of late, and restored what was known when the platform last went back. Both are unused without
 	// a RestorePolicy.
 	removed  map[string]removedEntry[T]
@@ -307,6 +308,9 @@
 func (f *Follower[T]) update(now time.Time, version FeedVersion, changes Changes[T]) {
 	f.mutex.Lock()
 	f.appliedAt = now
+	if f.firstAppliedAt.IsZero() {
+		f.firstAppliedAt = now
+	}
 	isRewound := version.isRewoundFrom(f.version)
 	if isRewound {
 		f.recordRewind(version)
@@ -346,6 +350,13 @@
 	}
 }
 
+// FirstAppliedAt returns when this instance first learned of any entries, or of there being none. It is zero before.
+func (f *Follower[T]) FirstAppliedAt() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.firstAppliedAt
+}
+
 // Version identifies the entries that this instance holds and sends to others.
 func (f *Follower[T]) Version() FeedVersion {
 	f.mutex.Lock()
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -186,6 +186,9 @@
 	// VersionDeadline is how long after newer weights were named a request may still begin on older ones. Zero means that no deadline is
 	// known, and that the limits of fast engines apply.
 	VersionDeadline time.Duration
+	// UnknownAgeGrace is how long after its start an instance keeps to engines with older weights while no other instance tells for how long
+	// newer ones have been desired. It applies with a VersionDeadline alone.
+	UnknownAgeGrace time.Duration
 }
 
 // Retries bounds how often requests are retried, over all instances.
@@ -266,6 +269,7 @@
 		Orders: Orders{
 			Interval: time.Second, LeaseValidity: 15 * time.Second, CallTimeout: 3 * time.Second,
 			ValidFor: 2 * time.Second, Settle: 5 * time.Second, MinAtOnce: 2, Share: 0.34, LateShare: 0.5, LateAfter: 2800 * time.Millisecond,
+			UnknownAgeGrace: 3 * time.Second,
 		},
 		Retries:   Retries{Share: 0.15, Extra: 40, Window: 10 * time.Second},
 		Admission: Admission{Enabled: true},
