Refuse answers whose status is none that HTTP knows

Callers got the body of an answer with a status such as 000 or 101 as an answer of its own where it looked like one (200), or waited for the whole time of the route (504 after 3 s of 3 s). On our own interface such a status was a success, also for paid actions, orders and lists.

Cause: the client of the servers took each status below 200 for an interim answer, the library's parser accepts signs and leading zeros, and clients on net/http took each status below 300 for a success.

Change: lrstatus says what a status may be, for callers' requests, calls of our own and our own interface: three digits from 100 on, never 101, and five interim answers at most. Anything else breaks the attempt and closes the connection.

--- a/internal/lrconn/conn.go
+++ b/internal/lrconn/conn.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus"
 )
 
 const (
@@ -36,6 +38,7 @@
 var (
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errHeadTooLong  = errors.New("the head of the answer exceeds the size limit")
+	errInterim      = errors.New("too many interim answers")
 )
 
 // conn is one connection to a backend server.
@@ -131,11 +134,11 @@
 	return nil, errOtherRequest
 }
 
-// readHead reads the head of the next answer. Interim answers before it are discarded.
+// readHead reads the head of the next final answer. Interim answers before it are discarded.
 func (c *conn) readHead(method string, timeout time.Duration) (*http.Response, error) {
 	c.readingHead = true
 	defer func() { c.readingHead = false }()
-	for {
+	for range lrstatus.MaxInterim + 1 {
 		err := c.awaitHead(timeout)
 		if err != nil {
 			return nil, err
@@ -144,11 +147,15 @@
 		if err != nil {
 			return nil, err
 		}
-		err = c.SetReadDeadline(time.Time{})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		err = errors.Join(lrstatus.Check(response), c.SetReadDeadline(time.Time{}))
+		if err != nil {
+			return nil, err
+		}
+		if !lrstatus.IsInterim(response) {
+			return response, nil
 		}
 	}
+	return nil, errInterim
 }
 
 // awaitHead waits for the first byte of a head, and sets the deadline for the rest.
--- a/internal/lrengine/client.go
+++ b/internal/lrengine/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrnotice"
 )
 
@@ -40,7 +41,7 @@
 
 // NewDialer returns a Dialer for engines that serve HTTP and stream events as newline-delimited JSON.
 func NewDialer(h *http.Client) Dialer {
-	return &dialer{http: h}
+	return &dialer{http: lrstatus.WithCheck(h)}
 }
 
 func (d *dialer) Dial(address string) Engine {
--- a/internal/lrplatform/client.go
+++ b/internal/lrplatform/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrjson"
 )
 
@@ -80,6 +81,7 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.http = lrstatus.WithCheck(c.http)
 	return c
 }
 
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus"
 	"github.com/lavenderrouter/lavenderrouter/pkg/lrmemory"
 )
 
@@ -71,7 +72,7 @@
 func NewClient(maxBytes int64) Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialWithSendDeadline(&dialer), MaxResponseHeaderBytes: maxHeadBytes}
-	return &client{http: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, maxBytes: maxBytes}
+	return &client{http: &http.Client{Transport: lrstatus.Transport{Base: transport}, CheckRedirect: returnRedirect}, maxBytes: maxBytes}
 }
 
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
