Tell a reset while a request is written from the end of its answer

Callers of plain services on our own interface got a part of an answer as a complete one: a service answers a long upload at once, without a length, and resets the connection while the upload is still being written (a report of other operators).

Cause: the kernel reports a reset once. The write of the request gets the error, and the next read sees the end of the connection, which ends an answer without a length. Ruled out: that each end counts as complete (cases whose request was read whole never fail). On the platform the request is written whole before the answer is read, so that no write can take the error; a test holds it there.

Change: the connection of a request remembers the error of its last write and reports it in place of the end. A write under way is waited for, 0.1 s at most; one that has met a reset returns at once. The servers of the tests of odd answers share a package.

--- a/internal/lrengine/status_test.go
+++ b/internal/lrengine/status_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus/lrstatustest"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus/lranswertest"
 )
 
 // TestAnswersNeedValidStatus guards against an answer whose status is none, such as 000, that is taken for a success: an order counts as carried
@@ -17,9 +17,9 @@
 	defer cancel()
 	dialer := net.Dialer{}
 	engines := NewDialer(&http.Client{Transport: NewTransport(1, dialer.DialContext)})
-	for _, status := range lrstatustest.Invalid() {
+	for _, status := range lranswertest.Invalid() {
 		t.Run(status, func(t *testing.T) {
-			engine := engines.Dial(lrstatustest.Start(t, status, ""))
+			engine := engines.Dial(lranswertest.Start(t, status, ""))
 			requireEqual(t, ErrBroken.Has(engine.Order(ctx, Order{})), true, "order broken")
 			_, err := engine.Load(ctx)
 			requireEqual(t, ErrBroken.Has(err), true, "load broken")
--- a/internal/lrplatform/status_test.go
+++ b/internal/lrplatform/status_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus/lrstatustest"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus/lranswertest"
 )
 
 // TestAnswersNeedValidStatus guards against an answer whose status is none, such as 000, that is taken for a list without instances or for an
@@ -14,9 +14,9 @@
 func TestAnswersNeedValidStatus(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	for _, status := range lrstatustest.Invalid() {
+	for _, status := range lranswertest.Invalid() {
 		t.Run(status, func(t *testing.T) {
-			address := lrstatustest.StartText(t, func(*http.Request) string { return "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n[]" })
+			address := lranswertest.StartText(t, func(*http.Request) string { return "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n[]" })
 			platform := NewClient("http://" + address)
 			_, err := platform.Instances(ctx)
 			if !ErrUnavailable.Has(err) {
--- a/internal/lrservice/client.go
+++ b/internal/lrservice/client.go
@@ -71,7 +71,7 @@
 // NewClient returns a Client that accepts answers with a body of up to maxBytes bytes.
 func NewClient(maxBytes int64) Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialWithSendDeadline(&dialer), MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialRequestConn(&dialer), MaxResponseHeaderBytes: maxHeadBytes}
 	return &client{http: &http.Client{Transport: lrstatus.Transport{Base: transport}, CheckRedirect: returnRedirect}, maxBytes: maxBytes}
 }
 
--- a/internal/lrstatus/lrstatustest/server.go
+++ b/internal/lrstatus/lranswertest/server.go
@@ -1,5 +1,5 @@
-// Package lrstatustest provides servers for tests whose answers have no valid status.
-package lrstatustest
+// Package lranswertest provides servers for tests whose answers have no valid status, or come before the request was read and are reset.
+package lranswertest
 
 import (
 	"bufio"
