Read the store and other instances anew after connections fall silent

Cause: a list hung on a silent connection for its whole 2 s, and the next one could take another idle one that was silent too. Instances called each other on silent connections until the kernel gave them up, so that one that had read the change did not pass it on.

A connection to an instance on which two calls in a row had no answer in time is replaced. Weighed: a shorter time for lists, which would fail for good while the store is slow.

--- a/internal/lrpeer/pool.go
+++ b/internal/lrpeer/pool.go
@@ -51,8 +51,9 @@
 	if ok {
 		return connection, nil
 	}
+	silence := &silenceDetector{onSilence: func(silent *grpc.ClientConn) { p.drop(address, silent) }}
 	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(p.credentials),
-		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithUnaryInterceptor(silence.intercept))
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
 	}
@@ -60,6 +61,16 @@
 	return connection, nil
 }
 
+// drop closes the connection, so that the next call to the address makes a new one.
+func (p *Pool) drop(address string, silent *grpc.ClientConn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.connections[address] == silent {
+		delete(p.connections, address)
+	}
+	_ = silent.Close()
+}
+
 // Retain closes the connections to all addresses other than the given ones.
 func (p *Pool) Retain(addresses map[string]bool) {
 	p.mutex.Lock()
--- a/internal/lrstatus/status.go
+++ b/internal/lrstatus/status.go
@@ -64,6 +64,14 @@
 	return nil, err
 }
 
+// CloseIdleConnections closes the idle connections of the other transport.
+func (t Transport) CloseIdleConnections() {
+	closer, ok := t.Base.(interface{ CloseIdleConnections() })
+	if ok {
+		closer.CloseIdleConnections()
+	}
+}
+
 // WithCheck returns the client with a Transport that makes its requests.
 func WithCheck(client *http.Client) *http.Client {
 	checked := *client
