Accept request heads up to the limit of the configuration in force

Cause: the limit of the configuration was decoded and nothing read it; the setting of the process alone applied.

Change: the inspection of callers' connections takes the larger of the setting and the limit in force, 1 MiB at most, from the next request of each connection on, and refuses larger heads itself with 431 (reason headerBytes). net/http cannot change its limit while it runs and takes up to 1 MiB on this interface. Memory for heads comes from the same budget as before. On our own interface nothing raises the limit.

TestRaisedHeaderLimit holds: on the code before, the gate has no such limit.

--- a/internal/lrclients/clients.go
+++ b/internal/lrclients/clients.go
@@ -24,6 +24,8 @@
 	// collectorShare is the part of the machine's memory at which the garbage collector works harder. The rest is for what it does not
 	// manage: the program's text, stacks and the kernel's buffers.
 	collectorShare = 0.8
+	// MostHeaderBytes is the size up to which a configuration can raise the limit of request heads.
+	MostHeaderBytes = megabyte
 )
 
 // Clients are the limits of all clients of a process.
@@ -86,6 +88,11 @@
 // OperatorsListener returns a listener for operators, which holds them within the limits.
 func (c *Clients) OperatorsListener(l net.Listener) net.Listener { return c.operators.Listener(l) }
 
+// RaiseHeaderBytes accepts heads of callers' requests of up to the given size, if that is above the setting, and of up to MostHeaderBytes.
+func (c *Clients) RaiseHeaderBytes(bytes int) {
+	c.callers.RaiseMaxHeaderBytes(min(bytes, MostHeaderBytes))
+}
+
 // CallersServer returns a server for connections of CallersListener. The caller may set further fields.
 func (c *Clients) CallersServer(handler http.Handler) *http.Server {
 	return c.newServer(c.callers, handler)
--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -178,7 +178,9 @@
 			spec, ok := entries[d.ports.TableName]
 			if ok {
 				d.directory.SetSpec(spec)
-				d.reportTargets(d.directory.Table().Spec())
+				inForce := d.directory.Table().Spec()
+				d.clients.RaiseHeaderBytes(inForce.Limits.MaxHeaderBytes)
+				d.reportTargets(inForce)
 			}
 		})
 	servers := followerOptions[lrfleet.Server](d, feedServers, p.ServerInterval)
@@ -319,6 +321,8 @@
 		return table.Spec().Limits.MaxBodyBytes
 	})
 	server := d.clients.CallersServer(d.closeWhileDraining(handler))
+	// The limit of heads follows the configuration, which net/http cannot. The inspection of the connections keeps it.
+	server.MaxHeaderBytes = lrclients.MostHeaderBytes
 	track := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		track(c, state)
--- a/internal/lrframe/conn.go
+++ b/internal/lrframe/conn.go
@@ -66,8 +66,8 @@
 	now := time.Now()
 	c := &conn{
 		Conn: accepted, gate: g, address: addressOf(accepted), waitsSince: now, idle: idleState{acceptedAt: now},
-		inspector: inspector{maxHead: g.limits.MaxHeaderBytes + netHTTPSlack, maxLines: g.limits.MaxHeaderLines},
 	}
+	c.inspector.headLimits = g.headLimits()
 	c.holder = g.limits.Memory.NewHolder(c.address, allotmentBytes, c.wake)
 	setWriteBuffer(accepted)
 	return c
@@ -130,6 +130,9 @@
 
 // note inspects the bytes and charges what the requests in them cost.
 func (c *conn) note(data []byte) {
+	if c.inspector.isBetweenRequests() {
+		c.inspector.headLimits = c.gate.headLimits()
+	}
 	c.inspector.inspect(data)
 	completed := c.inspector.takeCompleted()
 	if !c.isTracked {
@@ -138,8 +141,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.hasInput = c.hasInput || len(data) > 0
-	if c.inspector.hasTooManyLines {
+	switch {
+	case c.inspector.hasTooManyLines:
 		c.refuseLocked(reasonLines)
+	case c.inspector.hasTooManyBytes:
+		c.refuseLocked(reasonHeaderBytes)
 	}
 	isServing := len(c.heads) > 0
 	c.heads = append(c.heads, completed...)
--- a/internal/lrframe/cost_test.go
+++ b/internal/lrframe/cost_test.go
@@ -22,7 +22,7 @@
 		f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat(line, 60)+"\r\n"), uint64(2))
 	}
 	f.Fuzz(func(t *testing.T, data []byte, seed uint64) {
-		whole := inspector{maxHead: 1 << 10, maxLines: 40}
+		whole := inspector{headLimits: headLimits{maxHead: 1 << 10, maxLines: 40}}
 		whole.inspect(data)
 		split, isMonotonic := costOfSplit(rand.New(rand.NewPCG(seed, 7)), data)
 		if !isMonotonic {
@@ -49,7 +49,7 @@
 
 // costOfSplit passes the data to an inspector in parts and returns the cost, and whether it never fell.
 func costOfSplit(random *rand.Rand, data []byte) (cost int, isMonotonic bool) {
-	i := inspector{maxHead: 1 << 10, maxLines: 40}
+	i := inspector{headLimits: headLimits{maxHead: 1 << 10, maxLines: 40}}
 	isMonotonic = true
 	for len(data) > 0 {
 		n := 1 + random.IntN(len(data))
--- a/internal/lrframe/gate.go
+++ b/internal/lrframe/gate.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,8 +25,10 @@
 type Gate struct {
 	limits Limits
 	stats  *Stats
-	mutex  sync.Mutex
-	conns  map[*conn]bool
+	// raisedHeaderBytes is the size of heads up to which MaxHeaderBytes was raised.
+	raisedHeaderBytes atomic.Int64
+	mutex             sync.Mutex
+	conns             map[*conn]bool
 	// closed is closed when a connection has ended. It is nil while nobody waits.
 	closed chan struct{}
 }
@@ -35,6 +38,20 @@
 	return &Gate{limits: limits.withDefaults(), stats: stats, conns: map[*conn]bool{}}
 }
 
+// RaiseMaxHeaderBytes sets the size up to which heads are accepted. Below MaxHeaderBytes it has no effect. It applies from the next request of
+// each connection on.
+func (g *Gate) RaiseMaxHeaderBytes(bytes int) { g.raisedHeaderBytes.Store(int64(bytes)) }
+
+// headLimits returns the limits of the next head.
+func (g *Gate) headLimits() headLimits {
+	bytes := max(g.limits.MaxHeaderBytes, int(g.raisedHeaderBytes.Load()))
+	lines := g.limits.MaxHeaderLines
+	if lines == 0 {
+		lines = bytes / minLineBytes
+	}
+	return headLimits{maxHead: bytes + netHTTPSlack, maxLines: lines}
+}
+
 // Listener returns a listener whose connections are inspected and held within the limits.
 func (g *Gate) Listener(l net.Listener) net.Listener { return &listener{Listener: l, gate: g} }
 
--- a/internal/lrframe/gate_test.go
+++ b/internal/lrframe/gate_test.go
@@ -25,13 +25,26 @@
 func startGate(t *testing.T, limits Limits) (address string, release func()) {
 	t.Helper()
 	limits.MaxHeaderBytes = testHeaderBytes
-	gate := NewGate(limits, NewStats(zerolog.Nop()))
+	return serveGate(t, NewGate(limits, NewStats(zerolog.Nop())), testHeaderBytes)
+}
+
+// startRaisableGate serves requests behind a gate whose limit of heads can be raised.
+func startRaisableGate(t *testing.T) (gate *Gate, address string) {
+	t.Helper()
+	gate = NewGate(Limits{MaxHeaderBytes: testHeaderBytes}, NewStats(zerolog.Nop()))
+	address, _ = serveGate(t, gate, 16*testHeaderBytes)
+	return gate, address
+}
+
+// serveGate serves requests behind the gate. net/http takes heads of up to the given size.
+func serveGate(t *testing.T, gate *Gate, mostHeaderBytes int) (address string, release func()) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	requireEqual(t, err, nil)
 	released := make(chan struct{})
 	server := &http.Server{
-		Handler: gate.Handler(answerWithin(limits.Memory, released)), ConnContext: ConnContext, ConnState: gate.ConnState,
-		ReadHeaderTimeout: testTimeout, MaxHeaderBytes: testHeaderBytes,
+		Handler: gate.Handler(answerWithin(gate.limits.Memory, released)), ConnContext: ConnContext, ConnState: gate.ConnState,
+		ReadHeaderTimeout: testTimeout, MaxHeaderBytes: mostHeaderBytes,
 	}
 	go func() { _ = server.Serve(gate.Listener(l)) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -208,3 +221,23 @@
 		}
 	}
 }
+
+// TestRaisedHeaderLimit guards against a limit of request heads that an operator has raised and that is not applied: proper requests got 431. It
+// applies to open connections, and larger heads are still refused.
+func TestRaisedHeaderLimit(t *testing.T) {
+	gate, address := startRaisableGate(t)
+	withHeader := func(bytes int) string {
+		return "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", bytes) + "\r\n\r\n"
+	}
+	kept := send(t, address, ordinary)
+	requireStatus(t, kept, http.StatusOK)
+	requireStatus(t, send(t, address, withHeader(2*testHeaderBytes)), http.StatusRequestHeaderFieldsTooLarge)
+	gate.RaiseMaxHeaderBytes(3 * testHeaderBytes)
+	_, err := io.WriteString(kept, withHeader(2*testHeaderBytes))
+	requireEqual(t, err, nil)
+	requireStatus(t, kept, http.StatusOK)
+	requireStatus(t, send(t, address, withHeader(2*testHeaderBytes)), http.StatusOK)
+	requireStatus(t, send(t, address, withHeader(5*testHeaderBytes)), http.StatusRequestHeaderFieldsTooLarge)
+	gate.RaiseMaxHeaderBytes(0)
+	requireStatus(t, send(t, address, withHeader(2*testHeaderBytes)), http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/internal/lrframe/idle_closer_test.go
+++ b/internal/lrframe/idle_closer_test.go
@@ -54,7 +54,7 @@
 
 func newTestConn(acceptedAt time.Time) (local *conn, remote net.Conn) {
 	a, b := net.Pipe()
-	return &conn{Conn: a, inspector: inspector{maxHead: 1 << 10}, idle: idleState{acceptedAt: acceptedAt}}, b
+	return &conn{Conn: a, inspector: inspector{headLimits: headLimits{maxHead: 1 << 10}}, idle: idleState{acceptedAt: acceptedAt}}, b
 }
 
 func requireEqual[T comparable](t *testing.T, got, want T) {
--- a/internal/lrframe/inspector.go
+++ b/internal/lrframe/inspector.go
@@ -18,9 +18,7 @@
 
 // An inspector parses the bytes of one connection request by request. Only violation may be called concurrently with inspect.
 type inspector struct {
-	maxHead int
-	// maxLines bounds the header lines of a head. Zero means no bound.
-	maxLines int
+	headLimits
 	// pending holds the bytes of an incomplete head.
 	pending []byte
 	// bodyRemaining is the number of bytes of the current body that have not been inspected.
@@ -35,8 +33,17 @@
 	uncounted int
 	// completed are the heads that were completed since the last call of takeCompleted.
 	completed []completedHead
-	// hasTooManyLines is set when a head has more lines than allowed.
+	// hasTooManyLines is set when a head has more lines than allowed, and hasTooManyBytes when it is larger than allowed.
 	hasTooManyLines bool
+	hasTooManyBytes bool
+}
+
+// headLimits bound the head of a request.
+type headLimits struct {
+	// maxHead is the size of the largest head.
+	maxHead int
+	// maxLines bounds the header lines of a head. Zero means no bound.
+	maxLines int
 }
 
 // A completedHead is what a complete head costs, and whether a body follows it.
@@ -61,6 +68,11 @@
 	return completed
 }
 
+// isBetweenRequests reports whether the next bytes begin a request.
+func (i *inspector) isBetweenRequests() bool {
+	return !i.opaque && len(i.pending) == 0 && i.bodyRemaining == 0
+}
+
 // inspect processes the next bytes of the connection.
 func (i *inspector) inspect(data []byte) {
 	for len(data) > 0 && !i.opaque {
@@ -89,6 +101,7 @@
 		i.count(data[:end-buffered])
 	}
 	if max(end, 0) > i.maxHead || end < 0 && len(i.pending) > i.maxHead {
+		i.hasTooManyBytes = true
 		i.fail("the headers are too large")
 		return nil
 	}
--- a/internal/lrframe/inspector_test.go
+++ b/internal/lrframe/inspector_test.go
@@ -40,7 +40,7 @@
 
 // inspectSplit passes the data to an inspector in chunks of random length and returns the violation.
 func inspectSplit(random *rand.Rand, data []byte) string {
-	i := inspector{maxHead: 1 << 10}
+	i := inspector{headLimits: headLimits{maxHead: 1 << 10}}
 	for len(data) > 0 {
 		n := 1 + random.IntN(len(data))
 		i.inspect(data[:n])
@@ -63,7 +63,7 @@
 		f.Add([]byte(h.text), uint64(1))
 	}
 	f.Fuzz(func(t *testing.T, data []byte, seed uint64) {
-		whole := inspector{maxHead: 1 << 10}
+		whole := inspector{headLimits: headLimits{maxHead: 1 << 10}}
 		whole.inspect(data)
 		requireViolation(t, inspectSplit(rand.New(rand.NewPCG(seed, 5)), data), whole.violation())
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(data)))
--- a/internal/lrframe/limits.go
+++ b/internal/lrframe/limits.go
@@ -47,9 +47,6 @@
 
 // withDefaults returns the limits with the values that are derived.
 func (l Limits) withDefaults() Limits {
-	if l.MaxHeaderLines == 0 {
-		l.MaxHeaderLines = l.MaxHeaderBytes / minLineBytes
-	}
 	if l.Memory == nil {
 		l.Memory = lrmemory.NewBudget(math.MaxInt)
 	}
--- a/internal/lrframe/refusal.go
+++ b/internal/lrframe/refusal.go
@@ -19,6 +19,8 @@
 	switch reason {
 	case reasonLines:
 		return lrerror.New(lrerror.KindHeaderTooLarge, lrerror.NotRun, "the request has too many header lines; send fewer")
+	case reasonHeaderBytes:
+		return lrerror.New(lrerror.KindHeaderTooLarge, lrerror.NotRun, "the headers of the request are too large; send less")
 	case reasonConnections:
 		return lrerror.New(lrerror.KindOverloaded, lrerror.NotRun, "this instance has as many connections as it may; try again").
 			WithRetryAfter(refusalRetryAfter)
--- a/internal/lrframe/stats.go
+++ b/internal/lrframe/stats.go
@@ -11,6 +11,7 @@
 // The reasons for which a client is refused.
 const (
 	reasonLines       = "headerLines"
+	reasonHeaderBytes = "headerBytes"
 	reasonMemory      = "memory"
 	reasonConnections = "connections"
 )
