--- a/internal/lrstatus/lranswertest/early.go
+++ b/internal/lrstatus/lranswertest/early.go
@@ -21,21 +21,7 @@
 // Start starts the server and returns its address.
 func (e Early) Start(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c)
-		}
-	}()
-	return listener.Addr().String()
+	return startServer(t, e.serve)
 }
 
 func (e Early) serve(c net.Conn) {
--- a/internal/lrstatus/lranswertest/server.go
+++ b/internal/lrstatus/lranswertest/server.go
@@ -40,6 +40,12 @@
 
 // StartText starts a server that answers each request with the text and keeps the connection open.
 func StartText(t *testing.T, answer func(r *http.Request) string) string {
+	t.Helper()
+	return startServer(t, func(c net.Conn) { serve(c, answer) })
+}
+
+// startServer starts a server that serves each connection with the function, and returns its address.
+func startServer(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -52,7 +58,7 @@
 			if err != nil {
 				return
 			}
-			go serve(c, answer)
+			go serve(c)
 		}
 	}()
 	return listener.Addr().String()
