--- a/internal/lrstatus/lranswertest/server.go
+++ b/internal/lrstatus/lranswertest/server.go
@@ -10,7 +10,10 @@
 	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lavenderrouter/lavenderrouter/internal/lrstatus"
+	"github.com/lavenderrouter/lavenderrouter/internal/lrsupervise"
 )
 
 // Invalid returns what answers may name as a status that is none.
@@ -52,15 +55,15 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
+	lrsupervise.Go(zerolog.Nop(), "accept", func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go serve(c)
+			lrsupervise.Go(zerolog.Nop(), "serve", func() { serve(c) })
 		}
-	}()
+	})
 	return listener.Addr().String()
 }
 
