--- a/internal/lredge/weights.go
+++ b/internal/lredge/weights.go
@@ -20,8 +20,8 @@
 // outdatedLimit returns how long after an update requests are still sent to engines with outdated weights, or zero for the default.
 func outdatedLimit(deadline time.Duration) time.Duration { return max(deadline-deadlineMargin, 0) }
 
-// assumedAge returns for how long a version is taken to be desired at the start of an instance if no other one tells: until the deadline, the
-// instance then has the grace. Zero means that the age counts from the first read.
+// assumedAge returns for how long a version that was named before the start of an instance counts as desired at the start, so that its deadline
+// passes after the grace. Zero means that its age counts from the first read.
 func assumedAge(o lrsettings.Orders) time.Duration {
 	return max(o.VersionDeadline-o.UnknownAgeGrace, 0)
 }
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -186,8 +186,8 @@
 	// VersionDeadline is how long after newer weights were named a request may still begin on older ones. Zero means that no deadline is
 	// known, and that the limits of fast engines apply.
 	VersionDeadline time.Duration
-	// UnknownAgeGrace is how long after its start an instance keeps to engines with older weights while no other instance tells for how long
-	// newer ones have been desired. It applies with a VersionDeadline alone.
+	// UnknownAgeGrace is the time from the start of an instance to the deadline of weights that were named before the start, while no other
+	// instance tells when they were. It has no effect without a VersionDeadline.
 	UnknownAgeGrace time.Duration
 }
 
