--- a/internal/lrstatus/lranswertest/early.go
+++ b/internal/lrstatus/lranswertest/early.go
@@ -7,12 +7,12 @@
 	"time"
 )
 
-// EarlyAnswer is the head and a part of the body of an answer without a length.
-const EarlyAnswer = "HTTP/1.1 200 OK\r\n\r\npart of the bo"
+// earlyAnswer is the head and a part of the body of an answer without a length.
+const earlyAnswer = "HTTP/1.1 200 OK\r\n\r\npart of the bo"
 
 // An Early server answers before it has read the whole request.
 type Early struct {
-	// ReadBytes is the number of bytes of the request that it reads before it sends EarlyAnswer.
+	// ReadBytes is the number of bytes of the request that it reads before it answers.
 	ReadBytes int64
 	// ResetAfter is the time after which it resets the connection.
 	ResetAfter time.Duration
@@ -26,7 +26,7 @@
 
 func (e Early) serve(c net.Conn) {
 	_, _ = io.CopyN(io.Discard, c, e.ReadBytes)
-	_, _ = io.WriteString(c, EarlyAnswer)
+	_, _ = io.WriteString(c, earlyAnswer)
 	time.Sleep(e.ResetAfter)
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
