Send no age that has wrapped round

An instance that reads a desired version while it makes up a message told the others that the version had been desired for seven weeks: engines with older weights would be out of use everywhere at once.

Cause: the time of the message is taken at its beginning, the version is recorded meanwhile with a later one, and the age below zero wraps round as an unsigned number. The same conversion stood at the ages of reads, KV stores, the rollout and the lists of instances.

Measured: TestAgeOfVersionNamedMeanwhileIsZero gets ms before and 0 after; the tests of lrpeer, lrfleet and lrstate pass.

--- a/internal/lrfleet/desired_versions_test.go
+++ b/internal/lrfleet/desired_versions_test.go
@@ -88,3 +88,14 @@
 	d.RecordDesiredAge(now, DesiredAge{DesiredVersion: DesiredVersion{Model: "m", Version: 3}, Age: time.Second})
 	requireEqual(t, "version 2 once told", d.OutdatedFor(now, "m", 2), time.Second)
 }
+
+// TestAgeOfVersionNamedMeanwhileIsZero guards against an age below zero that wraps round when it is sent: a version that is read while a message
+// is being made up was told as desired for weeks, so that all engines with older weights were out of use at once.
+func TestAgeOfVersionNamedMeanwhileIsZero(t *testing.T) {
+	f := newTestFleet(1)
+	s := f.sharers[0]
+	s.Directory.SetDesired(f.now.Add(5*time.Millisecond), "m", 2)
+	state, _ := s.stateFor(f.now, s.peers["b0"])
+	requireEqual(t, "notes", len(state.GetWanted()), 1)
+	requireEqual(t, "age", state.GetWanted()[0].GetAgeMillis(), 0)
+}
--- a/internal/lrfleet/exchange.go
+++ b/internal/lrfleet/exchange.go
@@ -114,13 +114,13 @@
 			state.FeedRewinds[name] = version.Rewinds
 		}
 		eras[name] = version.Era
-		state.ReadAges[name] = uint32(min(age, maxReadAge).Milliseconds())
+		state.ReadAges[name] = lrpeer.AgeMillis(min(age, maxReadAge))
 		state.RestoredEntries = append(state.RestoredEntries, encodeRestored(name, f.RestoredEntries(now))...)
 	}
 	state.Era, state.FeedEras = encodeEras(eras)
 	for _, w := range s.Directory.DesiredAges(now) {
 		state.Wanted = append(state.Wanted, &lrpeerpb.WantedNote{
-			Model: w.Model, Version: w.Version, AgeMillis: uint32(min(w.Age, maxReadAge).Milliseconds()),
+			Model: w.Model, Version: w.Version, AgeMillis: lrpeer.AgeMillis(min(w.Age, maxReadAge)),
 		})
 	}
 	for _, w := range s.weightsUpdates.updates(now) {
@@ -131,7 +131,7 @@
 	state.Quarantine = lrpeer.EncodeQuarantine(s.Quarantine.Updates(now))
 	s.KVStores.Updates(now, func(status KVStoreStatus, age time.Duration) {
 		state.Kept = append(state.Kept, &lrpeerpb.KeptNote{
-			Address: status.Address, Epoch: status.Epoch, IsDown: status.IsDown, AgeMillis: uint32(age.Milliseconds()),
+			Address: status.Address, Epoch: status.Epoch, IsDown: status.IsDown, AgeMillis: lrpeer.AgeMillis(age),
 			ResidencyMillis: uint32(status.Residency.Milliseconds()),
 		})
 	})
@@ -175,7 +175,7 @@
 		return &lrpeerpb.RolloutState{AgeMillis: math.MaxUint32, Fence: fence}
 	default:
 		return &lrpeerpb.RolloutState{
-			Holder: s.rollout.holder, Closing: s.rollout.closing, AgeMillis: uint32(now.Sub(s.rollout.at).Milliseconds()), Fence: fence,
+			Holder: s.rollout.holder, Closing: s.rollout.closing, AgeMillis: lrpeer.AgeMillis(now.Sub(s.rollout.at)), Fence: fence,
 		}
 	}
 }
--- a/internal/lrpeer/instance_list.go
+++ b/internal/lrpeer/instance_list.go
@@ -121,7 +121,7 @@
 	if l.readAt.IsZero() {
 		return nil
 	}
-	return &lrpeerpb.ListState{Digest: l.digest, AgeMillis: uint32(now.Sub(l.readAt).Milliseconds())}
+	return &lrpeerpb.ListState{Digest: l.digest, AgeMillis: AgeMillis(now.Sub(l.readAt))}
 }
 
 // applyState applies the digest and age of the list that the peer at the address has announced.
@@ -280,7 +280,7 @@
 	if l.readAt.IsZero() {
 		return reply, nil
 	}
-	reply.AgeMillis = uint32(now.Sub(l.readAt).Milliseconds())
+	reply.AgeMillis = AgeMillis(now.Sub(l.readAt))
 	if request.GetDigest() == l.digest {
 		return reply, nil
 	}
--- a/internal/lrpeer/quarantine_news.go
+++ b/internal/lrpeer/quarantine_news.go
@@ -1,6 +1,7 @@
 package lrpeer
 
 import (
+	"math"
 	"time"
 
 	"github.com/lavenderrouter/lavenderrouter/internal/lrpeer/lrpeerpb"
@@ -11,19 +12,19 @@
 func EncodeQuarantine(updates lrquarantine.Updates) *lrpeerpb.QuarantineNews {
 	news := &lrpeerpb.QuarantineNews{}
 	for _, c := range updates.Crashes {
-		note := &lrpeerpb.CrashNote{Server: c.Server, Request: uint64(c.Request.Whole), AgeMillis: ageMillis(c.Age)}
+		note := &lrpeerpb.CrashNote{Server: c.Server, Request: uint64(c.Request.Whole), AgeMillis: AgeMillis(c.Age)}
 		for _, p := range c.Request.Parts {
 			note.Parts = append(note.Parts, uint64(p))
 		}
 		news.Crashes = append(news.Crashes, note)
 	}
 	for _, c := range updates.Completions {
-		news.Completions = append(news.Completions, &lrpeerpb.CompletionNote{Trait: uint64(c.Trait), AgeMillis: ageMillis(c.Age)})
+		news.Completions = append(news.Completions, &lrpeerpb.CompletionNote{Trait: uint64(c.Trait), AgeMillis: AgeMillis(c.Age)})
 	}
 	for _, v := range updates.Verdicts {
 		news.Verdicts = append(news.Verdicts, &lrpeerpb.VerdictNote{
 			Trait: uint64(v.Trait), Version: v.Version, IsQuarantined: v.IsQuarantined, IsAmbiguous: v.IsAmbiguous, Trials: v.Trials,
-			Crashes: v.Crashes, AgeMillis: ageMillis(v.Age), SeenAgeMillis: ageMillis(v.SeenAge),
+			Crashes: v.Crashes, AgeMillis: AgeMillis(v.Age), SeenAgeMillis: AgeMillis(v.SeenAge),
 		})
 	}
 	return news
@@ -62,6 +63,10 @@
 	return updates
 }
 
-func ageMillis(age time.Duration) uint32 { return uint32(max(age, 0).Milliseconds()) }
+// AgeMillis returns an age as messages bear it. What has come up while a message is being made up has an age below zero, and what was never read
+// one of centuries: both would wrap round.
+func AgeMillis(age time.Duration) uint32 {
+	return uint32(min(max(age, 0).Milliseconds(), math.MaxUint32))
+}
 
 func millis(value uint32) time.Duration { return time.Duration(value) * time.Millisecond }
