--- a/review/13/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lavenderrouter ] || { echo "target/lavenderrouter is missing: run the build line of deploy/system.toml"; exit 2; }
 [ -x target/_review3/review3 ] || sh review/build-3.sh || exit 2
-exec target/_review3/review3 review/13
+exec target/_review3/review3 review/15
