Let no instance acquire a lease again within the turn interval of another holder

Cause: a released lease is free at once for everybody, also for an instance that held it a moment ago. Neither the lease nor an instance knew who had held it shortly before. Ruled out: two holders at one time (A's last order comes 1.1 s before B's first, the numbers rise); an order sent late under an old term (A's second order bears a number above B's); the validity alone (with lease_ms as validity a release still hands the lease back).

Change: the lease names the instances that may have held it within the turn interval. One that another instance has followed acquires it again only after the interval, counted from its own last term, or from the start of its process if that has not held it.

--- a/internal/lrcommand/edge.go
+++ b/internal/lrcommand/edge.go
@@ -22,11 +22,13 @@
 
 func newEdgeCommand() *cobra.Command {
 	var path string
+	var turnInterval time.Duration
 	command := &cobra.Command{
 		Use: "edge", Short: "Run one instance behind the platform's balancer", Args: cobra.NoArgs,
 		Example: "  " + envSettings + "=/etc/lavenderrouter/settings.toml lavenderrouter edge",
 	}
 	command.Flags().StringVar(&path, "settings", os.Getenv(envSettings), "INI file with the settings (or "+envSettings+")")
+	command.Flags().DurationVar(&turnInterval, "turn-interval", 0, "takes the place of [orders] turnInterval unless it is zero")
 	command.RunE = func(c *cobra.Command, _ []string) error {
 		// A reload signal that arrives before the start is complete must not end the process.
 		signal.Ignore(syscall.SIGHUP)
@@ -34,6 +36,9 @@
 		if err != nil {
 			return err
 		}
+		if turnInterval > 0 {
+			settings.Orders.TurnInterval = turnInterval
+		}
 		lrclients.LimitHeap(settings.Instance)
 		level, err := parseLevel(settings.Log)
 		if err != nil {
--- a/internal/lrdaemon/wire_orders.go
+++ b/internal/lrdaemon/wire_orders.go
@@ -12,7 +12,7 @@
 	d.orders = lrorders.NewController(lrorders.Dependencies{
 		Store: d.platform, Engines: d.registry, DesiredModels: d.desiredModels, Clock: d.clock, Log: d.log,
 	}, lrorders.Options{
-		Instance: d.settings.Instance.Name, Zone: d.settings.Instance.Zone, LeaseValidity: s.LeaseValidity,
+		Instance: d.settings.Instance.Name, Zone: d.settings.Instance.Zone, LeaseValidity: s.LeaseValidity, TurnInterval: s.Turn(),
 		Times: lrorder.Timeouts{CallTimeout: s.CallTimeout, ValidFor: s.ValidFor}, SettleTime: s.Settle,
 	}, d.members)
 	d.supervisor.Add("giveOrders", lrsupervise.Every(s.Interval, d.orders.Step))
--- a/internal/lredge/weights.go
+++ b/internal/lredge/weights.go
@@ -42,7 +42,9 @@
 // wireWeights creates the part that orders engines to load new weights, and the lease under which it does so.
 func (d *Daemon) wireWeights() {
 	o := d.settings.Orders
-	d.leaseKeeper = lrlease.NewKeeper(d.ports.Store, rolloutLease, d.settings.Instance.Name, o.LeaseValidity, lrclock.BootTime)
+	d.leaseKeeper = lrlease.NewKeeper(d.ports.Store, lrlease.Options{
+		Name: rolloutLease, Instance: d.settings.Instance.Name, Validity: o.LeaseValidity, TurnInterval: o.Turn() + lrweights.OrderTimeout,
+	}, lrclock.BootTime)
 	d.weights = lrweights.NewUpdater(lrweights.Dependencies{
 		Instance: d.settings.Instance.Name, Keeper: d.leaseKeeper, Engines: d.ports.Engines, Directory: d.directory, Balancer: d.balancer,
 		Options:    lrrollout.Options{MinAtOnce: o.MinAtOnce, Share: o.Share, LateShare: o.LateShare, LateAfter: o.LateAfter, Deadline: o.VersionDeadline},
--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -30,11 +30,13 @@
 
 // A Keeper acquires, renews and releases one lease. It is safe for use by several goroutines.
 type Keeper struct {
-	store    lrplatform.Objects
-	name     string
-	holder   string
-	validity time.Duration
-	clock    func() time.Time
+	store        lrplatform.Objects
+	name         string
+	holder       string
+	validity     time.Duration
+	turnInterval time.Duration
+	clock        func() time.Time
+	createdAt    time.Time
 
 	mutex  sync.Mutex
 	object lrplatform.Object
@@ -44,6 +46,8 @@
 	wasRestored bool
 	heldSince   time.Time
 	validUntil  time.Time
+	// heldUntil is when this instance last ceased to hold the lease, or will cease if it does not renew it.
+	heldUntil   time.Time
 	wasReleased bool
 	// highestFence is the highest fencing number that is known, refusedFence is the highest fencing number that a receiver has refused, and fencedAt
 	// when the number was last raised because of that.
@@ -54,10 +58,24 @@
 	inDoubt []string
 }
 
-// NewKeeper returns a Keeper of the named lease. It does not hold the lease until Step has acquired it. The holder is the
-// name of the instance. Each Keeper adds a unique suffix to it.
-func NewKeeper(store lrplatform.Objects, name, holder string, validity time.Duration, clock func() time.Time) *Keeper {
-	return &Keeper{store: store, name: name, holder: holder + "/" + uuid.NewString(), validity: validity, clock: clock}
+// Options configure a Keeper.
+type Options struct {
+	// Name is the name of the lease.
+	Name string
+	// Instance is the name of the instance. Each Keeper adds a unique suffix to it.
+	Instance string
+	// Validity is how long the lease lasts after each renewal.
+	Validity time.Duration
+	// TurnInterval is how long an instance that has ceased to hold the lease does not acquire it again once another one has held it.
+	TurnInterval time.Duration
+}
+
+// NewKeeper returns a Keeper that does not hold the lease until Step has acquired it. No other process of the instance may run.
+func NewKeeper(store lrplatform.Objects, options Options, clock func() time.Time) *Keeper {
+	return &Keeper{
+		store: store, name: options.Name, holder: options.Instance + "/" + uuid.NewString(), validity: options.Validity,
+		turnInterval: options.TurnInterval, clock: clock, createdAt: clock(),
+	}
 }
 
 // Held returns the state of the lease now, and reports whether this instance holds it.
@@ -80,13 +98,13 @@
 	case !held:
 		return k.contend(ctx)
 	case k.mustRaise(now):
-		object, lease := k.current()
-		return k.write(ctx, object, lease.WithRenewal(uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), false)
+		object, _ := k.current()
+		return k.write(ctx, object, k.renewal(now, uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), false)
 	case grant.Remaining > k.validity-k.validity/renewDivisor:
 		return nil
 	default:
-		object, lease := k.current()
-		return k.write(ctx, object, lease.WithRenewal(uuid.NewString()), false)
+		object, _ := k.current()
+		return k.write(ctx, object, k.renewal(now, uuid.NewString()), false)
 	}
 }
 
@@ -95,11 +113,15 @@
 	if err != nil {
 		return err
 	}
-	if !k.isFree(k.clock()) {
+	now := k.clock()
+	if !k.isFree(now) {
 		return nil
 	}
-	object, lease := k.current()
-	return k.write(ctx, object, lease.WithHolder(k.holder, uuid.NewString(), k.validity).WithFenceAbove(k.fenceFloor(object)), true)
+	if wait := k.turnWait(now); wait > 0 {
+		return ErrTurn.New("%v left", wait)
+	}
+	object, _ := k.current()
+	return k.write(ctx, object, k.acquisition(uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), true)
 }
 
 // isFree reports whether no other instance can hold the lease: its holder has released it, or has not renewed it for the validity.
@@ -194,6 +216,7 @@
 	k.highestFence = max(k.highestFence, lease.Fence)
 	k.object, k.lease, k.firstSeenAt, k.inDoubt = written, lease, startedAt, nil
 	k.validUntil = startedAt.Add(k.validity)
+	k.heldUntil = k.validUntil
 	return nil
 }
 
@@ -245,7 +268,8 @@
 // lose ends the validity of the lease at once, in favor of what is stored.
 func (k *Keeper) lose(object lrplatform.Object, stored Lease) error {
 	k.mutex.Lock()
-	k.validUntil, k.inDoubt = time.Time{}, nil
+	k.endTurn(k.clock())
+	k.inDoubt = nil
 	k.mutex.Unlock()
 	k.observe(k.clock(), object, stored)
 	return ErrLost.New("era %d, version %d, holder %q", object.Era, object.Version, stored.Holder)
@@ -266,7 +290,7 @@
 	}
 	object, lease := k.current()
 	k.mutex.Lock()
-	k.validUntil = time.Time{}
+	k.endTurn(k.clock())
 	k.mutex.Unlock()
 	value, err := json.Marshal(lease.WithoutHolder(uuid.NewString()))
 	if err != nil {
--- a/internal/lrlease/keeper_test.go
+++ b/internal/lrlease/keeper_test.go
@@ -30,10 +30,15 @@
 	Held(now time.Time) (Status, bool)
 }
 
+// testOptions returns the options of a Keeper of the instance, with no bound on turns.
+func testOptions(instance string) Options {
+	return Options{Name: leaseName, Instance: instance, Validity: validity}
+}
+
 type newContender func(store lrplatform.Store, holder string) contender
 
 func newTestKeeper(store lrplatform.Store, holder string) contender {
-	return NewKeeper(store, leaseName, holder, validity, time.Now)
+	return NewKeeper(store, testOptions(holder), time.Now)
 }
 
 // TestOneHolderAtATime checks that of three contending instances at most one holds the lease at any time. The instances
@@ -172,8 +177,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		memory := lrplatform.NewMemory()
-		first := NewKeeper(memory, leaseName, "router-1", validity, time.Now)
-		second := NewKeeper(memory, leaseName, "router-2", validity, time.Now)
+		first := NewKeeper(memory, testOptions("router-1"), time.Now)
+		second := NewKeeper(memory, testOptions("router-2"), time.Now)
 		requireEqual(t, first.Step(ctx), nil, "error")
 		requireEqual(t, second.Step(ctx), nil, "error")
 		_, held := second.Held(time.Now())
--- a/internal/lrlease/lease.go
+++ b/internal/lrlease/lease.go
@@ -3,7 +3,11 @@
 // checks the number can reject the commands of an earlier holder.
 package lrlease
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // A Lease is the value of a lease object. It contains no times, since the clocks of instances differ: another instance may
 // acquire the lease once it has seen the object unchanged for longer than the validity.
@@ -16,11 +20,53 @@
 	Fence uint64 `json:"fence"`
 	// ValidMillis is how long the lease lasts after each renewal, in milliseconds.
 	ValidMillis int64 `json:"validMillis"`
+	// RecentHolders are the instances that may have held the lease within the turn interval before the present holder, the latest last. It is
+	// nil when they are unknown: earlier versions of the program do not write it.
+	RecentHolders []string `json:"recentHolders"`
+}
+
+// firstLease returns the lease before its first holder.
+func firstLease() Lease { return Lease{RecentHolders: []string{}} }
+
+// instanceOf returns the name of the instance in the name of a holder, to which each process adds a suffix of its own.
+func instanceOf(holder string) string {
+	end := strings.LastIndexByte(holder, '/')
+	if end < 0 {
+		return holder
+	}
+	return holder[:end]
+}
+
+// holders returns the recent holders with the present one, the latest last. It reports false when they are unknown.
+func (l Lease) holders() ([]string, bool) {
+	if l.Holder == "" || l.RecentHolders == nil {
+		return l.RecentHolders, l.RecentHolders != nil
+	}
+	return appendLatest(l.RecentHolders, instanceOf(l.Holder)), true
+}
+
+// appendLatest returns the instances with the latest one at the end, each of them once.
+func appendLatest(instances []string, latest string) []string {
+	others := slices.DeleteFunc(slices.Clone(instances), func(name string) bool { return name == latest })
+	return append(others, latest)
 }
 
 // WithHolder returns the lease with the next holder and an increased fencing number.
 func (l Lease) WithHolder(holder, nonce string, validity time.Duration) Lease {
-	return Lease{Holder: holder, Nonce: nonce, Fence: l.Fence + 1, ValidMillis: validity.Milliseconds()}
+	recent, _ := l.holders()
+	return Lease{Holder: holder, Nonce: nonce, Fence: l.Fence + 1, ValidMillis: validity.Milliseconds(), RecentHolders: recent}
+}
+
+// WithoutRecentHolders returns the lease of a holder that has held it for the turn interval, so that no other instance did so within it.
+func (l Lease) WithoutRecentHolders() Lease {
+	l.RecentHolders = []string{}
+	return l
+}
+
+// WithUnknownHolders returns the lease without a record of who held it before.
+func (l Lease) WithUnknownHolders() Lease {
+	l.RecentHolders = nil
+	return l
 }
 
 // WithFenceAbove returns the lease with a fencing number that is above the floor, and no lower than it is.
@@ -37,6 +83,7 @@
 
 // WithoutHolder returns the lease as released by its holder.
 func (l Lease) WithoutHolder(nonce string) Lease {
+	l.RecentHolders, _ = l.holders()
 	l.Holder, l.Nonce = "", nonce
 	return l
 }
--- a/internal/lrlease/restore_test.go
+++ b/internal/lrlease/restore_test.go
@@ -93,8 +93,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newRestorableStore()
 		test(&restoredLease{
-			t: t, store: store, first: NewKeeper(store, leaseName, "router-1", validity, time.Now),
-			second: NewKeeper(store, leaseName, "router-2", validity, time.Now),
+			t: t, store: store, first: NewKeeper(store, testOptions("router-1"), time.Now),
+			second: NewKeeper(store, testOptions("router-2"), time.Now),
 		})
 	})
 }
@@ -126,7 +126,7 @@
 				seen := r.store.writesUntil(time.Now())
 				time.Sleep(validity)
 				r.store.restore(seen - 1)
-				third := NewKeeper(r.store, leaseName, "router-3", validity, time.Now)
+				third := NewKeeper(r.store, testOptions("router-3"), time.Now)
 				requireEqual(t, third.Step(t.Context()), nil, "error")
 				requireEqual(t, r.holds(third), true, "the third instance holds")
 				time.Sleep(validity / 2)
@@ -177,7 +177,7 @@
 			r.store.namesNoEra = true
 			r.step(validity, r.first)
 			r.store.restore(0)
-			r.step(200*time.Millisecond, NewKeeper(r.store, leaseName, "router-3", validity, time.Now))
+			r.step(200*time.Millisecond, NewKeeper(r.store, testOptions("router-3"), time.Now))
 			r.requireLost(r.first)
 		})
 	})
@@ -186,7 +186,7 @@
 			r.step(100*time.Millisecond, r.first)
 			time.Sleep(validity / 2)
 			r.store.restore(0)
-			third := NewKeeper(r.store, leaseName, "router-3", validity, time.Now)
+			third := NewKeeper(r.store, testOptions("router-3"), time.Now)
 			requireEqual(t, third.Step(t.Context()), nil, "error")
 			r.requireLost(r.first)
 			r.requireLost(third)
@@ -253,7 +253,7 @@
 func TestFencingNumbersAreNotGivenOutAgain(t *testing.T) {
 	acquire := func(r *restoredLease, name string) (*Keeper, uint64) {
 		t.Helper()
-		k := NewKeeper(r.store, leaseName, name, validity, time.Now)
+		k := NewKeeper(r.store, testOptions(name), time.Now)
 		r.step(2*validity, k)
 		status, held := k.Held(time.Now())
 		requireEqual(t, held, true, "it holds")
@@ -341,14 +341,14 @@
 		r.step(100*time.Millisecond, r.second)
 		requireEqual(t, r.holds(r.second), true, "the second instance holds")
 		r.store.restore(copied)
-		r.first = NewKeeper(r.store, leaseName, "router-1", validity, time.Now)
+		r.first = NewKeeper(r.store, testOptions("router-1"), time.Now)
 		r.step(validity, r.first)
 		r.step(validity, r.first)
 		status, held := r.first.Held(time.Now())
 		requireEqual(t, held, true, "the first instance holds")
 		requireEqual(t, status.Released, false, "it counts as released")
 		requireEqual(t, r.first.Release(t.Context()), nil, "error")
-		third := NewKeeper(r.store, leaseName, "router-3", validity, time.Now)
+		third := NewKeeper(r.store, testOptions("router-3"), time.Now)
 		requireEqual(t, third.Step(t.Context()), nil, "error")
 		requireEqual(t, r.holds(third), true, "the third instance holds at once")
 	})
--- a/internal/lrorders/holder.go
+++ b/internal/lrorders/holder.go
@@ -50,7 +50,9 @@
 	Zone string
 	// LeaseValidity is how long a lease lasts after each renewal.
 	LeaseValidity time.Duration
-	Times         lrorder.Timeouts
+	// TurnInterval is how long after its last order an instance gives no more once another one has given orders.
+	TurnInterval time.Duration
+	Times        lrorder.Timeouts
 	// SettleTime is the time after which every instance knows of an engine's changed version.
 	SettleTime time.Duration
 }
@@ -80,11 +82,14 @@
 
 // NewHolder returns a Holder that does not hold the lease of the shard yet.
 func NewHolder(dependencies Dependencies, options Options, shard int) *Holder {
-	name := fmt.Sprintf("orders-%s-%d", options.Zone, shard)
+	lease := lrlease.Options{
+		Name: fmt.Sprintf("orders-%s-%d", options.Zone, shard), Instance: options.Instance, Validity: options.LeaseValidity,
+		TurnInterval: options.TurnInterval + options.Times.MaxDuration(),
+	}
 	return &Holder{
 		Dependencies: dependencies, options: options, shard: shard, states: map[string]engineState{},
 		desiredSince: map[modelVersion]time.Time{},
-		keeper:       lrlease.NewKeeper(dependencies.Store, name, options.Instance, options.LeaseValidity, dependencies.Clock),
+		keeper:       lrlease.NewKeeper(dependencies.Store, lease, dependencies.Clock),
 	}
 }
 
--- a/internal/lrorders/holder_test.go
+++ b/internal/lrorders/holder_test.go
@@ -322,3 +322,31 @@
 		t.Fatalf("%s: got %v, want %v", what, got, want)
 	}
 }
+
+// TestHoldersTakeNoTurns guards against a new process of an instance that sends orders again within the turn interval after another instance
+// did: the engines of the shard got orders from two instances by turns.
+func TestHoldersTakeNoTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		memory := lrplatform.NewMemory()
+		s := newShardSimulation(0)
+		newHolder := func(n int) *Holder {
+			h := s.newHolder(n, memory)
+			options := h.options
+			options.TurnInterval = 2 * leaseValidity
+			return NewHolder(h.Dependencies, options, 0)
+		}
+		for n := range 2 {
+			h := newHolder(n)
+			h.Step(ctx)
+			requireEqual(t, h.Held(), true, "the instance holds the shard")
+			h.ReleaseLease(ctx)
+		}
+		restarted := newHolder(0)
+		restarted.Step(ctx)
+		requireEqual(t, restarted.Held(), false, "the restarted instance holds the shard at once")
+		time.Sleep(2*leaseValidity + callTimeout + orderValidity)
+		restarted.Step(ctx)
+		requireEqual(t, restarted.Held(), true, "the restarted instance holds the shard after the interval")
+	})
+}
--- a/internal/lrorders/send.go
+++ b/internal/lrorders/send.go
@@ -34,7 +34,7 @@
 		h.keeper.Refused(grant.Fence)
 	}
 	if lrengine.ErrBroken.Has(err) {
-		h.notBefore = h.Clock().Add(h.options.Times.CallTimeout + h.options.Times.ValidFor)
+		h.notBefore = h.Clock().Add(h.options.Times.MaxDuration())
 	}
 	event.Str("engine", order.Engine).Str("model", order.Model).Str("version", order.Version).
 		Str("adapter", order.Adapter).Uint64("fence", grant.Fence).Msg("orders: order given")
--- a/internal/lrrelease/duty_test.go
+++ b/internal/lrrelease/duty_test.go
@@ -68,7 +68,7 @@
 	directory.SetServers(map[string]lrfleet.Server{
 		"old": {ID: "old", Service: "s", Release: "v1"}, "new": {ID: "new", Service: "s", Release: "v2"},
 	})
-	w.keeper = lrlease.NewKeeper(lease, "rollout", "i", validity, func() time.Time { return w.now })
+	w.keeper = lrlease.NewKeeper(lease, lrlease.Options{Name: "rollout", Instance: "i", Validity: validity}, func() time.Time { return w.now })
 	w.duty = NewDuty(Dependencies{
 		Board: lrcanary.NewBoard(lrcanary.Options{Random: func() float64 { return 0 }}), Directory: directory, Statuses: w.statuses,
 		Keeper: w.keeper, LeaseClock: func() time.Time { return w.now }, Instances: func() int { return 1 },
--- a/internal/lrweights/engine_order.go
+++ b/internal/lrweights/engine_order.go
@@ -22,7 +22,7 @@
 		pause := pollInterval
 		if !state.IsBusy {
 			grant, held := d.Keeper.Held(d.LeaseClock())
-			if !held || grant.Remaining < orderTimeout {
+			if !held || grant.Remaining < OrderTimeout {
 				return false
 			}
 			result := d.sendOrder(ctx, server, Order{
@@ -99,7 +99,7 @@
 
 // sendOrder sends one order. An order without an answer may still be carried out, but only if the engine accepts no other order before.
 func (d *Updater) sendOrder(ctx context.Context, server lrfleet.Server, order Order) Result {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
 	result, err := d.Engines.Order(ctx, server, order)
 	d.noteDisplaced(server, err)
--- a/internal/lrweights/updater.go
+++ b/internal/lrweights/updater.go
@@ -26,9 +26,9 @@
 	drainTimeout = 500 * time.Millisecond
 	// stateTimeout limits each call that reads the state of an engine.
 	stateTimeout = 400 * time.Millisecond
-	// orderTimeout limits each order. An order without an answer is sent again: the engine accepts it at most once, because of the
+	// OrderTimeout limits each order. An order without an answer is sent again: the engine accepts it at most once, because of the
 	// precondition Order.Accepted.
-	orderTimeout = 150 * time.Millisecond
+	OrderTimeout = 150 * time.Millisecond
 	// minLoadTime is how long an engine takes at least to load weights. Its state is not read before.
 	minLoadTime = 230 * time.Millisecond
 	// pollEarlyShare is the share of the learned load time after which the state of an engine is read for the first time.
--- a/internal/lrweights/updater_test.go
+++ b/internal/lrweights/updater_test.go
@@ -146,7 +146,7 @@
 		name := fmt.Sprint("edge-", n)
 		r.updaters = append(r.updaters, NewUpdater(Dependencies{
 			Observer: noopObserver{},
-			Instance: name, Keeper: lrlease.NewKeeper(store, "rollout", name, testValidity, time.Now), Engines: engines,
+			Instance: name, Keeper: lrlease.NewKeeper(store, lrlease.Options{Name: "rollout", Instance: name, Validity: testValidity}, time.Now), Engines: engines,
 			Directory: r.directory, Balancer: lrbalance.New(lrbalance.Options{PrefillPerMilli: 85}),
 			Options: lrrollout.Options{MinAtOnce: 2, Share: 0.34}, Report: func(time.Time, lrfleet.WeightsUpdate) {},
 			LeaseClock: time.Now, Log: zerolog.Nop(), Go: func(_ string, work func()) { go work() },
--- a/pkg/lrorder/admission.go
+++ b/pkg/lrorder/admission.go
@@ -10,6 +10,9 @@
 	ValidFor time.Duration
 }
 
+// MaxDuration returns how long after its sending an order has ended at the latest.
+func (t Timeouts) MaxDuration() time.Duration { return t.CallTimeout + t.ValidFor }
+
 // A LeaseStatus is the state of a holder's lease at the present time.
 type LeaseStatus struct {
 	// Remaining is the time for which the lease is certain to last.
@@ -24,12 +27,11 @@
 // no more engines load weights at once than there are holders. An engine that checks fencing numbers rejects late orders
 // itself. For one that ignores them, the order must end before the lease does.
 func (t Timeouts) MaySend(lease LeaseStatus, checksFencing bool) bool {
-	maxDuration := t.CallTimeout + t.ValidFor
-	if !lease.Released && lease.HeldFor < maxDuration {
+	if !lease.Released && lease.HeldFor < t.MaxDuration() {
 		return false
 	}
 	if checksFencing {
 		return lease.Remaining > t.CallTimeout
 	}
-	return lease.Remaining > maxDuration
+	return lease.Remaining > t.MaxDuration()
 }
--- a/pkg/lrsettings/settings.go
+++ b/pkg/lrsettings/settings.go
@@ -168,6 +168,8 @@
 	Interval time.Duration
 	// LeaseValidity is how long an instance may give orders after each confirmation by the platform.
 	LeaseValidity time.Duration
+	// TurnInterval is how long after its last order an instance gives no more once another one has given orders. Zero means LeaseValidity.
+	TurnInterval time.Duration
 	// CallTimeout bounds the call of each order.
 	CallTimeout time.Duration
 	// ValidFor is how long after its receipt an engine may still execute an order.
@@ -191,6 +193,14 @@
 	UnknownAgeGrace time.Duration
 }
 
+// Turn returns the turn interval.
+func (o Orders) Turn() time.Duration {
+	if o.TurnInterval > 0 {
+		return o.TurnInterval
+	}
+	return o.LeaseValidity
+}
+
 // Retries bounds how often requests are retried, over all instances.
 type Retries struct {
 	// Share is the fraction of the requests that may be retried.
