Pass on no status that promises not run for a request that may have run

A payment that ran and that its server answered with its own 503, without stating that it did not run, was answered 503.

Cause: relayAnswer passes a failed answer on whatever its status tells callers, also where refusalOf has just found nothing stated. The same with 429 and 408, with answers above 1 MB (relayLarge) and with Retry-After. Ruled out: a refusal taken for granted by the adapter (one arrival for each attempt), own refusals after a possible run (no seal there).

Change: a reply says whether its status is a refusal that the server did not state. Others go to another server first, and get the answer unchanged if none does better.

--- a/internal/lrpipeline/fake_test.go
+++ b/internal/lrpipeline/fake_test.go
@@ -42,7 +42,9 @@
 	err     error
 	refusal Refusal
 	status  int
-	events  []string
+	// unproven makes the answer an unproven refusal.
+	unproven bool
+	events   []string
 	// broken ends the stream or body with an error.
 	broken bool
 	body   string
@@ -73,7 +75,7 @@
 	if next.broken {
 		reply.Body = io.MultiReader(reply.Body, brokenReader{})
 	}
-	reply.Head = next
+	reply.Head, reply.IsUnprovenRefusal = next, next.unproven
 	return reply, nil
 }
 
--- a/internal/lrpipeline/relay.go
+++ b/internal/lrpipeline/relay.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		return r.handleBroken(ctx, server, lrconn.ErrBroken.Wrap(err))
 	}
+	if reply.IsUnprovenRefusal && !r.route.IsRetryable() {
+		// The caller would send the request again, and it would run twice.
+		return r.handleFailure(server, reply)
+	}
 	if !isComplete {
 		return r.relayLarge(ctx, server, reply, body)
 	}
@@ -58,7 +62,7 @@
 	r.recordOutcome(server, reply.Status >= 500)
 	r.logAttempt(zerolog.WarnLevel, server, "failure").Int("status", reply.Status).Msg("request: sent")
 	r.excluded[server.ID] = true
-	if reply.Status >= 500 && r.route.IsRetryable() {
+	if (reply.Status >= 500 || reply.IsUnprovenRefusal) && r.route.IsRetryable() {
 		return mayRetry
 	}
 	return mustFail
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -103,6 +103,9 @@
 	// Refusal is Accepted when the request ran.
 	Refusal Refusal
 	Status  int
+	// IsUnprovenRefusal is set when the status tells callers that the request did not run, although the backend server did not state that. The
+	// request may have run then.
+	IsUnprovenRefusal bool
 	// Head is what the Caller needs to write the head of the answer. It is opaque to the pipeline.
 	Head any
 	// Body returns io.EOF only when the answer is complete.
