Find parts that crash engines at any place of a prompt

Cause: NewRequest takes the first 64 parts alone (maxParts), and nothing tells of the rest.

Change: all parts are suspects. What is remembered is bounded over all crashes: a suspicion is a reference to the request in flight, 65,536 of them, half kept for parts that no completed request had. Many candidates are evaluated less often. Requests of one crash: 256 in place of 64. lavenderrouter_edge_suspects_omitted counts what is left out.

--- a/internal/lredge/gauges.go
+++ b/internal/lredge/gauges.go
@@ -33,6 +33,9 @@
 	gauge("lavenderrouter_edge_quarantined", "Requests and parts of prompts that are rejected because servers crash on them.", func() float64 {
 		return float64(d.quarantine.Quarantined())
 	})
+	gauge("lavenderrouter_edge_suspects_omitted", "Suspects of crashes that were left out or forgotten early because there were too many.", func() float64 {
+		return float64(d.quarantine.Omitted())
+	})
 	gauge("lavenderrouter_edge_suspected_servers", "Backend servers that are suspected to have stopped responding.", func() float64 {
 		return float64(len(d.responses.Suspected(d.clock())))
 	})
--- a/internal/lrpipeline/pipeline.go
+++ b/internal/lrpipeline/pipeline.go
@@ -218,7 +218,7 @@
 	now := p.Clock()
 	a, refusal := p.identify(request)
 	if refusal == nil {
-		a.traits = lrquarantine.NewRequest(request.Digest, request.sharedParts()...)
+		a.traits = lrquarantine.NewRequest(request.Digest, request.sharedParts(len(request.Blocks))...)
 		refusal = p.admit(now, a)
 	}
 	if refusal != nil {
--- a/internal/lrpipeline/request.go
+++ b/internal/lrpipeline/request.go
@@ -44,9 +44,9 @@
 	Payload any
 }
 
-// sharedParts returns the IDs of the parts of the prompt that other requests may share, which are all but the last.
-func (r *Request) sharedParts() []string {
-	shared := r.Blocks[:max(len(r.Blocks)-1, 0)]
+// sharedParts returns the IDs of the first parts of the prompt that other requests may share, which are all but the last.
+func (r *Request) sharedParts(limit int) []string {
+	shared := r.Blocks[:min(max(len(r.Blocks)-1, 0), limit)]
 	ids := make([]string, 0, len(shared))
 	for _, b := range shared {
 		ids = append(ids, b.ID)
--- a/internal/lrpipeline/run.go
+++ b/internal/lrpipeline/run.go
@@ -293,10 +293,7 @@
 }
 
 // loggedParts returns the IDs of the first parts of the prompt that other requests may share.
-func (r *run) loggedParts() []string {
-	parts := r.sharedParts()
-	return parts[:min(len(parts), maxLoggedParts)]
-}
+func (r *run) loggedParts() []string { return r.sharedParts(maxLoggedParts) }
 
 // startOf returns a name that differs between the starts of the server.
 func startOf(server lrfleet.Server) string {
--- a/pkg/lrquarantine/causes.go
+++ b/pkg/lrquarantine/causes.go
@@ -9,8 +9,7 @@
 // updateCandidate notes whether there is enough evidence against the trait.
 func (t *Tracker) updateCandidate(now time.Time, trait Trait, isWhole bool) {
 	v, ok := t.verdicts[trait]
-	crashes, isShared := t.count(trait, isWhole)
-	if ok && v.IsQuarantined || crashes < t.options.MinCrashes || !isShared {
+	if ok && v.IsQuarantined || !t.hasEnoughEvidence(trait, isWhole) {
 		delete(t.candidates, trait)
 		return
 	}
@@ -20,6 +19,16 @@
 	}
 }
 
+// hasEnoughEvidence reports whether there is enough evidence against the trait for a verdict. Most traits have too few crashes whatever explains
+// them.
+func (t *Tracker) hasEnoughEvidence(trait Trait, isWhole bool) bool {
+	if len(t.evidence.byTrait[trait]) < t.options.MinCrashes {
+		return false
+	}
+	crashes, isShared := t.count(trait, isWhole)
+	return crashes >= t.options.MinCrashes && isShared
+}
+
 // count returns how many crashes count against the trait, and whether a cause in common explains them better than a single request.
 func (t *Tracker) count(trait Trait, isWhole bool) (crashes int, isShared bool) {
 	if isWhole {
@@ -28,11 +37,23 @@
 	return t.evidence.count(trait)
 }
 
-// evaluate quarantines the traits that are the most likely causes of crashes.
+const (
+	// cheapCandidates is the most candidates that are evaluated with each request.
+	cheapCandidates = 64
+	// candidatePause is the time between two evaluations of more of them, for each candidate. An evaluation takes some 2 µs for each.
+	candidatePause = 50 * time.Microsecond
+)
+
+// evaluate quarantines the traits that are the most likely causes of crashes. Prompts with many parts may leave many candidates until further
+// requests are completed. They are evaluated less often, so that requests do not wait for one another.
 func (t *Tracker) evaluate(now time.Time) {
+	if len(t.candidates) > cheapCandidates && now.Before(t.evaluateAfter) {
+		return
+	}
+	t.evaluateAfter = now.Add(time.Duration(len(t.candidates)) * candidatePause)
 	for len(t.candidates) > 0 {
 		for trait := range t.candidates {
-			t.updateCandidate(now, trait, t.isWhole(trait))
+			t.updateCandidate(now, trait, t.evidence.isWhole(trait))
 		}
 		traits, isAmbiguous := t.causes(now)
 		if len(traits) == 0 {
@@ -47,7 +68,7 @@
 // causes returns the candidates that explain most crashes, once their evidence has settled. Parts of which no request was ever completed
 // go before others. The result is ambiguous if it does not follow from the crashes which of several parts is the cause.
 func (t *Tracker) causes(now time.Time) (traits []Trait, isAmbiguous bool) {
-	wholes := t.mostCrashes(t.isWhole)
+	wholes := t.mostCrashes(t.evidence.isWhole)
 	if len(wholes) > 0 {
 		return wholes, false
 	}
@@ -67,12 +88,20 @@
 	return traits, isAmbiguous
 }
 
+// maxAlternatives is the most parts that are quarantined beside one because it does not follow from the crashes which of them is the cause. Parts
+// that always come together are stopped by any of them, and each verdict is stored on the platform.
+const maxAlternatives = 63
+
 // alternatives returns those of the others that explain all crashes which the trait explains.
 func (t *Tracker) alternatives(trait Trait, others []Trait) []Trait {
 	var alternatives []Trait
+	unexplained := t.evidence.unexplained(trait)
 	for _, other := range others {
-		isMissing := func(c *crash) bool { return c.suspects[other] == nil }
-		if !slices.ContainsFunc(t.evidence.unexplained(trait), isMissing) {
+		if len(alternatives) >= maxAlternatives {
+			break
+		}
+		isMissing := func(s crashSuspicion) bool { return !t.evidence.mayHaveCaused(other, s.crash) }
+		if !slices.ContainsFunc(unexplained, isMissing) {
 			alternatives = append(alternatives, other)
 		}
 	}
@@ -87,7 +116,7 @@
 		if !accepts(trait) {
 			continue
 		}
-		crashes, _ := t.count(trait, t.isWhole(trait))
+		crashes, _ := t.count(trait, t.evidence.isWhole(trait))
 		if crashes > most {
 			traits, most = nil, crashes
 		}
@@ -102,14 +131,3 @@
 func (t *Tracker) isUnproven(now time.Time, trait Trait) bool {
 	return now.Sub(t.startedAt) >= t.options.LearningTime && t.successes.last(trait).IsZero()
 }
-
-// isWhole reports whether the suspect trait is that of a whole request.
-func (t *Tracker) isWhole(trait Trait) bool {
-	for _, c := range t.evidence.byTrait[trait] {
-		_, ok := c.requests[trait]
-		if ok {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/lrquarantine/decisions.go
+++ b/pkg/lrquarantine/decisions.go
@@ -4,7 +4,7 @@
 
 // quarantine decides that requests with the trait are rejected.
 func (t *Tracker) quarantine(now time.Time, trait Trait, isAmbiguous bool) {
-	verdict := Verdict{Trait: trait, IsQuarantined: true, IsAmbiguous: isAmbiguous, Crashes: uint32(len(t.evidence.byTrait[trait]))}
+	verdict := Verdict{Trait: trait, IsQuarantined: true, IsAmbiguous: isAmbiguous, Crashes: uint32(t.evidence.crashesOf(trait))}
 	before, ok := t.verdicts[trait]
 	if ok {
 		verdict = verdict.withVersionAfter(before.Verdict)
@@ -41,15 +41,15 @@
 		t.reconsider(now, verdict.Trait)
 		return
 	}
-	if !t.isWhole(verdict.Trait) {
+	if !t.evidence.isWhole(verdict.Trait) {
 		t.evidence.explain(verdict.Trait)
 	}
 }
 
 // reconsider counts the latest crashes that the trait explained against their other suspects again.
 func (t *Tracker) reconsider(now time.Time, trait Trait) {
-	for _, suspect := range t.evidence.unexplain(trait, now.Add(-t.options.LearningTime)) {
-		t.updateCandidate(now, suspect, t.isWhole(suspect))
+	for suspect := range t.evidence.unexplain(trait, now.Add(-t.options.LearningTime)) {
+		t.updateCandidate(now, suspect, t.evidence.isWhole(suspect))
 	}
 }
 
@@ -67,7 +67,7 @@
 		delete(t.candidates, trait)
 	}
 	if !isJudged || !v.IsQuarantined || at.Before(v.changedAt) || len(t.evidence.byTrait[trait]) > 0 {
-		t.updateCandidate(now, trait, t.isWhole(trait))
+		t.updateCandidate(now, trait, t.evidence.isWhole(trait))
 		return
 	}
 	lifted := Verdict{Trait: trait, Crashes: v.Crashes, Trials: v.Trials}.withVersionAfter(v.Verdict)
--- a/pkg/lrquarantine/evidence.go
+++ b/pkg/lrquarantine/evidence.go
@@ -5,83 +5,70 @@
 	"time"
 )
 
+// maxRequestsPerTrait is the most requests of one crash that are recorded for a trait. More than one is all that counts.
+const maxRequestsPerTrait = 2
+
 // crash is one crash of a server, with the requests that were in flight there.
 type crash struct {
 	server string
 	at     time.Time
 	// learnedAt is when the last request in flight was added.
 	learnedAt time.Time
-	requests  map[Trait]inFlight
-	// suspects are the traits that may have caused the crash.
-	suspects map[Trait]*suspect
+	requests  map[Trait]*inFlight
 	// cause is the quarantined part that explains the crash, or zero.
 	cause Trait
 }
 
 // inFlight is a request that was in flight on a server that crashed.
 type inFlight struct {
-	request   Request
+	crash     *crash
+	whole     Trait
 	at        time.Time
 	learnedAt time.Time
+	// suspects are the traits for which the request was recorded. Those that are disproved since are among them.
+	suspects []Trait
 	// isOwn is set when this instance observed the crash itself, and isTaken when it is news no longer.
 	isOwn   bool
 	isTaken bool
 }
 
-// takeNews returns the requests that this instance observed at the crash and that were not returned before.
-func (c *crash) takeNews(now time.Time) []CrashUpdate {
-	var news []CrashUpdate
-	for whole, r := range c.requests {
-		if !r.isOwn || r.isTaken {
-			continue
-		}
-		r.isTaken = true
-		c.requests[whole] = r
-		news = append(news, CrashUpdate{Server: c.server, Request: r.request, Age: now.Sub(r.at)})
-	}
-	return news
-}
-
-// suspect says in which requests a trait was in flight at a crash.
-type suspect struct {
-	at time.Time
-	// requests are two of the requests at most: more than one is all that counts.
-	requests []Trait
-	isOwn    bool
-}
-
-// evidence holds the crashes of the retention time and, for each trait, those that it may have caused. A request with the trait that was
-// completed since disproves that.
+// evidence holds the crashes of the retention time and, for each trait, the requests by which it may have caused them. A request with the trait
+// that was completed since disproves that.
 type evidence struct {
 	options TrackerOptions
 	// crashes are ordered by the time at which they became known.
 	crashes  []*crash
 	byServer map[string][]*crash
-	byTrait  map[Trait][]*crash
-	// pairs is the number of suspects of all crashes.
-	pairs int
+	byTrait  map[Trait][]*inFlight
+	// suspicions is the number of requests in byTrait.
+	suspicions int
+	// omitted counts what was left out or forgotten early because a bound was reached.
+	omitted uint64
 }
 
 func newEvidence(options TrackerOptions) *evidence {
-	return &evidence{options: options, byServer: map[string][]*crash{}, byTrait: map[Trait][]*crash{}}
+	return &evidence{options: options, byServer: map[string][]*crash{}, byTrait: map[Trait][]*inFlight{}}
 }
 
-// add records that the request was in flight on the server when it crashed, and returns the crash. It returns nil if that is known or there
-// are too many.
-func (e *evidence) add(now, at time.Time, server string, request Request, isOwn bool) *crash {
+// add records that the request was in flight on the server when it crashed, unless that is known. It returns nil if there are too many.
+func (e *evidence) add(now, at time.Time, server string, whole Trait, isOwn bool) *inFlight {
 	c := e.crashAt(at, server)
 	if c == nil {
-		c = &crash{server: server, at: at, requests: map[Trait]inFlight{}, suspects: map[Trait]*suspect{}}
+		c = &crash{server: server, at: at, requests: map[Trait]*inFlight{}}
 		e.byServer[server] = append(e.byServer[server], c)
 		e.crashes = append(e.crashes, c)
 	}
-	_, isKnown := c.requests[request.Whole]
-	if isKnown || len(c.requests) >= e.options.MaxRequests {
+	known, isKnown := c.requests[whole]
+	if isKnown {
+		return known
+	}
+	if len(c.requests) >= e.options.MaxRequests {
+		e.omitted++
 		return nil
 	}
-	c.requests[request.Whole] = inFlight{request: request, at: at, learnedAt: now, isOwn: isOwn}
-	c.learnedAt = now
-	return c
+	r := &inFlight{crash: c, whole: whole, at: at, learnedAt: now, isOwn: isOwn}
+	c.requests[whole], c.learnedAt = r, now
+	return r
 }
 
 // crashAt returns the crash of the server around the time, or nil.
@@ -94,61 +81,95 @@
 	return nil
 }
 
-// suspect records that the trait of a request may have caused the crash.
-func (e *evidence) suspect(c *crash, at time.Time, trait, whole Trait, isOwn bool) {
-	s, ok := c.suspects[trait]
-	if !ok {
-		s = &suspect{at: at}
-		c.suspects[trait] = s
-		e.byTrait[trait] = append(e.byTrait[trait], c)
-		e.pairs++
+// suspect records that the trait of the request may have caused the crash.
+func (e *evidence) suspect(r *inFlight, trait Trait) {
+	known := e.byTrait[trait]
+	sameCrash, isOwn := 0, false
+	for _, other := range known {
+		if other == r {
+			return
+		}
+		if other.crash == r.crash {
+			sameCrash++
+			isOwn = isOwn || other.isOwn
+		}
 	}
-	s.isOwn = s.isOwn || isOwn
-	if len(s.requests) < 2 && !slices.Contains(s.requests, whole) {
-		s.requests = append(s.requests, whole)
+	// An instance that has observed the crash stores a verdict on the trait, and so one such request is always recorded.
+	if sameCrash >= maxRequestsPerTrait && (isOwn || !r.isOwn) {
+		return
 	}
+	r.suspects = append(r.suspects, trait)
+	e.byTrait[trait] = append(known, r)
+	e.suspicions++
 }
 
-// disprove removes the crashes before the time from those that the trait may have caused. It reports whether there were any.
+// isSuspect reports whether the trait of the request may still have caused the crash.
+func (e *evidence) isSuspect(r *inFlight, trait Trait) bool {
+	return slices.Contains(e.byTrait[trait], r)
+}
+
+// mayHaveCaused reports whether the trait may have caused the crash.
+func (e *evidence) mayHaveCaused(trait Trait, c *crash) bool {
+	return slices.ContainsFunc(e.byTrait[trait], func(r *inFlight) bool { return r.crash == c })
+}
+
+// disprove removes the requests before the time from those by which the trait may have caused crashes. It reports whether there were any.
 func (e *evidence) disprove(at time.Time, trait Trait) bool {
+	return e.removeIf(trait, func(r *inFlight) bool { return !r.at.After(at) })
+}
+
+// removeIf removes requests of the trait. It reports whether there were any.
+func (e *evidence) removeIf(trait Trait, isRemoved func(r *inFlight) bool) bool {
 	known := e.byTrait[trait]
-	remaining := known[:0:0]
-	for _, c := range known {
-		if c.suspects[trait].at.After(at) {
-			remaining = append(remaining, c)
-			continue
-		}
-		delete(c.suspects, trait)
-		e.pairs--
+	if !slices.ContainsFunc(known, isRemoved) {
+		return false
 	}
-	e.setCrashes(trait, remaining)
-	return len(remaining) < len(known)
+	remaining := slices.DeleteFunc(slices.Clone(known), isRemoved)
+	e.suspicions -= len(known) - len(remaining)
+	if len(remaining) == 0 {
+		delete(e.byTrait, trait)
+		return true
+	}
+	e.byTrait[trait] = remaining
+	return true
 }
 
-func (e *evidence) setCrashes(trait Trait, crashes []*crash) {
-	if len(crashes) == 0 {
-		delete(e.byTrait, trait)
-		return
+// crashSuspicion says since when and in which requests a trait was in flight at one crash.
+type crashSuspicion struct {
+	crash    *crash
+	at       time.Time
+	requests []Trait
+}
+
+// unexplained returns the crashes that the trait may have caused and that no other part explains, in their order.
+func (e *evidence) unexplained(trait Trait) []crashSuspicion {
+	known := e.byTrait[trait]
+	unexplained := make([]crashSuspicion, 0, len(known))
+	for _, r := range known {
+		if r.crash.cause != 0 && r.crash.cause != trait {
+			continue
+		}
+		n := slices.IndexFunc(unexplained, func(s crashSuspicion) bool { return s.crash == r.crash })
+		if n < 0 {
+			unexplained = append(unexplained, crashSuspicion{crash: r.crash, at: r.at, requests: []Trait{r.whole}})
+			continue
+		}
+		unexplained[n].requests = append(unexplained[n].requests, r.whole)
 	}
-	e.byTrait[trait] = crashes
+	slices.SortFunc(unexplained, func(a, b crashSuspicion) int { return a.at.Compare(b.at) })
+	return unexplained
 }
 
 // count returns how many crashes the part may have caused that no other part explains, and whether unlike requests with it were in flight.
 // Servers that crash at the same moment may have a cause in common that is no request, and count once, unless a request was sent from one to
 // the other.
 func (e *evidence) count(trait Trait) (crashes int, isShared bool) {
-	unexplained := e.unexplained(trait)
-	suspects := make([]*suspect, 0, len(unexplained))
-	for _, c := range unexplained {
-		suspects = append(suspects, c.suspects[trait])
-	}
-	slices.SortFunc(suspects, func(a, b *suspect) int { return a.at.Compare(b.at) })
-	var last *suspect
+	var last time.Time
 	requests := map[Trait]bool{}
-	for _, s := range suspects {
-		if last == nil || s.at.Sub(last.at) >= e.options.MomentLength || slices.ContainsFunc(s.requests, isIn(requests)) {
+	for _, s := range e.unexplained(trait) {
+		if last.IsZero() || s.at.Sub(last) >= e.options.MomentLength || slices.ContainsFunc(s.requests, isIn(requests)) {
 			crashes++
-			last = s
+			last = s.at
 		}
 		for _, r := range s.requests {
 			requests[r] = true
@@ -161,33 +182,44 @@
 	return func(trait Trait) bool { return set[trait] }
 }
 
-// unexplained returns the crashes that the trait may have caused and that no other part explains.
-func (e *evidence) unexplained(trait Trait) []*crash {
-	return slices.DeleteFunc(slices.Clone(e.byTrait[trait]), func(c *crash) bool { return c.cause != 0 && c.cause != trait })
-}
-
 // isOwn reports whether this instance observed one of the crashes that the trait may have caused.
 func (e *evidence) isOwn(trait Trait) bool {
-	return slices.ContainsFunc(e.byTrait[trait], func(c *crash) bool { return c.suspects[trait].isOwn })
+	return slices.ContainsFunc(e.byTrait[trait], func(r *inFlight) bool { return r.isOwn })
+}
+
+// isWhole reports whether the suspect trait is that of a whole request.
+func (e *evidence) isWhole(trait Trait) bool {
+	return slices.ContainsFunc(e.byTrait[trait], func(r *inFlight) bool { return r.whole == trait })
+}
+
+// crashesOf returns the number of crashes that the trait may have caused, explained ones included.
+func (e *evidence) crashesOf(trait Trait) int {
+	crashes := map[*crash]bool{}
+	for _, r := range e.byTrait[trait] {
+		crashes[r.crash] = true
+	}
+	return len(crashes)
 }
 
 // explain attributes all crashes that the trait may have caused to it.
 func (e *evidence) explain(trait Trait) {
-	for _, c := range e.byTrait[trait] {
-		c.cause = trait
+	for _, r := range e.byTrait[trait] {
+		r.crash.cause = trait
 	}
 }
 
 // unexplain withdraws what explain did for the crashes after the time, and returns their suspects.
-func (e *evidence) unexplain(trait Trait, after time.Time) []Trait {
-	var suspects []Trait
+func (e *evidence) unexplain(trait Trait, after time.Time) map[Trait]bool {
+	suspects := map[Trait]bool{}
 	for _, c := range e.crashes {
 		if c.cause != trait || c.at.Before(after) {
 			continue
 		}
 		c.cause = 0
-		for s := range c.suspects {
-			suspects = append(suspects, s)
+		for _, r := range c.requests {
+			for _, s := range r.suspects {
+				suspects[s] = true
+			}
 		}
 	}
 	return suspects
@@ -197,19 +229,23 @@
 func (e *evidence) expire(now time.Time) {
 	for len(e.crashes) > 0 {
 		oldest := e.crashes[0]
-		isFull := len(e.crashes) > e.options.MaxCrashes || e.pairs > e.options.MaxSuspects
+		isFull := len(e.crashes) > e.options.MaxCrashes || e.suspicions > e.options.MaxSuspicions
 		if !isFull && now.Sub(oldest.learnedAt) < e.options.Retention {
 			return
 		}
+		if isFull {
+			e.omitted++
+		}
 		e.remove(oldest)
 	}
 }
 
 func (e *evidence) remove(c *crash) {
-	for trait := range c.suspects {
-		e.setCrashes(trait, slices.DeleteFunc(slices.Clone(e.byTrait[trait]), func(other *crash) bool { return other == c }))
+	for _, r := range c.requests {
+		for _, trait := range r.suspects {
+			e.removeIf(trait, func(other *inFlight) bool { return other == r })
+		}
 	}
-	e.pairs -= len(c.suspects)
 	e.byServer[c.server] = slices.DeleteFunc(e.byServer[c.server], func(other *crash) bool { return other == c })
 	if len(e.byServer[c.server]) == 0 {
 		delete(e.byServer, c.server)
--- a/pkg/lrquarantine/tracker.go
+++ b/pkg/lrquarantine/tracker.go
@@ -24,7 +24,9 @@
 	completed uint64
 	// candidates holds the traits against which there is enough evidence for a verdict once it has settled.
 	candidates map[Trait]candidate
-	verdicts   map[Trait]*heldVerdict
+	// evaluateAfter is when many candidates are evaluated next.
+	evaluateAfter time.Time
+	verdicts      map[Trait]*heldVerdict
 	// completions holds what other instances shall know of completed requests with suspect traits.
 	completions map[Trait]completion
 	// unsaved holds when this instance has to store a verdict, and unsent the verdicts that are news to other instances.
@@ -72,7 +74,7 @@
 // NewTracker returns a Tracker that suspects nothing.
 func NewTracker(now time.Time, options TrackerOptions) *Tracker {
 	return &Tracker{
-		options: options, startedAt: now, evidence: newEvidence(options), successes: newSuccesses(options.MaxSuccesses), candidates: map[Trait]candidate{},
+		options: options, startedAt: now, evidence: newEvidence(options), successes: newSuccesses(now, options.MaxSuccesses), candidates: map[Trait]candidate{},
 		verdicts: map[Trait]*heldVerdict{}, completions: map[Trait]completion{}, unsaved: map[Trait]time.Time{}, unsent: map[Trait]bool{},
 	}
 }
@@ -101,6 +103,9 @@
 	if decision.Admission == Rejected {
 		return decision
 	}
+	if len(t.verdicts) == 0 {
+		return decision
+	}
 	for _, trait := range t.traits(request) {
 		v, ok := t.verdicts[trait]
 		if !ok || !v.IsQuarantined {
@@ -117,6 +122,9 @@
 func (t *Tracker) check(now time.Time, request Request) Decision {
 	t.evaluate(now)
 	var decision Decision
+	if len(t.verdicts) == 0 {
+		return decision
+	}
 	for _, trait := range t.traits(request) {
 		v, ok := t.verdicts[trait]
 		if !ok || !v.IsQuarantined {
@@ -134,6 +142,9 @@
 // delay returns how long the request has to wait until the verdict on its parts.
 func (t *Tracker) delay(now time.Time, request Request) time.Duration {
 	var wait time.Duration
+	if len(t.candidates) == 0 {
+		return wait
+	}
 	for _, part := range request.Parts {
 		r, ok := t.candidates[part]
 		if !ok || !t.isUnproven(now, part) || now.Sub(r.since) >= t.options.MaxDelay {
@@ -170,8 +181,8 @@
 // record adds a request that was in flight on a server that crashed.
 func (t *Tracker) record(now, at time.Time, server string, request Request, isOwn bool) {
 	t.evidence.expire(now)
-	c := t.evidence.add(now, at, server, request, isOwn)
-	if c == nil {
+	r := t.evidence.add(now, at, server, request.Whole, isOwn)
+	if r == nil {
 		return
 	}
 	for _, trait := range t.traits(request) {
@@ -179,18 +190,28 @@
 		if !completedAt.IsZero() {
 			t.announce(now, trait, completedAt)
 		}
-		if completedAt.After(at) {
+		if completedAt.After(at) || t.isCrowdedOut(completedAt) {
 			continue
 		}
-		t.evidence.suspect(c, at, trait, request.Whole, isOwn)
+		t.evidence.suspect(r, trait)
 		v, ok := t.verdicts[trait]
 		if ok && v.IsQuarantined {
-			t.extend(at, v, c)
+			t.extend(at, v, r.crash)
 		}
 		t.updateCandidate(now, trait, trait == request.Whole)
 	}
 }
 
+// isCrowdedOut reports whether a trait with which a request was completed at the time is no suspect because too many are remembered. Half of the
+// space is kept for traits that no completed request had, which are the more likely causes.
+func (t *Tracker) isCrowdedOut(completedAt time.Time) bool {
+	if completedAt.IsZero() || t.evidence.suspicions < t.options.MaxSuspicions/2 {
+		return false
+	}
+	t.evidence.omitted++
+	return true
+}
+
 // traits returns the traits of the request that are judged.
 func (t *Tracker) traits(request Request) []Trait {
 	if t.options.PartsOnly {
@@ -212,8 +233,8 @@
 	if at.After(v.changedAt) {
 		v.changedAt = at
 	}
-	v.Crashes = max(v.Crashes, uint32(len(t.evidence.byTrait[v.Trait])))
-	if !t.isWhole(v.Trait) {
+	v.Crashes = max(v.Crashes, uint32(t.evidence.crashesOf(v.Trait)))
+	if !t.evidence.isWhole(v.Trait) {
 		c.cause = v.Trait
 	}
 }
--- a/pkg/lrquarantine/tracker_options.go
+++ b/pkg/lrquarantine/tracker_options.go
@@ -41,12 +41,13 @@
 	Retention time.Duration
 	// GossipTime is how long news is passed on to other instances.
 	GossipTime time.Duration
-	// MaxCrashes, MaxRequests (for each crash), MaxSuspects (over all crashes), MaxSuccesses and MaxVerdicts bound the memory.
-	MaxCrashes   int
-	MaxRequests  int
-	MaxSuspects  int
-	MaxSuccesses int
-	MaxVerdicts  int
+	// MaxCrashes, MaxRequests (for each crash), MaxSuspicions (traits of requests, over all crashes), MaxSuccesses (traits) and MaxVerdicts bound
+	// the memory. A suspicion takes some 60 bytes, a success some 40.
+	MaxCrashes    int
+	MaxRequests   int
+	MaxSuspicions int
+	MaxSuccesses  int
+	MaxVerdicts   int
 }
 
 // DefaultTrackerOptions returns the options for production use on the named instance.
@@ -56,6 +57,6 @@
 		MinOthers:    3,
 		LearningTime: 5 * time.Second, TrialInterval: 20 * time.Second, AmbiguousTrialInterval: time.Second, MaxTrials: 3,
 		Retention: 10 * time.Minute, GossipTime: 1500 * time.Millisecond,
-		MaxCrashes: 128, MaxRequests: 64, MaxSuspects: 8192, MaxSuccesses: 8192, MaxVerdicts: 1024,
+		MaxCrashes: 128, MaxRequests: 256, MaxSuspicions: 1 << 16, MaxSuccesses: 1 << 16, MaxVerdicts: 1024,
 	}
 }
--- a/pkg/lrquarantine/tracker_test.go
+++ b/pkg/lrquarantine/tracker_test.go
@@ -410,7 +410,7 @@
 		i.advance(10 * time.Millisecond)
 	}
 	updates := i.Updates(i.now)
-	if len(updates.Crashes) > options.MaxCrashes*options.MaxRequests || len(updates.Crashes)*3 > options.MaxSuspects+3*options.MaxRequests {
+	if len(updates.Crashes) > options.MaxCrashes*options.MaxRequests || len(updates.Crashes)*3 > options.MaxSuspicions+3*options.MaxRequests {
 		t.Fatalf("%d requests of crashes are remembered", len(updates.Crashes))
 	}
 	if len(updates.Verdicts) > 64 {
--- a/pkg/lrquarantine/updates.go
+++ b/pkg/lrquarantine/updates.go
@@ -49,23 +49,10 @@
 func (t *Tracker) Updates(now time.Time) Updates {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var updates Updates
-	for _, c := range t.evidence.crashes {
-		if now.Sub(c.learnedAt) >= t.options.GossipTime {
-			continue
-		}
-		for _, r := range c.requests {
-			if now.Sub(r.learnedAt) < t.options.GossipTime {
-				updates.Crashes = append(updates.Crashes, CrashUpdate{Server: c.server, Request: r.request, Age: now.Sub(r.at)})
-			}
-		}
-	}
 	t.expireCompletions(now)
-	for trait, c := range t.completions {
-		updates.Completions = append(updates.Completions, CompletionUpdate{Trait: trait, Age: now.Sub(c.at)})
+	return Updates{
+		Crashes: t.crashUpdates(now, t.recentRequests(now)), Completions: t.completionUpdates(now), Verdicts: t.latestVerdicts(now),
 	}
-	updates.Verdicts = t.latestVerdicts(now)
-	return updates
 }
 
 // IsEmpty reports whether there is nothing to tell.
@@ -81,9 +68,7 @@
 	defer t.mutex.Unlock()
 	t.evaluate(now)
 	var news Updates
-	for _, c := range t.evidence.crashes {
-		news.Crashes = append(news.Crashes, c.takeNews(now)...)
-	}
+	news.Crashes = t.crashUpdates(now, t.takeRequests())
 	for trait, c := range t.completions {
 		isDue := now.Sub(c.learnedAt) >= time.Duration(jitter(t.options.Instance, trait, 0)*float64(newsDelay))
 		if c.isTaken || c.isHeard || !isDue || !t.matters(trait) {
@@ -141,7 +126,7 @@
 		t.mergeVerdict(now, v)
 	}
 	for _, c := range updates.Crashes {
-		t.record(now, now.Add(-c.Age), c.Server, c.Request.bounded(), false)
+		t.record(now, now.Add(-c.Age), c.Server, c.Request, false)
 	}
 	for _, c := range updates.Completions {
 		t.disprove(now, now.Add(-c.Age), c.Trait, false)
@@ -250,3 +235,10 @@
 	}
 	return count
 }
+
+// Omitted returns how many suspects, requests and crashes were left out or forgotten early because there were too many.
+func (t *Tracker) Omitted() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.evidence.omitted
+}
