Drop what is believed of caches by generations, not by a walk over all

Cause: from 20,000 entries of an engine or KV store on, each block that is set walks over all of them under the mutex that each request takes in Choose, and entries younger than 30 s stay.

Change: two generations for the time in which an estimate can be used, 9 s for engines and 30 s for KV stores. No step works on all entries. Nothing that can still be used is dropped. An engine that is forgotten gets a new salt for its keys.

--- a/pkg/lrbalance/estimates.go
+++ b/pkg/lrbalance/estimates.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"strings"
 	"time"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrcache"
 )
 
 const (
@@ -12,9 +15,10 @@
 	// reportAgainAfter is the time after which a block in use is reported to other instances again. It is below
 	// estimateTTL, because they drop their estimate of the block then.
 	reportAgainAfter = 4 * time.Second
-	// maxBlocksPerEngine is the number of blocks of one engine at which stale ones are dropped before another one is
-	// added.
-	maxBlocksPerEngine = 20000
+	// maxHolders bounds the engines and KV stores of which there are estimates.
+	maxHolders = 4096
+	// saltStep is the distance between the salts of two holders. It is odd, so that all salts differ.
+	saltStep = 0x9e3779b97f4a7c15
 )
 
 // A Key identifies the cache entry of a shared block: a hash of the scope, the version of the weights and the block. An
@@ -46,20 +50,45 @@
 	return blocks
 }
 
+// A moment is a time in milliseconds since the creation of the estimates. Estimates are dropped long before it wraps around.
+type moment uint32
+
+// until returns the time from the moment to a later one.
+func (m moment) until(later moment) time.Duration {
+	return time.Duration(int32(later-m)) * time.Millisecond
+}
+
 // blockEstimate is the assumed state of one block at one engine or KV store.
 type blockEstimate struct {
-	usedAt time.Time
+	usedAt moment
+	// reportedAt is when the block was last reported to other instances. It has a meaning only if the block is ready.
+	reportedAt moment
 	// isReady means that the block has been computed, so that other engines may fetch it. It is false during the
 	// computation.
 	isReady bool
-	// reportedAt is when the block was last reported to other instances.
-	reportedAt time.Time
 }
 
+// A placedKey identifies a block at one engine or KV store.
+type placedKey uint64
+
+// holder is an engine or KV store.
+type holder struct {
+	// salt tells the keys of this holder from those of others, and of the same one before it was forgotten.
+	salt    uint64
+	isStore bool
+}
+
+func (h holder) place(key Key) placedKey { return placedKey(uint64(key) ^ h.salt) }
+
 // estimates are the shared blocks that engines and KV stores are assumed to hold, derived from the requests that
 // were sent there and from the updates of other instances.
 type estimates struct {
-	engines map[string]map[Key]blockEstimate
+	createdAt time.Time
+	holders   map[string]holder
+	lastSalt  uint64
+	// engines and stores hold the estimates for the time that they can be used.
+	engines *lrcache.Generations[placedKey, blockEstimate]
+	stores  *lrcache.Generations[placedKey, blockEstimate]
 	// sameZone holds the updates of this instance and of those that report to it, otherZones those from other
 	// availability zones.
 	sameZone   *updateLog
@@ -67,25 +96,62 @@
 }
 
 func newEstimates() *estimates {
-	return &estimates{engines: map[string]map[Key]blockEstimate{}, sameZone: newUpdateLog(), otherZones: newUpdateLog()}
+	return &estimates{
+		holders:  map[string]holder{},
+		engines:  lrcache.NewGenerations[placedKey, blockEstimate](lrcache.Limits{Age: estimateTTL}),
+		stores:   lrcache.NewGenerations[placedKey, blockEstimate](lrcache.Limits{Age: maxStoreTTL}),
+		sameZone: newUpdateLog(), otherZones: newUpdateLog(),
+	}
+}
+
+// momentOf returns the time as a moment.
+func (b *estimates) momentOf(now time.Time) moment {
+	if b.createdAt.IsZero() {
+		b.createdAt = now
+	}
+	return moment(now.Sub(b.createdAt).Milliseconds())
+}
+
+// holder returns the engine or KV store of the name, which may be new.
+func (b *estimates) holder(name string) holder {
+	known, ok := b.holders[name]
+	if ok {
+		return known
+	}
+	if len(b.holders) >= maxHolders {
+		clear(b.holders)
+	}
+	b.lastSalt += saltStep
+	added := holder{salt: b.lastSalt, isStore: strings.HasPrefix(name, storeNamePrefix)}
+	b.holders[name] = added
+	return added
+}
+
+func (b *estimates) table(h holder) *lrcache.Generations[placedKey, blockEstimate] {
+	if h.isStore {
+		return b.stores
+	}
+	return b.engines
 }
 
 // markComputing records that the engine is about to compute those of the blocks that it lacks.
 func (b *estimates) markComputing(now time.Time, engine string, blocks []prefixBlock) {
+	h, at := b.holder(engine), b.momentOf(now)
+	table := b.table(h)
 	for _, r := range blocks {
-		before := b.engines[engine][r.key]
-		b.set(engine, r.key, blockEstimate{
-			usedAt: now, isReady: before.isReady && now.Sub(before.usedAt) < estimateTTL, reportedAt: before.reportedAt,
-		})
+		before, _ := table.Get(h.place(r.key))
+		isReady := before.isReady && before.usedAt.until(at) < estimateTTL
+		table.Set(now, h.place(r.key), blockEstimate{usedAt: at, isReady: isReady, reportedAt: before.reportedAt})
 	}
 }
 
 // abandon removes those of the blocks that the engine was computing and did not finish.
 func (b *estimates) abandon(engine string, blocks []prefixBlock) {
-	known := b.engines[engine]
+	h := b.holder(engine)
+	table := b.table(h)
 	for _, r := range blocks {
-		if h, ok := known[r.key]; ok && !h.isReady {
-			delete(known, r.key)
+		if known, ok := table.Get(h.place(r.key)); ok && !known.isReady {
+			table.Delete(h.place(r.key))
 		}
 	}
 }
@@ -105,34 +171,16 @@
 // markHeld records that an engine holds a block. It also logs an update for other instances unless the block was
 // reported recently.
 func (b *estimates) markHeld(now time.Time, update CacheUpdate, log *updateLog) {
-	before := b.engines[update.Engine][update.Key]
-	isReported := before.isReady && now.Sub(before.usedAt) < estimateTTL && now.Sub(before.reportedAt) < reportAgainAfter
+	h, at := b.holder(update.Engine), b.momentOf(now)
+	table := b.table(h)
+	before, _ := table.Get(h.place(update.Key))
+	isReported := before.isReady && before.usedAt.until(at) < estimateTTL && before.reportedAt.until(at) < reportAgainAfter
 	reportedAt := before.reportedAt
 	if !isReported {
 		log.add(now, update)
-		reportedAt = now
-	}
-	b.set(update.Engine, update.Key, blockEstimate{usedAt: now, isReady: true, reportedAt: reportedAt})
-}
-
-func (b *estimates) set(engine string, key Key, entry blockEstimate) {
-	known, ok := b.engines[engine]
-	if !ok {
-		known = map[Key]blockEstimate{}
-		b.engines[engine] = known
-	}
-	if len(known) >= maxBlocksPerEngine {
-		dropStale(entry.usedAt, known)
-	}
-	known[key] = entry
-}
-
-func dropStale(now time.Time, known map[Key]blockEstimate) {
-	for k, h := range known {
-		if now.Sub(h.usedAt) > maxStoreTTL {
-			delete(known, k)
-		}
+		reportedAt = at
 	}
+	table.Set(now, h.place(update.Key), blockEstimate{usedAt: at, isReady: true, reportedAt: reportedAt})
 }
 
 // held returns the number of tokens in the leading blocks that the engine is assumed to hold or to be computing, and how many of them other
@@ -141,18 +189,19 @@
 	if len(blocks) == 0 {
 		return 0, 0
 	}
-	known, isFetchable := b.engines[engine], true
+	h, at, isFetchable := b.holder(engine), b.momentOf(now), true
+	table := b.table(h)
 	for _, r := range blocks {
-		h, ok := known[r.key]
+		known, ok := table.Get(h.place(r.key))
 		if !ok {
 			return cached, ready
 		}
-		age := now.Sub(h.usedAt)
+		age := known.usedAt.until(at)
 		if age > estimateTTL {
 			return cached, ready
 		}
 		cached += r.tokens
-		isFetchable = isFetchable && h.isReady && age <= ttl
+		isFetchable = isFetchable && known.isReady && age <= ttl
 		if isFetchable {
 			ready += r.tokens
 		}
@@ -169,11 +218,12 @@
 // sum returns the number of tokens in the blocks up to the first that is missing, older than the TTL or, with onlyReady,
 // still being computed.
 func (b *estimates) sum(now time.Time, engine string, blocks []prefixBlock, ttl time.Duration, onlyReady bool) int {
-	known := b.engines[engine]
+	h, at := b.holder(engine), b.momentOf(now)
+	table := b.table(h)
 	tokens := 0
 	for _, r := range blocks {
-		h, ok := known[r.key]
-		if !ok || now.Sub(h.usedAt) > ttl || onlyReady && !h.isReady {
+		known, ok := table.Get(h.place(r.key))
+		if !ok || known.usedAt.until(at) > ttl || onlyReady && !known.isReady {
 			return tokens
 		}
 		tokens += r.tokens
@@ -181,6 +231,5 @@
 	return tokens
 }
 
-func (b *estimates) forget(engine string) {
-	delete(b.engines, engine)
-}
+// forget drops the estimates of the engine or KV store. They cannot be found any more, and are removed with their generation.
+func (b *estimates) forget(engine string) { delete(b.holders, engine) }
