Bound what is believed of caches by a part of the memory

Cause: estimates were bounded at 20,000 for each engine alone, 1.8 million with 90 engines, and counted in no budget. Ruled out: bodies (no refusals for memory in the record).

TestEstimatesStayWithinTheirMemory before: 109 MB for 1.2 million blocks (bound 1.25 times 4 MB and the logs).

--- a/internal/lredge/daemon.go
+++ b/internal/lredge/daemon.go
@@ -138,7 +138,8 @@
 		pool: lrpeer.NewPool(insecure.NewCredentials()), clients: lrclients.New(settings, ports.EncodeRefusal, log),
 	}
 	d.balancer = lrbalance.New(lrbalance.Options{
-		PrefillPerMilli: float64(settings.Routing.PrefillPerSecond) / 1000, Zone: settings.Instance.Zone, OutdatedLimit: outdatedLimit(settings.Orders.VersionDeadline), Seed: uint64(clock().UnixNano()),
+		PrefillPerMilli: float64(settings.Routing.PrefillPerSecond) / 1000, Zone: settings.Instance.Zone, OutdatedLimit: outdatedLimit(settings.Orders.VersionDeadline),
+		EstimateBytes: estimateBytes(settings), Seed: uint64(clock().UnixNano()),
 	})
 	d.directory.OnRestart(d.balancer.Forget)
 	d.wireResponses()
@@ -159,6 +160,17 @@
 	return d
 }
 
+// estimateShare is the part of the memory of the machine in which estimates of the engines' caches are held at most.
+const estimateShare = 1.0 / 12
+
+// estimateBytes returns the memory for estimates of the engines' caches.
+func estimateBytes(settings lrsettings.Settings) int {
+	if settings.Instance.MemoryMB <= 0 {
+		return settings.Routing.BeliefBytes
+	}
+	return min(settings.Routing.BeliefBytes, int(settings.Instance.MemoryMB*estimateShare*(1<<20)))
+}
+
 // followerOptions returns the options for a feed that rarely changes.
 func followerOptions[T any](d *Daemon, name string, interval time.Duration) lrfleet.FollowerOptions[T] {
 	p := d.settings.Platform
--- a/pkg/lrbalance/balancer.go
+++ b/pkg/lrbalance/balancer.go
@@ -16,6 +16,8 @@
 	// OutdatedLimit is how long after an update a request may still start on the outdated weights. The wait at the engine counts. Zero
 	// means defaultOutdatedLimit.
 	OutdatedLimit time.Duration
+	// EstimateBytes is the memory for the estimates of what engines and KV stores hold. Zero means defaultEstimateBytes.
+	EstimateBytes int
 	// Seed seeds the random generator that breaks ties.
 	Seed uint64
 }
@@ -75,9 +77,10 @@
 // New returns a Balancer without load or cache estimates.
 func New(options Options) *Balancer {
 	options.OutdatedLimit = cmp.Or(options.OutdatedLimit, defaultOutdatedLimit)
+	options.EstimateBytes = cmp.Or(options.EstimateBytes, defaultEstimateBytes)
 	return &Balancer{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		ownLoads: map[string]Load{}, otherLoads: map[string]Load{}, estimates: newEstimates(),
+		ownLoads: map[string]Load{}, otherLoads: map[string]Load{}, estimates: newEstimates(options.EstimateBytes),
 		models: map[string]serviceModel{}, speeds: map[string]slowness{}, memories: map[string]memoryModel{},
 		held: map[string]map[Key]heldBlock{},
 	}
--- a/pkg/lrbalance/estimates.go
+++ b/pkg/lrbalance/estimates.go
@@ -15,6 +15,12 @@
 	// reportAgainAfter is the time after which a block in use is reported to other instances again. It is below
 	// estimateTTL, because they drop their estimate of the block then.
 	reportAgainAfter = 4 * time.Second
+	// estimateBytes is the memory that one estimate takes, with its share of the empty slots of a map.
+	estimateBytes = 40
+	// defaultEstimateBytes is the memory for all estimates where Options set none.
+	defaultEstimateBytes = 32 << 20
+	// generations is the number of generations among which the memory is divided: two of engines and two of KV stores.
+	generations = 4
 	// maxHolders bounds the engines and KV stores of which there are estimates.
 	maxHolders = 4096
 	// saltStep is the distance between the salts of two holders. It is odd, so that all salts differ.
@@ -81,7 +87,7 @@
 func (h holder) place(key Key) placedKey { return placedKey(uint64(key) ^ h.salt) }
 
 // estimates are the shared blocks that engines and KV stores are assumed to hold, derived from the requests that
-// were sent there and from the updates of other instances.
+// were sent there and from the updates of other instances. The oldest are dropped first when their memory is used up.
 type estimates struct {
 	createdAt time.Time
 	holders   map[string]holder
@@ -95,11 +101,12 @@
 	otherZones *updateLog
 }
 
-func newEstimates() *estimates {
+func newEstimates(bytes int) *estimates {
+	entries := max(bytes/(generations*estimateBytes), 1)
 	return &estimates{
 		holders:  map[string]holder{},
-		engines:  lrcache.NewGenerations[placedKey, blockEstimate](lrcache.Limits{Age: estimateTTL}),
-		stores:   lrcache.NewGenerations[placedKey, blockEstimate](lrcache.Limits{Age: maxStoreTTL}),
+		engines:  lrcache.NewGenerations[placedKey, blockEstimate](lrcache.Limits{Entries: entries, Age: estimateTTL}),
+		stores:   lrcache.NewGenerations[placedKey, blockEstimate](lrcache.Limits{Entries: entries, Age: maxStoreTTL}),
 		sameZone: newUpdateLog(), otherZones: newUpdateLog(),
 	}
 }
--- a/pkg/lrbalance/estimates_test.go
+++ b/pkg/lrbalance/estimates_test.go
@@ -6,6 +6,9 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
+
+	"github.com/lavenderrouter/lavenderrouter/pkg/lrhash"
 )
 
 const (
@@ -91,3 +94,38 @@
 		t.Errorf("%d blocks are remembered", known)
 	}
 }
+
+// TestEstimatesStayWithinTheirMemory guards against estimates that fill the memory of the process, which is killed for it: with small blocks, many
+// engines and few instances they grew without end. Blocks in use must stay known beside any number of others.
+func TestEstimatesStayWithinTheirMemory(t *testing.T) {
+	const bytes, rounds, blocksPerRound, engines, tolerance = 4 << 20, 300, 4000, 90, 1.25
+	now := time.Unix(1000, 0)
+	b := New(Options{PrefillPerMilli: testPrefill, Zone: "a", EstimateBytes: bytes})
+	inUse := []prefixBlock{{key: KeyOf("school/m", 1, "rules"), tokens: 64}}
+	before := heapBytes()
+	for round := range rounds {
+		b.RecordCached(now, "e0", []Key{inUse[0].key})
+		for n := range blocksPerRound {
+			b.RecordCached(now, fmt.Sprint("e", n%engines), []Key{Key(lrhash.RendezvousScore("block", fmt.Sprint(round, n)))})
+		}
+		now = now.Add(50 * time.Millisecond)
+		cached, _ := b.estimates.held(now, "e0", inUse, estimateTTL)
+		requireEqual(t, cached, inUse[0].tokens)
+	}
+	grown := heapBytes() - before
+	// The logs of updates for other instances have a bound of their own.
+	logs := 2 * maxLogEntries * int(unsafe.Sizeof(updateEntry{}))
+	if float64(grown) > tolerance*float64(bytes+logs) {
+		t.Errorf("the estimates take %d bytes of %d", grown, bytes)
+	}
+	runtime.KeepAlive(b)
+}
+
+// heapBytes returns the bytes of the heap that are in use.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
