Let standby instances read a lease as soon as it has expired

Cause (three records): the holder, turned away for 2 s, is back and acquires its own expired lease before the standby instance looks. Ruled out: the turn interval (the first holder acquires its own lease, nobody has held it since); an instance that does not contend.

Change: the first instance of each zone reads the lease at its next check once it has expired as it saw it, one time for each expiry. No further calls in calm, since each renewal moves the expiry on. TestStandbyReadsAnExpiredLeaseAtOnce before (with the condition off): not due. After: due at once, and once. TestLeaseChecksAreBounded holds.

--- a/internal/lredge/lease_schedule.go
+++ b/internal/lredge/lease_schedule.go
@@ -24,6 +24,8 @@
 	// holderKnownAt is when another instance was last known to hold the lease.
 	holderKnownAt time.Time
 	checkedAt     time.Time
+	// expiredAt is the end of the lease for which a standby instance has last read it at once.
+	expiredAt time.Time
 }
 
 // leaseCandidate describes the position of an instance among those that compete for the lease.
@@ -37,10 +39,12 @@
 	isHolder  bool
 	// knowsHolder is set while another instance is known to hold the lease.
 	knowsHolder bool
+	// expiredAt is when the lease that was last read ended, or zero while it may still last.
+	expiredAt time.Time
 }
 
 // isDue reports whether the instance shall read the lease now. The holder always does, and standby instances do so often enough to
-// take over as soon as the lease has expired. The others read it only after their rank delay without a known holder, and less often the
+// see each renewal, and at once when the lease has expired. The others read it only after their rank delay without a known holder, and less often the
 // higher their rank is.
 func (l *leaseSchedule) isDue(now time.Time, c leaseCandidate) bool {
 	if c.knowsHolder || l.holderKnownAt.IsZero() {
@@ -51,9 +55,10 @@
 		interval += standbyCheckInterval * time.Duration(c.rank/ranksPerBackoffStep)
 	}
 	isMissing := now.Sub(l.holderKnownAt) > c.delay
-	isDue := c.isHolder || (c.isStandby || isMissing) && now.Sub(l.checkedAt) >= interval
+	hasExpired := c.isStandby && !c.expiredAt.IsZero() && !c.expiredAt.Equal(l.expiredAt)
+	isDue := c.isHolder || hasExpired || (c.isStandby || isMissing) && now.Sub(l.checkedAt) >= interval
 	if isDue {
-		l.checkedAt = now
+		l.checkedAt, l.expiredAt = now, c.expiredAt
 	}
 	return isDue
 }
--- a/internal/lredge/lease_schedule_test.go
+++ b/internal/lredge/lease_schedule_test.go
@@ -77,3 +77,26 @@
 		}
 	}
 }
+
+// TestStandbyReadsAnExpiredLeaseAtOnce guards against a standby instance that finds out up to half a second late that a lease has expired: its
+// former holder, back from an outage of its own, acquired it again before, and no engine got an order meanwhile.
+func TestStandbyReadsAnExpiredLeaseAtOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	expiredAt := start.Add(leaseCheckInterval)
+	for _, isStandby := range []bool{true, false} {
+		t.Run(fmt.Sprint("standby ", isStandby), func(t *testing.T) {
+			var s leaseSchedule
+			c := leaseCandidate{rank: 1, delay: time.Minute, isStandby: isStandby}
+			if s.isDue(start, c) != isStandby {
+				t.Fatal("the first read")
+			}
+			c.expiredAt = expiredAt
+			if s.isDue(start.Add(leaseCheckInterval), c) != isStandby {
+				t.Errorf("a standby instance reads an expired lease at once, and others do not")
+			}
+			if s.isDue(start.Add(leaseCheckInterval+time.Millisecond), c) {
+				t.Errorf("the lease is read twice for one expiry")
+			}
+		})
+	}
+}
--- a/internal/lredge/weights.go
+++ b/internal/lredge/weights.go
@@ -64,7 +64,7 @@
 	rank := d.sharer.Rank(now)
 	c := leaseCandidate{
 		rank: rank, delay: rankDelay(rank, d.sharer.PropagationDelay()), isStandby: d.sharer.IsFirstOfZone(),
-		isHolder: d.weights.IsHolder(now), knowsHolder: d.sharer.HasOtherHolder(now),
+		isHolder: d.weights.IsHolder(now), knowsHolder: d.sharer.HasOtherHolder(now), expiredAt: d.leaseKeeper.ExpiredAt(lrclock.BootTime()),
 	}
 	if d.schedule.isDue(now, c) {
 		d.stepLease(ctx)
--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -131,11 +131,25 @@
 	if k.lease.Holder == "" && !k.isOutdated() {
 		return true
 	}
-	validity := k.lease.Validity()
+	return now.After(k.expiry())
+}
+
+// ExpiredAt returns when the lease that was last read ended, or the zero time while it may still last. It ends if its holder does not renew it.
+func (k *Keeper) ExpiredAt(now time.Time) time.Time {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.firstSeenAt.IsZero() || !now.After(k.expiry()) {
+		return time.Time{}
+	}
+	return k.expiry()
+}
+
+// expiry returns when the lease that was last read ends if it is not renewed. It must be called with the mutex held.
+func (k *Keeper) expiry() time.Time {
 	if k.object.Version == 0 {
-		validity = k.validity
+		return k.firstSeenAt.Add(k.validity)
 	}
-	return now.Sub(k.firstSeenAt) > validity
+	return k.firstSeenAt.Add(k.lease.Validity())
 }
 
 // isOutdated reports whether a later lease than the stored one, which may still be valid, was lost when the store came back from an older
