Let a holder of cached blocks know its table

Each step looked up the holder and then, by a flag in it, the table of its blocks, five times in the same three lines. The holder has the table now, and get, set and delete for its keys. Behaviour is the same: the tests of lrbalance pass unchanged.

--- a/pkg/lrbalance/estimates.go
+++ b/pkg/lrbalance/estimates.go
@@ -77,15 +77,23 @@
 // A placedKey identifies a block at one engine or KV store.
 type placedKey uint64
 
-// holder is an engine or KV store.
+// holder is an engine or KV store, with the table of the blocks that it is assumed to hold.
 type holder struct {
 	// salt tells the keys of this holder from those of others, and of the same one before it was forgotten.
-	salt    uint64
-	isStore bool
+	salt  uint64
+	table *lrcache.Generations[placedKey, blockEstimate]
 }
 
 func (h holder) place(key Key) placedKey { return placedKey(uint64(key) ^ h.salt) }
 
+func (h holder) get(key Key) (blockEstimate, bool) { return h.table.Get(h.place(key)) }
+
+func (h holder) set(now time.Time, key Key, estimate blockEstimate) {
+	h.table.Set(now, h.place(key), estimate)
+}
+
+func (h holder) delete(key Key) { h.table.Delete(h.place(key)) }
+
 // estimates are the shared blocks that engines and KV stores are assumed to hold, derived from the requests that
 // were sent there and from the updates of other instances. The oldest are dropped first when their memory is used up.
 type estimates struct {
@@ -129,36 +137,30 @@
 		clear(b.holders)
 	}
 	b.lastSalt += saltStep
-	added := holder{salt: b.lastSalt, isStore: strings.HasPrefix(name, storeNamePrefix)}
+	added := holder{salt: b.lastSalt, table: b.engines}
+	if strings.HasPrefix(name, storeNamePrefix) {
+		added.table = b.stores
+	}
 	b.holders[name] = added
 	return added
 }
 
-func (b *estimates) table(h holder) *lrcache.Generations[placedKey, blockEstimate] {
-	if h.isStore {
-		return b.stores
-	}
-	return b.engines
-}
-
 // markComputing records that the engine is about to compute those of the blocks that it lacks.
 func (b *estimates) markComputing(now time.Time, engine string, blocks []prefixBlock) {
 	h, at := b.holder(engine), b.momentOf(now)
-	table := b.table(h)
 	for _, r := range blocks {
-		before, _ := table.Get(h.place(r.key))
+		before, _ := h.get(r.key)
 		isReady := before.isReady && before.usedAt.until(at) < estimateTTL
-		table.Set(now, h.place(r.key), blockEstimate{usedAt: at, isReady: isReady, reportedAt: before.reportedAt})
+		h.set(now, r.key, blockEstimate{usedAt: at, isReady: isReady, reportedAt: before.reportedAt})
 	}
 }
 
 // abandon removes those of the blocks that the engine was computing and did not finish.
 func (b *estimates) abandon(engine string, blocks []prefixBlock) {
 	h := b.holder(engine)
-	table := b.table(h)
 	for _, r := range blocks {
-		if known, ok := table.Get(h.place(r.key)); ok && !known.isReady {
-			table.Delete(h.place(r.key))
+		if known, ok := h.get(r.key); ok && !known.isReady {
+			h.delete(r.key)
 		}
 	}
 }
@@ -179,15 +181,14 @@
 // reported recently.
 func (b *estimates) markHeld(now time.Time, update CacheUpdate, log *updateLog) {
 	h, at := b.holder(update.Engine), b.momentOf(now)
-	table := b.table(h)
-	before, _ := table.Get(h.place(update.Key))
+	before, _ := h.get(update.Key)
 	isReported := before.isReady && before.usedAt.until(at) < estimateTTL && before.reportedAt.until(at) < reportAgainAfter
 	reportedAt := before.reportedAt
 	if !isReported {
 		log.add(now, update)
 		reportedAt = at
 	}
-	table.Set(now, h.place(update.Key), blockEstimate{usedAt: at, isReady: true, reportedAt: reportedAt})
+	h.set(now, update.Key, blockEstimate{usedAt: at, isReady: true, reportedAt: reportedAt})
 }
 
 // held returns the number of tokens in the leading blocks that the engine is assumed to hold or to be computing, and how many of them other
@@ -197,9 +198,8 @@
 		return 0, 0
 	}
 	h, at, isFetchable := b.holder(engine), b.momentOf(now), true
-	table := b.table(h)
 	for _, r := range blocks {
-		known, ok := table.Get(h.place(r.key))
+		known, ok := h.get(r.key)
 		if !ok {
 			return cached, ready
 		}
@@ -226,10 +226,9 @@
 // still being computed.
 func (b *estimates) sum(now time.Time, engine string, blocks []prefixBlock, ttl time.Duration, onlyReady bool) int {
 	h, at := b.holder(engine), b.momentOf(now)
-	table := b.table(h)
 	tokens := 0
 	for _, r := range blocks {
-		known, ok := table.Get(h.place(r.key))
+		known, ok := h.get(r.key)
 		if !ok || known.usedAt.until(at) > ttl || onlyReady && !known.isReady {
 			return tokens
 		}
