Read a lease with its object at once, and name the first era in one place

Acquiring and renewing read the object and the lease under two locks since the turn interval; they are read together again, as before. The first era stood in lrlease, lrledger and the memory store; lrplatform.FirstEra serves all. Unknown holders are nil, without a second result that says the same. Behaviour is the same: the tests of lrlease, lrledger, lrplatform, lrorders and lredge pass unchanged.

--- a/internal/lrlease/fence.go
+++ b/internal/lrlease/fence.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// firstEra is the era of a store that has not come back from an older copy yet.
-	firstEra uint64 = 1
 	// fenceStride is the distance between the first fencing numbers of two eras of the store. It is above every version of an object in one era.
 	fenceStride uint64 = 1 << 32
 	// maxFenceEra bounds the eras that have fencing numbers of their own, so that all numbers are below maxFence.
--- a/internal/lrlease/keeper.go
+++ b/internal/lrlease/keeper.go
@@ -98,13 +98,13 @@
 	case !held:
 		return k.contend(ctx)
 	case k.mustRaise(now):
-		object, _ := k.current()
-		return k.write(ctx, object, k.renewal(now, uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), false)
+		object, lease := k.renewal(now)
+		return k.write(ctx, object, lease.WithFenceAbove(k.fenceFloor(object)), false)
 	case grant.Remaining > k.validity-k.validity/renewDivisor:
 		return nil
 	default:
-		object, _ := k.current()
-		return k.write(ctx, object, k.renewal(now, uuid.NewString()), false)
+		object, lease := k.renewal(now)
+		return k.write(ctx, object, lease, false)
 	}
 }
 
@@ -120,8 +120,8 @@
 	if wait := k.turnWait(now); wait > 0 {
 		return ErrTurn.New("%v left", wait)
 	}
-	object, _ := k.current()
-	return k.write(ctx, object, k.acquisition(uuid.NewString()).WithFenceAbove(k.fenceFloor(object)), true)
+	object, lease := k.acquisition()
+	return k.write(ctx, object, lease.WithFenceAbove(k.fenceFloor(object)), true)
 }
 
 // isFree reports whether no other instance can hold the lease: its holder has released it, or has not renewed it for the validity.
@@ -156,7 +156,7 @@
 // copy. It must be called with the mutex held.
 func (k *Keeper) isOutdated() bool {
 	if k.object.Version == 0 {
-		return k.wasRestored || k.highestFence > 0 || k.object.Era > firstEra
+		return k.wasRestored || k.highestFence > 0 || k.object.Era > lrplatform.FirstEra
 	}
 	return k.lease.Fence < max(k.highestFence, firstFence(k.object.Era))
 }
--- a/internal/lrlease/lease.go
+++ b/internal/lrlease/lease.go
@@ -37,12 +37,12 @@
 	return holder[:end]
 }
 
-// holders returns the recent holders with the present one, the latest last. It reports false when they are unknown.
-func (l Lease) holders() ([]string, bool) {
+// holders returns the recent holders with the present one, the latest last. It returns nil when they are unknown.
+func (l Lease) holders() []string {
 	if l.Holder == "" || l.RecentHolders == nil {
-		return l.RecentHolders, l.RecentHolders != nil
+		return l.RecentHolders
 	}
-	return appendLatest(l.RecentHolders, instanceOf(l.Holder)), true
+	return appendLatest(l.RecentHolders, instanceOf(l.Holder))
 }
 
 // appendLatest returns the instances with the latest one at the end, each of them once.
@@ -53,8 +53,7 @@
 
 // WithHolder returns the lease with the next holder and an increased fencing number.
 func (l Lease) WithHolder(holder, nonce string, validity time.Duration) Lease {
-	recent, _ := l.holders()
-	return Lease{Holder: holder, Nonce: nonce, Fence: l.Fence + 1, ValidMillis: validity.Milliseconds(), RecentHolders: recent}
+	return Lease{Holder: holder, Nonce: nonce, Fence: l.Fence + 1, ValidMillis: validity.Milliseconds(), RecentHolders: l.holders()}
 }
 
 // WithoutRecentHolders returns the lease of a holder that has held it for the turn interval, so that no other instance did so within it.
@@ -83,7 +82,7 @@
 
 // WithoutHolder returns the lease as released by its holder.
 func (l Lease) WithoutHolder(nonce string) Lease {
-	l.RecentHolders, _ = l.holders()
+	l.RecentHolders = l.holders()
 	l.Holder, l.Nonce = "", nonce
 	return l
 }
--- a/internal/lrlease/turn.go
+++ b/internal/lrlease/turn.go
@@ -3,6 +3,10 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lavenderrouter/lavenderrouter/internal/lrplatform"
 )
 
 // turnWait returns for how long this instance must not acquire the lease yet, because it held the lease within the turn interval, or may have
@@ -22,8 +26,8 @@
 	if k.object.Version == 0 && !k.isOutdated() {
 		return false
 	}
-	holders, known := k.lease.holders()
-	if !known || k.isOutdated() {
+	holders := k.lease.holders()
+	if holders == nil || k.isOutdated() {
 		return true
 	}
 	self := instanceOf(k.holder)
@@ -51,8 +55,8 @@
 	k.validUntil = time.Time{}
 }
 
-// acquisition returns the lease with this instance as its holder.
-func (k *Keeper) acquisition(nonce string) Lease {
+// acquisition returns the object to write and the lease with this instance as its holder.
+func (k *Keeper) acquisition() (lrplatform.Object, Lease) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	lease := k.lease
@@ -62,16 +66,16 @@
 	case k.object.Version == 0:
 		lease = firstLease()
 	}
-	return lease.WithHolder(k.holder, nonce, k.validity)
+	return k.object, lease.WithHolder(k.holder, uuid.NewString(), k.validity)
 }
 
-// renewal returns the lease that this instance holds, renewed.
-func (k *Keeper) renewal(now time.Time, nonce string) Lease {
+// renewal returns the object to write and the lease that this instance holds, renewed.
+func (k *Keeper) renewal(now time.Time) (lrplatform.Object, Lease) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	lease := k.lease.WithRenewal(nonce)
+	lease := k.lease.WithRenewal(uuid.NewString())
 	if now.Sub(k.heldSince) < k.turnInterval {
-		return lease
+		return k.object, lease
 	}
-	return lease.WithoutRecentHolders()
+	return k.object, lease.WithoutRecentHolders()
 }
--- a/internal/lrledger/restored.go
+++ b/internal/lrledger/restored.go
@@ -11,9 +11,6 @@
 // heard all else of the platform from their peers.
 const maxEraAge = 500 * time.Millisecond
 
-// firstEra is the era of a platform that has never come back from a copy.
-const firstEra = 1
-
 // RecordEra applies the era that an answer of the platform names. A later one than before means that the platform has come back from an older
 // copy, which may lack records of actions that have been sent. An instance that has just started cannot tell how long ago that was. Zero
 // means that the platform names none.
@@ -28,7 +25,7 @@
 		return
 	}
 	l.era = era
-	if era == firstEra {
+	if era == lrplatform.FirstEra {
 		return
 	}
 	l.holdUntil = now.Add(l.options.RestoreHold)
--- a/internal/lrplatform/memory.go
+++ b/internal/lrplatform/memory.go
@@ -40,7 +40,7 @@
 func (m *Memory) NameEras() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.era = 1
+	m.era = FirstEra
 }
 
 // Era returns the era, or zero if the Memory names none.
--- a/internal/lrplatform/store.go
+++ b/internal/lrplatform/store.go
@@ -32,6 +32,9 @@
 // MaxValueBytes is the largest value that the platform accepts, in bytes.
 const MaxValueBytes = 1 << 20
 
+// FirstEra is the era of a store that has never come back from an older copy.
+const FirstEra uint64 = 1
+
 // An Object is one versioned value in the platform.
 type Object struct {
 	Kind string `json:"kind"`
