Pass over traits that are suspects already when a crash is told again

Instances tell of a crash for 1.5 s, and since all parts of known requests are taken, each message did the work for each trait anew: evidence counted, candidates looked at. A trait that is a suspect by the request is passed over now, where suspect looked for it before. The tests of lrquarantine, lrstream and internal/lrquarantine pass unchanged.

--- a/pkg/lrquarantine/evidence.go
+++ b/pkg/lrquarantine/evidence.go
@@ -81,14 +81,11 @@
 	return nil
 }
 
-// suspect records that the trait of the request may have caused the crash.
+// suspect records that the trait of the request, which is no suspect yet, may have caused the crash.
 func (e *evidence) suspect(r *inFlight, trait Trait) {
 	known := e.byTrait[trait]
 	sameCrash, isOwn := 0, false
 	for _, other := range known {
-		if other == r {
-			return
-		}
 		if other.crash == r.crash {
 			sameCrash++
 			isOwn = isOwn || other.isOwn
--- a/pkg/lrquarantine/tracker.go
+++ b/pkg/lrquarantine/tracker.go
@@ -186,6 +186,10 @@
 		return
 	}
 	for _, trait := range t.traits(request) {
+		if t.evidence.isSuspect(r, trait) {
+			// Other instances tell of a crash again and again.
+			continue
+		}
 		completedAt := t.successes.last(trait)
 		if !completedAt.IsZero() {
 			t.announce(now, trait, completedAt)
